--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,110 @@
+// Package kernel is the micro-kernel of a process: services register under a name, find each other by name, are
+// started and stopped together, and give a dump of their state on request.
+package kernel
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantpier/currantpier/kinds"
+)
+
+// Service is one part of a process.
+type Service interface {
+	// Name is unique in a process, in kebab case.
+	Name() string
+	// Run works until ctx ends. An error other than the context's ends the process.
+	Run(ctx context.Context) error
+	// Dump returns the present state as a value that encoding/json can encode, without secrets.
+	Dump(now time.Time) any
+}
+
+// Kernel holds the services of one process.
+type Kernel struct {
+	mu       sync.RWMutex
+	services map[string]Service
+	// order is the order of registration; services start in it.
+	order []string
+	done  chan error
+}
+
+// New returns a kernel without services.
+func New() *Kernel {
+	return &Kernel{services: map[string]Service{}, done: make(chan error, 1)}
+}
+
+// Register adds a service. It returns a Conflict error if the name is taken.
+func (k *Kernel) Register(s Service) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, ok := k.services[s.Name()]; ok {
+		return kinds.Errorf(kinds.Conflict, "service %q is already registered", s.Name())
+	}
+	k.services[s.Name()] = s
+	k.order = append(k.order, s.Name())
+	return nil
+}
+
+// Find returns the service with the given name, or a NotFound error.
+func (k *Kernel) Find(name string) (Service, error) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	s, ok := k.services[name]
+	if !ok {
+		return nil, kinds.Errorf(kinds.NotFound, "no service %q", name)
+	}
+	return s, nil
+}
+
+// Start runs every registered service and returns at once. The first failure ends the others.
+func (k *Kernel) Start(ctx context.Context) {
+	g, ctx := errgroup.WithContext(ctx)
+	k.mu.RLock()
+	for _, name := range k.order {
+		s := k.services[name]
+		g.Go(func() error { return runService(ctx, s) })
+	}
+	k.mu.RUnlock()
+	go func() { k.done <- g.Wait() }()
+}
+
+// Done delivers the first error, or nil, once all services have ended.
+func (k *Kernel) Done() <-chan error {
+	return k.done
+}
+
+func runService(ctx context.Context, s Service) error {
+	err := s.Run(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return errors.Wrapf(err, "service %s", s.Name())
+	}
+	return nil
+}
+
+// WriteDump writes the state of every service, or of those named, as one JSON object keyed by name.
+func (k *Kernel) WriteDump(w io.Writer, now time.Time, names ...string) error {
+	if len(names) == 0 {
+		k.mu.RLock()
+		names = append(names, k.order...)
+		k.mu.RUnlock()
+		sort.Strings(names)
+	}
+	state := make(map[string]any, len(names))
+	for _, name := range names {
+		s, err := k.Find(name)
+		if err != nil {
+			return err
+		}
+		state[name] = s.Dump(now)
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(state), "encode dump")
+}
--- /dev/null
+++ b/kinds/kinds_test.go
@@ -0,0 +1,53 @@
+package kinds
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Guards against a kind without a row, and against two kinds that a caller cannot tell apart by name.
+func TestTableIsComplete(t *testing.T) {
+	seen := map[string]bool{}
+	for _, k := range All() {
+		a := k.Answer()
+		if a.Name == "" || a.Status == 0 || a.Retry == "" {
+			t.Errorf("kind %d has an incomplete row: %+v", k, a)
+		}
+		if seen[a.Name] {
+			t.Errorf("name %q stands twice", a.Name)
+		}
+		seen[a.Name] = true
+		if got, ok := ByName(a.Name); !ok || got != k {
+			t.Errorf("ByName(%q) = %v", a.Name, got)
+		}
+		if a.Ran == RanUnknown && (a.Retry == RetryNewID || a.Retry == RetryOther) {
+			t.Errorf("%s: an order that may have run must not be sent again under a new id", a.Name)
+		}
+	}
+	if (Kind(250)).Answer().Name != "internal" {
+		t.Error("a kind outside the list must be answered as internal")
+	}
+}
+
+func TestOf(t *testing.T) {
+	base := Errorf(StoreDown, "dial failed")
+	tests := []struct {
+		err  error
+		want Kind
+	}{
+		{nil, Answered},
+		{errors.New("plain"), Internal},
+		{base, StoreDown},
+		{errors.Wrap(base, "get plan"), StoreDown},
+		{Wrap(Fenced, base, "write plan"), Fenced},
+	}
+	for _, tt := range tests {
+		if got := Of(tt.err); got != tt.want {
+			t.Errorf("Of(%v) = %v, want %v", tt.err, got, tt.want)
+		}
+	}
+	if Wrap(Fenced, nil, "x") != nil {
+		t.Error("Wrap(nil) must be nil")
+	}
+}
