--- a/plan/plan.go
+++ b/plan/plan.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/share"
+	"github.com/currantpier/currantpier/shift"
 )
 
 // Traffic is one version of the traffic plan. The lease holder writes it; every entry applies the newest one.
@@ -19,7 +21,8 @@
 	MadeAt time.Time     `json:"made-at"`
 	// Routes is sorted by service and origin.
 	Routes []Route `json:"routes"`
-	// Grants is sorted by target and entry. The sum over a target never exceeds its slots.
+	// Grants is sorted by target and entry. For each target the sum of Bound never exceeds its slots, except while
+	// entries have not yet given up slots of a target that has shrunk or is leaving.
 	Grants []Grant `json:"grants"`
 	// Targets is sorted by name. It lists every target that may get work or still holds some.
 	Targets []Target `json:"targets"`
@@ -31,20 +34,15 @@
 	Origin  ident.Region  `json:"origin"`
 	// Weights is sorted by region; the shares add up to ident.Whole.
 	Weights []Weight `json:"weights"`
+	// Moved is the recent movement of a shift; see shift.State.
+	Moved []shift.Moved `json:"moved,omitempty"`
 }
 
 // Weight is the share of one serving region.
-type Weight struct {
-	Region ident.Region `json:"region"`
-	Share  ident.PPM    `json:"share"`
-}
+type Weight = shift.Weight
 
 // Grant gives an entry slots of a target.
-type Grant struct {
-	Target ident.Target `json:"target"`
-	Entry  ident.VM     `json:"entry"`
-	Slots  ident.Slots  `json:"slots"`
-}
+type Grant = share.Grant
 
 // Target describes one target as the lease holder knows it.
 type Target struct {
