--- a/store/types.go
+++ b/store/types.go
@@ -7,22 +7,22 @@
 // Row is one row of the table.
 type Row struct {
 	// Key uses '/' between parts, for example "lease/steer".
-	Key   string
-	Value []byte
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
 	// Version counts the writes to the row; zero means that the row does not exist.
-	Version ident.Version
+	Version ident.Version `json:"version"`
 }
 
 // Op is one operation of a transaction. All conditions are checked before anything is written.
 type Op struct {
-	Key   string
-	Value []byte
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
 	// If is the version the row must have; zero means that it must not exist.
-	If ident.Version
+	If ident.Version `json:"if"`
 	// CheckOnly checks the condition and writes nothing.
-	CheckOnly bool
+	CheckOnly bool `json:"check-only,omitempty"`
 	// Delete removes the row.
-	Delete bool
+	Delete bool `json:"delete,omitempty"`
 }
 
 // VMState is the state of a VM in the platform's list.
@@ -60,3 +60,23 @@
 	Slots       ident.Slots   `json:"slots,omitempty"`
 	Connections int32         `json:"connections,omitempty"`
 }
+
+// TxnRequest is the body of POST /txn.
+type TxnRequest struct {
+	Ops []Op `json:"ops"`
+}
+
+// TxnAnswer is the answer to POST /txn: the version of each row after the transaction.
+type TxnAnswer struct {
+	Versions []ident.Version `json:"versions"`
+}
+
+// ListAnswer is the answer to GET /table.
+type ListAnswer struct {
+	Rows []Row `json:"rows"`
+}
+
+// VMsAnswer is the answer to GET /vms.
+type VMsAnswer struct {
+	VMs []VMInfo `json:"vms"`
+}
