once, retry, model: exported interfaces and first bodies

Cause: the daemons are written at the same time and need the signatures. No tests yet. Conclusion: signatures may still gain parameters; tests and specifications follow.

--- /dev/null
+++ b/once/dump.go
@@ -0,0 +1,194 @@
+package once
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+)
+
+// Snapshot is the state of an Owner for the dump.
+type Snapshot struct {
+	VM          ident.VM          `json:"vm"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+	// Closed counts the earlier incarnations whose journals others have sealed.
+	Closed int `json:"closed"`
+	// Records counts the records by state.
+	Records   map[string]int `json:"records"`
+	BodyBytes int            `json:"body-bytes"`
+	// Floor is the highest ticket minute that was refused because the records were full.
+	Floor    int64 `json:"floor-minute"`
+	Stopping bool  `json:"stopping"`
+	Finished bool  `json:"finished"`
+	StoreUp  bool  `json:"store-up"`
+	// Written is the time of the last successful journal write.
+	Written time.Time `json:"written"`
+	// Seq is the sequence number of the last batch known to be in the journal, and Rows its number of rows.
+	Seq  uint64 `json:"seq"`
+	Rows uint64 `json:"rows"`
+	// Queued counts the ids and outcomes that wait for a batch, and InFlight those in the batch in hand.
+	Queued   int `json:"queued"`
+	InFlight int `json:"in-flight"`
+	// Unknown lists orders whose outcome is unknown, at most maxListed of them.
+	Unknown []ident.RequestID `json:"unknown"`
+}
+
+// maxListed bounds the list of unknown orders in a dump.
+const maxListed = 100
+
+// Snapshot returns the present state.
+func (o *Owner) Snapshot(now time.Time) Snapshot {
+	now = o.clock(now)
+	j := &o.journal
+	s := Snapshot{
+		VM: o.vm, Incarnation: o.inc, Closed: len(o.closed), Records: map[string]int{}, BodyBytes: o.bodies,
+		Floor: o.floor, Stopping: o.stopping, Finished: o.Finished(), StoreUp: o.storeUp(now), Written: j.written,
+		Seq: j.seq, Rows: j.rows, Queued: len(j.intents) + len(j.outcomes), InFlight: len(j.batch.Entries),
+	}
+	for _, rec := range o.records {
+		s.Records[rec.state.String()]++
+	}
+	s.Unknown = o.Unknown()
+	s.Unknown = s.Unknown[:min(len(s.Unknown), maxListed)]
+	return s
+}
+
+// Unknown lists the orders whose outcome is unknown, in order of id.
+func (o *Owner) Unknown() []ident.RequestID {
+	ids := map[ident.RequestID]struct{}{}
+	for id, rec := range o.records {
+		if rec.state == Unknown {
+			ids[id] = struct{}{}
+		}
+	}
+	return sortedIDs(ids)
+}
+
+// Clone returns an independent copy. Bodies and batches are shared, since they are never changed.
+func (o *Owner) Clone() *Owner {
+	c := *o
+	c.closed, c.done, c.late = slices.Clone(o.closed), slices.Clone(o.done), slices.Clone(o.late)
+	c.open = maps.Clone(o.open)
+	c.records = make(map[ident.RequestID]*record, len(o.records))
+	for id, rec := range o.records {
+		r := *rec
+		c.records[id] = &r
+	}
+	c.journal.intents, c.journal.outcomes = slices.Clone(o.journal.intents), slices.Clone(o.journal.outcomes)
+	return &c
+}
+
+// AppendState appends an encoding of the state to b. Owners with the same limits and equal encodings behave alike.
+// Times are relative to the latest time seen.
+func (o *Owner) AppendState(b []byte) []byte {
+	e := encoder(b)
+	e.str(string(o.vm))
+	e.num(uint64(o.inc), uint64(o.floor), uint64(len(o.closed)))
+	for _, inc := range o.closed {
+		e.num(uint64(inc))
+	}
+	e.flags(o.stopping, o.journal.complete, o.journal.fenced)
+	for _, id := range slices.Sorted(maps.Keys(o.records)) {
+		r := o.records[id]
+		e.str(string(id))
+		e.num(uint64(r.state))
+		e.time(o.now, r.deadline)
+		e.time(o.now, r.changed)
+		e.answer(r.answer)
+		e.flags(r.listed, r.queued)
+	}
+	e.ids(o.done)
+	e.num(uint64(len(o.late)))
+	for _, ev := range o.late {
+		e.str(string(ev.ID))
+		e.num(uint64(ev.State))
+	}
+	o.journal.encode(&e, o.now)
+	return e
+}
+
+func (j *journalState) encode(e *encoder, now time.Time) {
+	e.num(uint64(j.head), j.seq, j.rows, uint64(j.phase))
+	e.ids(j.intents)
+	e.ids(j.outcomes)
+	e.time(now, j.tried)
+	e.time(now, j.written)
+	e.num(j.batch.Seq, uint64(len(j.batch.Entries)))
+	e.flags(j.batch.Final)
+	for _, en := range j.batch.Entries {
+		e.str(string(en.ID))
+		e.num(uint64(en.State))
+		e.answer(en.Answer)
+	}
+}
+
+// Clone returns an independent copy.
+func (s *Successor) Clone() *Successor {
+	c := *s
+	c.index = maps.Clone(s.index)
+	return &c
+}
+
+// AppendState appends an encoding of the state to b. Successors with equal encodings behave alike.
+func (s *Successor) AppendState(b []byte) []byte {
+	e := encoder(b)
+	e.str(string(s.owner))
+	e.str(string(s.by))
+	e.num(uint64(s.inc), uint64(s.next), uint64(s.head.Version), uint64(s.head.State), s.head.Seq, s.head.Rows)
+	e.num(s.after, s.rows)
+	e.flags(s.missing)
+	for _, id := range slices.Sorted(maps.Keys(s.index)) {
+		e.str(string(id))
+		e.num(uint64(s.index[id].state), s.index[id].row)
+		e.answer(s.index[id].answer)
+	}
+	return e
+}
+
+// encoder appends values so that different sequences of values give different bytes.
+type encoder []byte
+
+func (e *encoder) num(values ...uint64) {
+	for _, v := range values {
+		*e = binary.AppendUvarint(*e, v)
+	}
+}
+
+func (e *encoder) str(s string) {
+	e.num(uint64(len(s)))
+	*e = append(*e, s...)
+}
+
+func (e *encoder) flags(values ...bool) {
+	for _, v := range values {
+		if v {
+			*e = append(*e, 1)
+		} else {
+			*e = append(*e, 0)
+		}
+	}
+}
+
+func (e *encoder) ids(ids []ident.RequestID) {
+	e.num(uint64(len(ids)))
+	for _, id := range ids {
+		e.str(string(id))
+	}
+}
+
+// time encodes how long before now t is; the zero time has a code of its own.
+func (e *encoder) time(now, t time.Time) {
+	e.flags(t.IsZero())
+	if !t.IsZero() {
+		*e = binary.AppendVarint(*e, int64(now.Sub(t)))
+	}
+}
+
+func (e *encoder) answer(a Answer) {
+	e.num(uint64(a.Status))
+	e.str(a.Type)
+	e.str(string(a.Body))
+	e.flags(a.NotKept)
+}
