shift: capped steps with remote headroom, cold caches and link limits

Ruled out: pacing by time since the last step alone, which lets 1.2 times the minute's cap into some windows of 60 s; a log of the movements of the last minute is exact. Follower.Set without a clock: the limit applies when weights are read. After: go test ./shift is green; taking out the window, the follower's budget, the stale check, the pending share or the cold factor fails a test each.

--- /dev/null
+++ b/shift/shift_test.go
@@ -0,0 +1,252 @@
+package shift_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/shift"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	rules = shift.Rules{Cap: shift.Cap{PerStep: 50_000, PerMinute: 120_000}}
+	home  = []shift.Weight{{Region: "riga", Share: ident.Whole}}
+	away  = []shift.Weight{{Region: "tartu", Share: ident.Whole}}
+)
+
+// fresh returns a roomy, up-to-date measurement for a shift from riga to tartu.
+func fresh(now time.Time) ([]shift.Headroom, shift.Measured) {
+	return []shift.Headroom{{Region: "tartu", Slots: 400, Used: 20, At: now, Link: 4000, LinkUsed: 100, LinkAt: now}},
+		shift.Measured{Slots: 60, Mbps: 200, At: now}
+}
+
+// Guards against a shift that advances on missing or old measurements, or into a region or link that is full.
+func TestNextHolds(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(h *shift.Headroom, m *shift.Measured, s *shift.State)
+		want   shift.Reason
+		share  ident.PPM
+	}{
+		{"room", func(*shift.Headroom, *shift.Measured, *shift.State) {}, shift.Stepped, 50_000},
+		{"just fresh", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) { h.At = start.Add(-10 * time.Second) },
+			shift.Stepped, 50_000},
+		{"headroom stale", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) {
+			h.At = start.Add(-10*time.Second - 1)
+		}, shift.HoldStale, 0},
+		{"headroom missing", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) { h.At = time.Time{} },
+			shift.HoldMissing, 0},
+		{"region not measured", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) { h.Region = "kaunas" },
+			shift.HoldMissing, 0},
+		{"link stale", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) {
+			h.LinkAt = start.Add(-11 * time.Second)
+		}, shift.HoldStale, 0},
+		{"demand missing", func(_ *shift.Headroom, m *shift.Measured, _ *shift.State) { m.At = time.Time{} },
+			shift.HoldMissing, 0},
+		{"demand stale", func(_ *shift.Headroom, m *shift.Measured, _ *shift.State) { m.At = start.Add(-11 * time.Second) },
+			shift.HoldStale, 0},
+		{"region full", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) { h.Used = 340 }, shift.HoldHeadroom, 0},
+		// 3 free slots of 340 carry 25000 ppm of 60 slots at the cold cost of 2.
+		{"region nearly full", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) { h.Used = 337 },
+			shift.Stepped, 25_000},
+		{"link full", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) { h.LinkUsed = 2400 }, shift.HoldLink, 0},
+		// 2 Mbit/s under 60% of the link carry 10000 ppm of 200 Mbit/s.
+		{"link nearly full", func(h *shift.Headroom, _ *shift.Measured, _ *shift.State) { h.LinkUsed = 2398 },
+			shift.Stepped, 10_000},
+		{"step just made", func(_ *shift.Headroom, _ *shift.Measured, s *shift.State) {
+			s.Moved = []shift.Moved{{At: start.Add(-24 * time.Second), To: "tartu", Share: 1000}}
+		}, shift.HoldCap, 0},
+		{"minute used up", func(_ *shift.Headroom, _ *shift.Measured, s *shift.State) {
+			s.Moved = []shift.Moved{{At: start.Add(-30 * time.Second), To: "tartu", Share: 100_000}}
+		}, shift.Stepped, 20_000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			head, m := fresh(start)
+			s := shift.State{Weights: home}
+			tt.change(&head[0], &m, &s)
+			step, why := shift.Next(rules, s, away, head, m, start)
+			if why != tt.want || step.Share != tt.share {
+				t.Errorf("got %v, share %d; want %v, share %d", why, step.Share, tt.want, tt.share)
+			}
+		})
+	}
+}
+
+// Guards against a movement that is counted twice or not at all before measurements show it.
+func TestNextCountsUnmeasuredMovement(t *testing.T) {
+	r := rules
+	r.Cap = shift.Cap{PerStep: 10_000, PerMinute: 600_000}
+	head, m := fresh(start)
+	head[0].Used = 337 // room for 25000 ppm
+	s := shift.State{Weights: home, Moved: []shift.Moved{{At: start.Add(-2 * time.Second), To: "tartu", Share: 25_000}}}
+	if step, why := shift.Next(r, s, away, head, m, start); why != shift.HoldHeadroom {
+		t.Errorf("got %v, share %d; want hold-headroom", why, step.Share)
+	}
+	s.Moved[0].At = start.Add(-6 * time.Second)
+	if _, why := shift.Next(r, s, away, head, m, start); why != shift.Stepped {
+		t.Errorf("got %v once the movement is measured; want stepped", why)
+	}
+}
+
+// checkCap fails if movements break the cap in one step or in any 60 s.
+func checkCap(t *testing.T, c shift.Cap, at []time.Time, moved []ident.PPM) {
+	t.Helper()
+	first := 0
+	var sum ident.PPM
+	for i := range at {
+		if moved[i] > c.PerStep {
+			t.Fatalf("step of %d at %v exceeds %d", moved[i], at[i].Sub(start), c.PerStep)
+		}
+		sum += moved[i]
+		for at[i].Sub(at[first]) >= time.Minute {
+			sum -= moved[first]
+			first++
+		}
+		if sum > c.PerMinute {
+			t.Fatalf("%d moved within a minute before %v; the cap is %d", sum, at[i].Sub(start), c.PerMinute)
+		}
+	}
+}
+
+// distance returns the share that two sets of weights serve in different regions.
+func distance(a, b []shift.Weight) ident.PPM {
+	var d ident.PPM
+	for _, w := range b {
+		cur := ident.PPM(0)
+		for _, v := range a {
+			if v.Region == w.Region {
+				cur = v.Share
+			}
+		}
+		d += max(0, w.Share-cur)
+	}
+	return d
+}
+
+func sum(w []shift.Weight) (s ident.PPM) {
+	for _, w := range w {
+		s += w.Share
+	}
+	return s
+}
+
+func randomWeights(rnd *rand.Rand) []shift.Weight {
+	a := ident.PPM(rnd.IntN(int(ident.Whole)))
+	b := ident.PPM(rnd.IntN(int(ident.Whole - a)))
+	return []shift.Weight{{Region: "kaunas", Share: a}, {Region: "riga", Share: b}, {Region: "tartu", Share: ident.Whole - a - b}}
+}
+
+// Guards against R1 being broken by goals that change at any time, and against shares that get lost by rounding.
+func TestNextKeepsCap(t *testing.T) {
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		c := shift.Cap{PerStep: ident.PPM(1000 + rnd.IntN(100_000)), PerMinute: ident.PPM(1000 + rnd.IntN(300_000))}
+		s, goal := shift.State{Weights: home}, away
+		var at []time.Time
+		var moved []ident.PPM
+		for now := start; len(at) < 400; now = now.Add(time.Duration(rnd.IntN(3000)) * time.Millisecond) {
+			if rnd.IntN(30) == 0 {
+				goal = randomWeights(rnd)
+			}
+			_, m := fresh(now)
+			var head []shift.Headroom
+			for _, r := range []ident.Region{"kaunas", "riga", "tartu"} {
+				head = append(head, shift.Headroom{Region: r, Slots: 500, At: now, Local: true})
+			}
+			step, _ := shift.Next(shift.Rules{Cap: c}, s, goal, head, m, now)
+			if got := distance(s.Weights, step.State.Weights); got != step.Share || sum(step.State.Weights) != ident.Whole {
+				t.Fatalf("seed %d: moved %d, reported %d, sum %d", seed, got, step.Share, sum(step.State.Weights))
+			}
+			at, moved, s = append(at, now), append(moved, step.Share), step.State
+		}
+		checkCap(t, c, at, moved)
+	}
+}
+
+// Guards against an entry that jumps when it missed versions, or that is given the plans of two lease holders in turn.
+func TestFollowerKeepsCap(t *testing.T) {
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		c := shift.Cap{PerStep: 50_000, PerMinute: ident.PPM(50_000 + rnd.IntN(300_000))}
+		f := shift.NewFollower(c)
+		f.Set(1, home)
+		var at []time.Time
+		var moved []ident.PPM
+		last := f.Weights(start)
+		for now, v := start, ident.Version(1); len(at) < 400; now = now.Add(time.Duration(rnd.IntN(3000)) * time.Millisecond) {
+			if rnd.IntN(5) == 0 {
+				v += ident.Version(1 + rnd.IntN(4))
+				f.Set(v, randomWeights(rnd))
+			}
+			w := f.Weights(now)
+			if sum(w) != ident.Whole {
+				t.Fatalf("seed %d: shares add up to %d", seed, sum(w))
+			}
+			at, moved, last = append(at, now), append(moved, distance(last, w)), w
+		}
+		checkCap(t, c, at, moved)
+	}
+}
+
+// Guards against an entry that goes back to an older plan or takes over weights that do not add up.
+func TestFollowerVersions(t *testing.T) {
+	f := shift.NewFollower(rules.Cap)
+	tests := []struct {
+		version ident.Version
+		weights []shift.Weight
+		want    bool
+	}{{5, home, true}, {4, away, false}, {5, away, false}, {6, away[:0], false}, {6, away, true}}
+	for _, tt := range tests {
+		if got := f.Set(tt.version, tt.weights); got != tt.want {
+			t.Errorf("Set(%d) = %v, want %v", tt.version, got, tt.want)
+		}
+	}
+	now := start
+	for range 11 {
+		now = now.Add(time.Minute)
+		for i := range 3 {
+			f.Weights(now.Add(time.Duration(i) * 25 * time.Second))
+		}
+	}
+	if w := f.Weights(now.Add(time.Minute)); len(w) != 1 || w[0].Region != "tartu" {
+		t.Errorf("not at the goal after 12 minutes: %v", w)
+	}
+}
+
+// Guards against a forecast that promises what the headroom cannot carry.
+func TestForecast(t *testing.T) {
+	head, m := fresh(start)
+	est := shift.Forecast(rules, shift.State{Weights: home}, away, head, m, start)
+	if !est.Done || est.Reached != ident.Whole || est.Steps < 20 || est.Time < 7*time.Minute || est.Time > 12*time.Minute {
+		t.Errorf("whole shift: %+v", est)
+	}
+	head[0].Used = 310 // 30 of 340 slots left: a quarter at the cold cost, at most half once warm
+	est = shift.Forecast(rules, shift.State{Weights: home}, away, head, m, start)
+	if est.Done || est.Reached < 400_000 || est.Reached > 500_000 {
+		t.Errorf("shift into little room: %+v", est)
+	}
+}
+
+// Example moves a service from one region to another under a cap of 20% a step and 40% a minute.
+func Example() {
+	now := time.Unix(0, 0)
+	r := shift.Rules{Cap: shift.Cap{PerStep: 200_000, PerMinute: 400_000}}
+	s := shift.State{Weights: []shift.Weight{{Region: "cluj", Share: ident.Whole}}}
+	goal := []shift.Weight{{Region: "cluj", Share: 500_000}, {Region: "sibiu", Share: 500_000}}
+	for range 4 {
+		head := []shift.Headroom{{Region: "sibiu", Slots: 120, Used: 30, At: now, Link: 280, LinkUsed: 40, LinkAt: now}}
+		m := shift.Measured{Slots: 40, Mbps: 60, At: now}
+		step, why := shift.Next(r, s, goal, head, m, now)
+		fmt.Println(why, step.State.Weights)
+		s, now = step.State, now.Add(30*time.Second)
+	}
+	// Output:
+	// stepped [{cluj 800000} {sibiu 200000}]
+	// stepped [{cluj 600000} {sibiu 400000}]
+	// stepped [{cluj 500000} {sibiu 500000}]
+	// at-goal [{cluj 500000} {sibiu 500000}]
+}
