--- a/model/model.go
+++ b/model/model.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,12 +30,20 @@
 	Broken func(s State) string
 }
 
+// Goal is a situation that the search must be able to reach. It shows that the bounds of a specification don't exclude
+// what the invariants are about.
+type Goal struct {
+	Name    string
+	Reached func(s State) bool
+}
+
 // Spec is a system to check.
 type Spec struct {
 	Name       string
 	Start      State
 	Steps      func(s State) []Step
 	Invariants []Invariant
+	Goals      []Goal
 	// MaxStates bounds the search; zero means 1 million.
 	MaxStates int
 }
@@ -55,6 +64,8 @@
 	Depth int
 	// Complete says that every reachable state was visited.
 	Complete bool
+	// Missed names the goals that were not reached.
+	Missed []string
 	// Violation is nil if every invariant held in every state.
 	Violation *Violation
 }
@@ -72,7 +83,10 @@
 	if spec.MaxStates == 0 {
 		spec.MaxStates = 1_000_000
 	}
-	c := &search{spec: spec, seen: map[uint64]struct{}{}, result: Result{Spec: spec.Name, Complete: true}}
+	c := &search{
+		spec: spec, seen: map[uint64]struct{}{}, goals: slices.Clone(spec.Goals),
+		result: Result{Spec: spec.Name, Complete: true},
+	}
 	c.visit(spec.Start, -1, "start")
 	for c.result.Violation == nil && c.next < len(c.nodes) {
 		s := c.queue[0]
@@ -87,6 +101,9 @@
 		c.next++
 	}
 	c.result.States = len(c.nodes)
+	for _, g := range c.goals {
+		c.result.Missed = append(c.result.Missed, g.Name)
+	}
 	return c.result
 }
 
@@ -95,10 +112,12 @@
 	spec Spec
 	seen map[uint64]struct{}
 	// nodes lists all states visited; those from next on wait in queue.
-	nodes  []node
-	queue  []State
-	next   int
-	key    []byte
+	nodes []node
+	queue []State
+	next  int
+	key   []byte
+	// goals lists the goals that were not reached yet.
+	goals  []Goal
 	result Result
 }
 
@@ -120,6 +139,7 @@
 	c.nodes = append(c.nodes, n)
 	c.queue = append(c.queue, s)
 	c.result.Depth = max(c.result.Depth, int(n.depth))
+	c.goals = slices.DeleteFunc(c.goals, func(g Goal) bool { return g.Reached(s) })
 	for _, inv := range c.spec.Invariants {
 		if detail := inv.Broken(s); detail != "" {
 			c.result.Violation = &Violation{inv.Name, detail, c.trace(int32(len(c.nodes) - 1))}
@@ -144,6 +164,9 @@
 	if !r.Complete {
 		b.WriteString(", stopped at the limit")
 	}
+	for _, name := range r.Missed {
+		fmt.Fprintf(&b, "\nnever reached: %s", name)
+	}
 	if r.Violation == nil {
 		return b.String()
 	}
