route: choice by own counts, latency and failures, with locality, ramp-up and trials

Cause: targets' own reports lag and mislead, so an entry must choose by what it measures itself. Ruled out: one scan over a region with a random start, which chose the first target of the local domain 62% of the time when the scan began in the other domain; each failure domain is scanned from its own start instead. Change: Picker.

--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,274 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/route"
+	"github.com/currantpier/currantpier/shift"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	here  = ident.Place{Region: "riga", Domain: "riga-a"}
+)
+
+// targets returns n targets of 4 slots in each of two failure domains of two regions.
+func targets(n int) []route.Target {
+	var all []route.Target
+	for _, r := range []ident.Region{"riga", "tartu"} {
+		for _, d := range []string{"a", "b"} {
+			for i := range n {
+				all = append(all, route.Target{
+					Name: ident.Target(fmt.Sprintf("%s-%s-%d", r, d, i)), Service: "workshop", Slots: 4,
+					Place: ident.Place{Region: r, Domain: ident.Domain(string(r) + "-" + d)},
+				})
+			}
+		}
+	}
+	return all
+}
+
+func picker(n int) *route.Picker {
+	p := route.New(rand.NewPCG(1, 2))
+	p.SetTargets(start, targets(n))
+	return p
+}
+
+// counts makes picks without starting them and counts the targets by the key.
+func counts(p *route.Picker, now time.Time, picks int, key func(route.Target) string, exclude ...route.TargetRef) map[string]int {
+	got := map[string]int{}
+	for range picks {
+		ref, ok := p.Pick(now, here, "workshop", exclude)
+		if !ok {
+			got["none"]++
+			continue
+		}
+		got[key(ref.Target())]++
+	}
+	return got
+}
+
+func byDomain(t route.Target) string { return string(t.Place.Domain) }
+func byName(t route.Target) string   { return string(t.Name) }
+
+// run sends requests to a target that end with the given result after the latency.
+func run(p *route.Picker, now time.Time, name ident.Target, n int, latency time.Duration, res route.Result) {
+	for range n {
+		ref, _ := p.Lookup(name)
+		p.Started(ref)
+		p.Finished(now, ref, latency, res)
+	}
+}
+
+// Guards against work for targets that are far, full, leaving, slow or failed while better ones are free.
+func TestPick(t *testing.T) {
+	tests := []struct {
+		name  string
+		setup func(p *route.Picker)
+		key   func(route.Target) string
+		want  map[string]int
+	}{
+		{"local domain first", func(*route.Picker) {}, byDomain, map[string]int{"riga-a": 100}},
+		{"then the region", func(p *route.Picker) { p.SetLimit("riga-a-0", 0); p.SetLimit("riga-a-1", 0) },
+			byDomain, map[string]int{"riga-b": 100}},
+		{"a full region sheds", func(p *route.Picker) {
+			for _, tg := range targets(2)[:4] {
+				p.SetLimit(tg.Name, 0)
+			}
+		}, byDomain, map[string]int{"none": 100}},
+		{"own count reaches the limit", func(p *route.Picker) {
+			p.SetLimit("riga-a-0", 1)
+			ref, _ := p.Lookup("riga-a-0")
+			p.Started(ref)
+		}, byName, map[string]int{"riga-a-1": 100}},
+		{"weights move everything", func(p *route.Picker) {
+			p.SetWeights("workshop", "riga", []shift.Weight{{Region: "tartu", Share: ident.Whole}})
+			for _, tg := range targets(2)[:4] {
+				p.Leaving(start, tg.Name, true)
+			}
+			p.Leaving(start, "tartu-a-0", true)
+			p.Leaving(start, "tartu-b-0", true)
+			p.Leaving(start, "tartu-b-1", true)
+		}, byName, map[string]int{"tartu-a-1": 100}},
+		{"a region without targets keeps its share", func(p *route.Picker) {
+			p.SetWeights("workshop", "riga", []shift.Weight{{Region: "kaunas", Share: ident.Whole}})
+		}, byName, map[string]int{"none": 100}},
+		{"slow by own measurement", func(p *route.Picker) {
+			run(p, start, "riga-a-0", 20, 40*time.Millisecond, route.OK)
+			run(p, start, "riga-a-1", 20, 20*time.Millisecond, route.OK)
+		}, byName, map[string]int{"riga-a-1": 100}},
+		{"reported load does not outweigh own latency", func(p *route.Picker) {
+			run(p, start, "riga-a-0", 20, 40*time.Millisecond, route.OK)
+			run(p, start, "riga-a-1", 20, 20*time.Millisecond, route.OK)
+			p.SetLimit("riga-b-0", 0)
+			p.SetLimit("riga-b-1", 0)
+			p.Report("riga-a-0", 0, start)
+			p.Report("riga-a-1", 1e9, start)
+		}, byName, map[string]int{"riga-a-1": 100}},
+		{"reported load tells equals apart", func(p *route.Picker) { p.Report("riga-a-0", 0.1, start) },
+			byName, map[string]int{"riga-a-1": 100}},
+		{"unreachable at once", func(p *route.Picker) { run(p, start, "riga-a-0", 1, 0, route.Unreachable) },
+			byName, map[string]int{"riga-a-1": 100}},
+		{"failed twice", func(p *route.Picker) { run(p, start, "riga-a-0", 2, 0, route.Failed) },
+			byName, map[string]int{"riga-a-1": 100}},
+		{"shed", func(p *route.Picker) { run(p, start, "riga-a-0", 1, 0, route.Shed) },
+			byName, map[string]int{"riga-a-1": 100}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := picker(2)
+			tt.setup(p)
+			if got := counts(p, start, 100, tt.key); fmt.Sprint(got) != fmt.Sprint(tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against weights that are not followed and against equal targets that are not used equally.
+func TestPickShares(t *testing.T) {
+	p := picker(4)
+	p.SetWeights("workshop", "riga", []shift.Weight{{Region: "riga", Share: 700_000}, {Region: "tartu", Share: 300_000}})
+	got := counts(p, start, 10_000, func(t route.Target) string { return string(t.Place.Region) })
+	if got["tartu"] < 2800 || got["tartu"] > 3200 {
+		t.Errorf("30%% of the weight got %v", got)
+	}
+	for name, n := range counts(picker(4), start, 4000, byName) {
+		if n < 850 || n > 1150 {
+			t.Errorf("%s was chosen %d times of 4000; want about 1000", name, n)
+		}
+	}
+}
+
+// Guards against many requests that try a failed target at once, and against a target that never comes back.
+func TestTrial(t *testing.T) {
+	p := picker(1)
+	p.Leaving(start, "riga-b-0", true)
+	run(p, start, "riga-a-0", 2, 0, route.Failed)
+	at := func(d time.Duration, exclude ...route.TargetRef) bool {
+		_, ok := p.Pick(start.Add(d), here, "workshop", exclude)
+		return ok
+	}
+	other, _ := p.Lookup("riga-b-0")
+	if at(400*time.Millisecond) || !at(600*time.Millisecond) || at(600*time.Millisecond, other) {
+		t.Fatal("want no pick in the back-off, one after it, and none for a retry")
+	}
+	ref, _ := p.Lookup("riga-a-0")
+	p.Started(ref)
+	if at(600 * time.Millisecond) {
+		t.Error("a second request was sent during the trial")
+	}
+	p.Finished(start.Add(time.Second), ref, 0, route.Failed)
+	if at(1500*time.Millisecond) || !at(2200*time.Millisecond) {
+		t.Error("want a doubled back-off after a failed trial")
+	}
+	p.Started(ref)
+	p.Finished(start.Add(3*time.Second), ref, time.Millisecond, route.OK)
+	inFlight := 0
+	for at(3 * time.Second) {
+		p.Started(ref)
+		inFlight++
+	}
+	if inFlight != 1 {
+		t.Errorf("%d requests at once right after the trial; want 1 as the ramp begins", inFlight)
+	}
+}
+
+// Guards against a new or returned target that gets its full load on cold caches.
+func TestRamp(t *testing.T) {
+	tests := []struct {
+		age  time.Duration
+		want int
+	}{{0, 1}, {9 * time.Second, 2}, {19 * time.Second, 3}, {29 * time.Second, 4}, {31 * time.Second, 4}}
+	for name, cold := range map[string]func(p *route.Picker){
+		"new": func(p *route.Picker) {
+			p.SetTargets(start, targets(1)[1:])
+			p.SetTargets(start, targets(1))
+		},
+		"announced": func(p *route.Picker) {
+			p.Leaving(start, "riga-a-0", true)
+			p.Leaving(start, "riga-a-0", false)
+		},
+		"listed as leaving": func(p *route.Picker) {
+			all := targets(1)
+			all[0].Leaving = true
+			p.SetTargets(start, all)
+			p.SetTargets(start, targets(1))
+		},
+	} {
+		for _, tt := range tests {
+			p := picker(1)
+			cold(p)
+			p.Leaving(start, "riga-b-0", true)
+			n := 0
+			for ; n < 10; n++ {
+				ref, ok := p.Pick(start.Add(tt.age), here, "workshop", nil)
+				if !ok {
+					break
+				}
+				p.Started(ref)
+			}
+			if n != tt.want {
+				t.Errorf("%s: %d requests at once after %v, want %d", name, n, tt.age, tt.want)
+			}
+		}
+	}
+}
+
+// Guards against a retry at the same target, or in the same failure domain while another has a free slot.
+func TestExclude(t *testing.T) {
+	p := picker(2)
+	first, _ := p.Lookup("riga-a-0")
+	if got := counts(p, start, 100, byDomain, first); got["riga-b"] != 100 {
+		t.Errorf("retry went to %v, want the other failure domain", got)
+	}
+	p.SetLimit("riga-b-0", 0)
+	p.SetLimit("riga-b-1", 0)
+	if got := counts(p, start, 100, byName, first); got["riga-a-1"] != 100 {
+		t.Errorf("retry went to %v, want the other target of the domain", got)
+	}
+}
+
+// Guards against choices on figures that are too old to mean anything.
+func TestForget(t *testing.T) {
+	p := picker(2)
+	run(p, start, "riga-a-0", 50, 100*time.Millisecond, route.OK)
+	p.Report("riga-a-1", 1, start)
+	if got := counts(p, start.Add(31*time.Second), 1000, byName); got["riga-a-0"] < 400 || got["riga-a-1"] < 400 {
+		t.Errorf("old figures still decide: %v", got)
+	}
+}
+
+// Guards against an allocation in each choice.
+func TestPickDoesNotAllocate(t *testing.T) {
+	p := picker(30)
+	ref, _ := p.Lookup("riga-a-0")
+	exclude := []route.TargetRef{ref}
+	if n := testing.AllocsPerRun(1000, func() { p.Pick(start, here, "workshop", exclude) }); n != 0 {
+		t.Errorf("%v allocations per choice", n)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{30, 500} {
+		for _, state := range []string{"idle", "busy"} {
+			b.Run(fmt.Sprintf("targets=%d/%s", n, state), func(b *testing.B) {
+				p := picker(n / 2)
+				for _, tg := range targets(n / 2) {
+					if state == "busy" {
+						run(p, start, tg.Name, 3, 20*time.Millisecond, route.OK)
+						p.Report(tg.Name, 0.5, start)
+					}
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					p.Pick(start.Add(time.Second), here, "workshop", nil)
+				}
+			})
+		}
+	}
+}
