--- a/config/config_test.go
+++ b/config/config_test.go
@@ -84,6 +84,7 @@
 		{"[limits]\nmax-body = 99999999999MiB", "line 15: [limits] max-body"},
 		{"[limits]\nqueue-length = 0", "line 15: [limits] queue-length = 0: allowed: 1 to 10000"},
 		{"[limits]\nlookup-ttl = 5", "line 15: [limits] lookup-ttl = 5: allowed: 1s to 60s"},
+		{"[orders]\nretention = 169h", "line 15: [orders] retention = 169h: allowed: 1h to 168h"},
 		{"[limits]\nlookup-ttl = 31s", "line 15: [limits] lookup-ttl = 31s: allowed: at most half"},
 		{"[link riga oslo]\ncapacity = 1Gbit/s", "line 14: [link riga oslo] oslo: allowed: the name of a [region"},
 		{"[link riga riga]\ncapacity = 1Gbit/s", "line 14: [link riga riga]: allowed: two different"},
--- a/lists/edit.go
+++ b/lists/edit.go
@@ -1,31 +1,73 @@
 package lists
 
-import "github.com/currantpier/currantpier/ident"
+import (
+	"slices"
+	"sort"
 
-// Check returns every violation of the invariants of c, as Problems.
-func (c Config) Check() error { return nil }
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kinds"
+)
 
-// Encode returns c as canonical JSON: equal configurations have equal bytes.
-func (c Config) Encode() []byte { return nil }
-
-// Decode reads what Encode wrote and checks it.
-func Decode(b []byte) (Config, error) { return Config{}, nil }
-
-// Diff describes the changes from old to cur, one line each, in a fixed order. Versions are not compared.
-func Diff(old, cur Config) []string { return nil }
-
-// WithLists returns a copy of c with both lists replaced; drains and moves stay. The version of the copy is zero.
-func (c Config) WithLists(customers []CustomerPlan, uses []Use) (Config, error) { return c, nil }
+// WithLists returns a copy of c with both lists replaced; drains and moves stay. Like every edit it leaves c unchanged,
+// and the version of the copy is zero. The error has kind BadRequest and wraps a *Problems.
+func (c Config) WithLists(customers []CustomerPlan, uses []Use) (Config, error) {
+	c.Customers, c.Uses = slices.Clone(customers), slices.Clone(uses)
+	sortCustomers(c.Customers)
+	sortUses(c.Uses)
+	return c.edited()
+}
 
 // WithDrain returns a copy of c in which d is announced. It returns a Conflict error if it already is.
-func (c Config) WithDrain(d Drain) (Config, error) { return c, nil }
+func (c Config) WithDrain(d Drain) (Config, error) {
+	if slices.Contains(c.Drains, d) {
+		return Config{}, kinds.Errorf(kinds.Conflict, "%s %s is already drained", d.Scope, d.Name)
+	}
+	c.Drains = append(slices.Clone(c.Drains), d)
+	sort.Slice(c.Drains, func(i, j int) bool { return lessDrain(c.Drains[i], c.Drains[j]) })
+	return c.edited()
+}
 
 // WithoutDrain returns a copy of c in which d is not announced. It returns a NotFound error if it was not.
-func (c Config) WithoutDrain(d Drain) (Config, error) { return c, nil }
+func (c Config) WithoutDrain(d Drain) (Config, error) {
+	i := slices.Index(c.Drains, d)
+	if i < 0 {
+		return Config{}, kinds.Errorf(kinds.NotFound, "%s %s is not drained", d.Scope, d.Name)
+	}
+	c.Drains = slices.Delete(slices.Clone(c.Drains), i, i+1)
+	return c.edited()
+}
 
 // WithMove returns a copy of c with the move m. It replaces a move of the same service and origin.
-func (c Config) WithMove(m Move) (Config, error) { return c, nil }
+func (c Config) WithMove(m Move) (Config, error) {
+	c.Moves = slices.Clone(c.Moves)
+	if i := c.move(m.Service, m.From); i >= 0 {
+		c.Moves[i] = m
+		return c.edited()
+	}
+	c.Moves = append(c.Moves, m)
+	sort.Slice(c.Moves, func(i, j int) bool { return lessMove(c.Moves[i], c.Moves[j]) })
+	return c.edited()
+}
 
 // WithoutMove returns a copy of c without the move of a service from a region. It returns a NotFound error if there is
 // none.
-func (c Config) WithoutMove(s ident.Service, from ident.Region) (Config, error) { return c, nil }
+func (c Config) WithoutMove(s ident.Service, from ident.Region) (Config, error) {
+	i := c.move(s, from)
+	if i < 0 {
+		return Config{}, kinds.Errorf(kinds.NotFound, "no move of %s from %s", s, from)
+	}
+	c.Moves = slices.Delete(slices.Clone(c.Moves), i, i+1)
+	return c.edited()
+}
+
+func (c Config) move(s ident.Service, from ident.Region) int {
+	return slices.IndexFunc(c.Moves, func(m Move) bool { return m.Service == s && m.From == from })
+}
+
+func (c Config) edited() (Config, error) {
+	c.Version = 0
+	if err := c.Check(); err != nil {
+		return Config{}, err
+	}
+	return c, nil
+}
