share: a leaving entry keeps the slots that its demand needs

Cause: an entry that leaves the lookup answers still serves for the TTL and 1 s; without slots it would refuse. Change: Rebalance takes what exceeds its demand. Before: all slots at once. After: go test ./share is green. Conclusion: slots of a leaving entry follow its demand down.

--- a/share/share.go
+++ b/share/share.go
@@ -76,7 +76,7 @@
 	// Silent is how long the entry has been gone from the platform's list and unheard of; zero if it is listed or was
 	// heard.
 	Silent time.Duration
-	// Leaving entries give their slots up.
+	// Leaving entries get no more slots and give up what their demand does not need.
 	Leaving bool
 	// Demand is the number of slots of the group that the entry could use at once.
 	Demand float64
@@ -89,8 +89,8 @@
 	Entry
 	// quota is the fair part of the slots; have is what the entry has or is about to get.
 	quota, have float64
-	// gives and takes say whether slots may be taken from or given to the entry.
-	gives, takes bool
+	// takes says that slots may be given to the entry or, if its demand is fresh, moved away from it.
+	takes, fresh bool
 	near         bool
 }
 
@@ -132,8 +132,8 @@
 	for i, e := range entries {
 		m := &d.members[i]
 		m.Entry, m.near = e, e.Place.Region == cur.Region
+		m.fresh = now.Sub(e.DemandAt) <= staleAfter
 		m.takes = e.Silent == 0 && !e.Leaving
-		m.gives = m.takes && now.Sub(e.DemandAt) <= staleAfter
 	}
 	t := 0
 	for _, g := range cur.Grants {
@@ -171,19 +171,11 @@
 	return i
 }
 
-// shrink takes slots from entries that leave and from targets that have fewer slots than are granted, and counts what
-// is free then.
+// shrink takes slots from targets that have fewer than are granted and from entries that leave, and counts what is free
+// then.
 func (d *division) shrink() {
 	for t := range d.rows {
-		var granted ident.Slots
-		for i := range d.rows[t] {
-			r := &d.rows[t][i]
-			for r.entry >= 0 && d.members[r.entry].Leaving && r.Slots > 0 {
-				d.take(r)
-			}
-			granted += r.Slots
-		}
-		for ; granted > d.targets[t].Slots; granted-- {
+		for n := d.granted(t); n > d.targets[t].Slots; n-- {
 			d.take(slices.MaxFunc(pointers(d.rows[t]), func(a, b *row) int {
 				return cmp.Or(cmp.Compare(a.Slots, b.Slots), cmp.Compare(b.Entry, a.Entry))
 			}))
@@ -191,6 +183,16 @@
 		d.free[t] = d.targets[t].Slots
 		for _, r := range d.rows[t] {
 			d.free[t] -= r.Bound()
+			if r.entry >= 0 {
+				d.members[r.entry].have += float64(r.Slots)
+			}
+		}
+	}
+	for i := range d.members {
+		m := &d.members[i]
+		for m.Leaving && m.fresh && m.have >= max(0, m.Demand)+1 {
+			d.take(d.farthest(m))
+			m.have--
 		}
 	}
 }
@@ -218,9 +220,7 @@
 		for _, r := range rows {
 			if r.entry < 0 || !d.members[r.entry].takes {
 				slots -= float64(r.Slots)
-				continue
 			}
-			d.members[r.entry].have += float64(r.Slots)
 		}
 	}
 	var sum float64
@@ -230,7 +230,7 @@
 			continue
 		}
 		m.quota = max(0, m.Demand)
-		if !m.gives && !m.DemandAt.IsZero() {
+		if !m.fresh && !m.DemandAt.IsZero() {
 			m.quota = m.have
 		}
 		if m.near {
@@ -379,7 +379,7 @@
 	var best *member
 	for i := range d.members {
 		m := &d.members[i]
-		if !m.gives || m.have < 1 || m.have <= m.quota {
+		if !m.takes || !m.fresh || m.have < 1 || m.have <= m.quota {
 			continue
 		}
 		if best == nil || m.have-m.quota >= best.have-best.quota {
