node, sched, orders, send, front, entry, steer, local, cmds: the daemons and the command line

Cause: the decision packages need processes around them that move the data. Ruled out: calling the decisions from each HTTP handler under one lock; the scheduler is one task behind a bounded ring, so that the choice of a target and the slot are one decision and a full ring is a counted refusal. Change: shared services (members, document dissemination, control port), scheduler, order service, upstream client, caller interface, both daemons, the local deployment and the sub-commands. Before: no process.

--- a/cmd/currantpier/main.go
+++ b/cmd/currantpier/main.go
@@ -1,4 +1,6 @@
 // Command currantpier runs the daemons of the traffic steering system and the tools for its operators.
 package main
 
-func main() {}
+import "github.com/currantpier/currantpier/cmds"
+
+func main() { cmds.Exit() }
--- /dev/null
+++ b/cmds/daemon.go
@@ -0,0 +1,184 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/currantpier/currantpier/config"
+	"github.com/currantpier/currantpier/entry"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kernel"
+	"github.com/currantpier/currantpier/local"
+	"github.com/currantpier/currantpier/steer"
+	"github.com/currantpier/currantpier/store"
+)
+
+type settingsFlag struct {
+	Settings string `long:"settings" short:"s" required:"true" value-name:"FILE" description:"settings file of this VM"`
+}
+
+func listen(a netip.AddrPort) (net.Listener, error) {
+	ln, err := net.Listen("tcp", a.String())
+	return ln, errors.Wrapf(err, "listen on %s", a)
+}
+
+func newStore(cfg *config.Settings) *store.Client {
+	return store.New("http://"+cfg.Store.Address.String(), store.WithTimeout(cfg.Store.Timeout))
+}
+
+type entryCommand struct {
+	s streams
+	settingsFlag
+}
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute([]string) error {
+	cfg, err := config.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	callers, err := listen(cfg.Entry.Listen)
+	if err != nil {
+		return err
+	}
+	control, err := listen(cfg.Entry.ControlListen)
+	if err != nil {
+		return err
+	}
+	d, err := entry.New(cfg, callers, control, newStore(cfg), entry.WithLogger(logger(c.s.err, cfg.Log.Level)))
+	if err != nil {
+		return err
+	}
+	return c.s.runDaemon(d.Run, d.Stop, d.Kernel())
+}
+
+type steerCommand struct {
+	s streams
+	settingsFlag
+}
+
+// Execute implements flags.Commander.
+func (c *steerCommand) Execute([]string) error {
+	cfg, err := config.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	control, err := listen(cfg.Steer.ControlListen)
+	if err != nil {
+		return err
+	}
+	d, err := steer.New(cfg, control, newStore(cfg), steer.WithLogger(logger(c.s.err, cfg.Log.Level)))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	return c.s.runDaemon(func(context.Context) error { return d.Run(ctx) }, cancel, d.Kernel())
+}
+
+// runDaemon runs a daemon. SIGTERM and SIGINT begin a planned stop, a second one ends it; SIGUSR1 writes a dump.
+func (s streams) runDaemon(run func(context.Context) error, stop func(), k *kernel.Kernel) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	done := make(chan error, 1)
+	go func() { done <- run(context.Background()) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case sig := <-signals:
+			if sig != syscall.SIGUSR1 {
+				stop()
+			} else if err := k.WriteDump(s.err, time.Now()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+type localCommand struct {
+	s       streams
+	Port    int           `long:"port" default:"7400" value-name:"N" description:"caller port of the first VM; 0 picks one"`
+	VMs     int           `long:"vms-per-failure-domain" default:"2" value-name:"N" description:"entry VMs in each failure domain"`
+	For     time.Duration `long:"for" value-name:"TIME" description:"end after this time, for example 30s; by default at a signal"`
+	Verbose bool          `long:"verbose" short:"v" description:"log the events of all daemons"`
+}
+
+// Execute implements flags.Commander.
+func (c *localCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if c.For > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.For)
+		defer cancel()
+	}
+	l := log.NewNopLogger()
+	if c.Verbose {
+		l = logger(c.s.err, config.Info)
+	}
+	d := local.Kalnins()
+	d.VMsPerDomain = c.VMs
+	cluster, err := local.New(d, c.Port, l)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() { done <- cluster.Run(ctx) }()
+	if err := cluster.AcceptInitial(ctx); err != nil {
+		return err
+	}
+	if err := awaitReady(ctx, cluster); err != nil {
+		return err
+	}
+	c.hints(cluster)
+	err = <-done
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+func (c *localCommand) hints(cluster *local.Cluster) {
+	a, b := cluster.Addresses[0], cluster.Addresses[len(cluster.Addresses)-1]
+	fmt.Fprintf(c.s.out, `The Kalniņš set-up runs on loopback: %d entry VMs, %d targets. Try next:
+
+  curl -s 'http://%s/v1/lookup?service=workshop'
+  curl -si -H 'Currantpier-Customer: bench-1' -H 'Currantpier-Kind: idempotent' http://%s/v1/request/workshop/layout/7
+  TICKET=$(curl -s 'http://%s/v1/lookup?service=workshop' | sed 's/.*"ticket":"\([^"]*\)".*/\1/')
+  curl -si -X POST -H 'Currantpier-Customer: bench-1' -H 'Currantpier-Kind: order' \
+    -H "Currantpier-Request-Id: $TICKET.frame-1" http://%s/v1/request/workshop/frames
+  currantpier status --steer %s
+  currantpier dump --control %s
+
+Repeat the order through another VM, for example %s: it answers the same and runs once. End with Ctrl-C.
+`, len(cluster.Addresses), len(cluster.Upstreams), a.Callers, a.Callers, a.Callers, a.Callers, a.Steer, a.Control,
+		b.Callers)
+}
+
+const readyPoll = 50 * time.Millisecond
+
+// awaitReady waits until every entry serves callers.
+func awaitReady(ctx context.Context, cluster *local.Cluster) error {
+	for _, a := range cluster.Addresses {
+		e, _ := cluster.Entry(ident.VM(a.VM))
+		for e.NotReady() != "" {
+			select {
+			case <-ctx.Done():
+				return errors.Newf("%s: %s", a.VM, e.NotReady())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,231 @@
+// Package entry is the entry daemon: it puts the services together that answer lookups and forward requests.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/currantpier/currantpier/config"
+	"github.com/currantpier/currantpier/drain"
+	"github.com/currantpier/currantpier/front"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kernel"
+	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/lists"
+	"github.com/currantpier/currantpier/lookup"
+	"github.com/currantpier/currantpier/node"
+	"github.com/currantpier/currantpier/once"
+	"github.com/currantpier/currantpier/orders"
+	"github.com/currantpier/currantpier/plan"
+	"github.com/currantpier/currantpier/relay"
+	"github.com/currantpier/currantpier/sched"
+	"github.com/currantpier/currantpier/send"
+	"github.com/currantpier/currantpier/shift"
+	"github.com/currantpier/currantpier/store"
+)
+
+// Daemon is one entry process.
+type Daemon struct {
+	self    node.Self
+	cfg     *config.Settings
+	clock   func() time.Time
+	logger  log.Logger
+	metrics metrics.Registry
+
+	kernel  *kernel.Kernel
+	peers   *node.Peers
+	members *node.Members
+	sync    *node.Sync
+	sched   *sched.Scheduler
+	orders  *orders.Service
+	client  *send.Client
+	front   *front.Front
+
+	// blocks is nil until a table was read.
+	blocks    atomic.Pointer[lookup.Table]
+	documents chan relay.Document
+	stop      chan struct{}
+	// leaving is closed when a planned stop begins.
+	leaving chan struct{}
+}
+
+// Option changes a setting of a Daemon.
+type Option func(*Daemon)
+
+// WithClock replaces time.Now.
+func WithClock(clock func() time.Time) Option { return func(d *Daemon) { d.clock = clock } }
+
+// WithLogger sets where events go; by default they are dropped.
+func WithLogger(l log.Logger) Option { return func(d *Daemon) { d.logger = l } }
+
+// New returns the daemon for a settings file, with its listeners for callers and for control. The store client is its
+// only way to the platform.
+func New(cfg *config.Settings, callers, control net.Listener, st *store.Client, opts ...Option) (*Daemon, error) {
+	d := &Daemon{
+		cfg: cfg, clock: time.Now, logger: log.NewNopLogger(), metrics: metrics.NewRegistry(), kernel: kernel.New(),
+		peers: node.NewPeers(), documents: make(chan relay.Document, 16), stop: make(chan struct{}, 2),
+		leaving: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	d.self = node.Self{
+		VM: cfg.VM.Name, Daemon: node.EntryDaemon, Place: cfg.VM.Place(),
+		Incarnation: ident.Incarnation(d.clock().UnixNano()),
+	}
+	d.logger = log.With(d.logger, "vm", d.self.VM, "daemon", "entry")
+	d.members = node.NewMembers(d.self, st, d.peers, d.clock, d.logger)
+	d.sync = node.NewSync(d.self, relay.Options{
+		ConfigInterval: cfg.Steer.ConfigInterval, PlanInterval: cfg.Steer.PlanInterval,
+	}, st, d.members, d.peers, d.clock, d.logger, checkDocument)
+	d.sync.Watch(d.document)
+	d.sched = sched.New(d.self.VM, d.self.Place, rand.NewPCG(uint64(d.self.Incarnation), 1), d.metrics, d.clock,
+		sched.WithCap(shift.Cap{PerStep: cfg.Shift.PerStep, PerMinute: cfg.Shift.PerMinute}))
+	d.orders = orders.New(d.self.VM, d.self.Incarnation, st, d.liveEntries, d.metrics, d.clock, d.logger,
+		once.WithRecords(cfg.Orders.MaxRecords))
+	d.client = send.New(cfg.Limits.MaxBody, d.clock)
+	d.front = front.New(d.self, callers, front.Parts{
+		Scheduler: d.sched, Orders: d.orders, Client: d.client, Members: d.members, Metrics: d.metrics,
+		Logger: d.logger, Clock: d.clock,
+	}, front.WithTTL(cfg.Limits.LookupTTL), front.WithMaxBody(cfg.Limits.MaxBody))
+	return d, d.register(control, st)
+}
+
+func (d *Daemon) register(control net.Listener, st *store.Client) error {
+	peer := &peer{Base: node.Base{
+		Self: d.self, Members: d.members, Sync: d.sync, Clock: d.clock, Leaving: d.isLeaving,
+	}, d: d}
+	services := []kernel.Service{
+		d.members, d.sync, d.sched, d.orders, d.front,
+		&applier{d}, &watcher{d: d}, &borrower{d}, &reporter{d},
+		&blockLoader{d, st},
+		node.NewControl(control, peer, d.kernel, d.metrics, d.clock, d.front.NotReady),
+	}
+	for _, s := range services {
+		if err := d.kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Kernel returns the kernel of the process, for a dump.
+func (d *Daemon) Kernel() *kernel.Kernel { return d.kernel }
+
+// NotReady returns the reason why requests are refused, or an empty string.
+func (d *Daemon) NotReady() string { return d.front.NotReady() }
+
+// Stop begins a planned stop. A second call ends it at once.
+func (d *Daemon) Stop() {
+	select {
+	case d.stop <- struct{}{}:
+	default:
+	}
+}
+
+// Run runs the daemon until a planned stop is complete, a service fails or ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer d.peers.Close()
+	level.Info(d.logger).Log("event", "start", "incarnation", uint64(d.self.Incarnation))
+	d.kernel.Start(ctx)
+	select {
+	case err := <-d.kernel.Done():
+		return err
+	case <-ctx.Done():
+	case <-d.stop:
+		d.shutDown(ctx)
+	}
+	cancel()
+	err := <-d.kernel.Done()
+	level.Info(d.logger).Log("event", "end", "err", err)
+	return err
+}
+
+// stopPoll is how often a planned stop looks at what is still in progress.
+const stopPoll = 20 * time.Millisecond
+
+// shutDown carries a planned stop through its phases.
+func (d *Daemon) shutDown(ctx context.Context) {
+	seq := drain.NewStop(d.cfg.Limits.LookupTTL, d.cfg.Limits.StopTimeout)
+	seq.Signal(d.clock())
+	close(d.leaving)
+	level.Info(d.logger).Log("event", "stop", "phase", "announced")
+	last := drain.Announced
+	for {
+		phase := seq.Next(d.clock(), d.front.InProgress(), d.orders.Finished())
+		if phase != last {
+			level.Info(d.logger).Log("event", "stop", "phase", phase, "in-progress", d.front.InProgress())
+			last = phase
+		}
+		if phase >= drain.Finishing {
+			d.front.SetNotReady("this VM is leaving")
+			d.orders.Stop()
+		}
+		if phase == drain.Exit {
+			return
+		}
+		t := time.NewTimer(stopPoll)
+		select {
+		case <-t.C:
+		case <-d.stop:
+			seq.Signal(d.clock())
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		t.Stop()
+	}
+}
+
+func (d *Daemon) isLeaving() bool {
+	select {
+	case <-d.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *Daemon) liveEntries() int {
+	return max(len(d.members.Snapshot().Live()), 1)
+}
+
+// checkDocument rejects a document that this version cannot read.
+func checkDocument(doc relay.Document) error {
+	if doc.Kind == relay.Config {
+		_, err := lists.Decode(doc.Body)
+		return err
+	}
+	_, err := decodePlan(doc)
+	return err
+}
+
+func decodePlan(doc relay.Document) (*plan.Traffic, error) {
+	t, err := plan.Decode(doc.Body)
+	if err != nil {
+		return nil, err
+	}
+	if t.Version != doc.Version {
+		return nil, kinds.Errorf(kinds.BadRequest, "plan says version %d in document version %d", t.Version, doc.Version)
+	}
+	return &t, errors.Wrap(plan.Validate(t), "validate plan")
+}
+
+// document queues a document that came into force. The ring keeps the newest ones: a plan that is dropped here is
+// replaced by the next, and the applier reads the current documents again on each round.
+func (d *Daemon) document(doc relay.Document) {
+	select {
+	case d.documents <- doc:
+	default:
+	}
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/node"
+	"github.com/currantpier/currantpier/share"
+	"github.com/currantpier/currantpier/wire"
+)
+
+// peer answers the messages of other daemons.
+type peer struct {
+	node.Base
+	d *Daemon
+}
+
+// Probe implements wire.Peer. A probe shows that its sender lives, too.
+func (p *peer) Probe(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	return p.Base.Probe(ctx, r)
+}
+
+// Borrow implements wire.Peer.
+func (p *peer) Borrow(ctx context.Context, r *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	target, ok := p.d.sched.Lend(ctx, ident.Service(r.GetService()), share.Loan{
+		ID: r.GetLoan(), Borrower: ident.VM(r.GetVm()), Incarnation: ident.Incarnation(r.GetIncarnation()),
+		Deadline: time.UnixMilli(r.GetDeadlineUnixMs()),
+	})
+	return &wire.BorrowReply{Granted: ok, Target: string(target), Loan: r.GetLoan()}, nil
+}
+
+// Return implements wire.Peer.
+func (p *peer) Return(ctx context.Context, r *wire.ReturnRequest) (*wire.ReturnReply, error) {
+	p.d.sched.Returned(ctx, ident.VM(r.GetVm()), ident.Incarnation(r.GetIncarnation()), r.GetLoan())
+	return &wire.ReturnReply{}, nil
+}
+
+// Unknown implements wire.Peer.
+func (p *peer) Unknown(context.Context, *wire.UnknownRequest) (*wire.UnknownReply, error) {
+	reply := &wire.UnknownReply{}
+	for _, o := range p.d.orders.Unknown() {
+		reply.Orders = append(reply.Orders, &wire.UnknownOrder{
+			Id: string(o.ID), Service: string(o.Service), Customer: string(o.Customer),
+			ReceivedUnixMs: o.Received.UnixMilli(), Reason: o.Reason,
+		})
+	}
+	return reply, nil
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -82,10 +82,10 @@
 
 func runService(ctx context.Context, s Service) error {
 	err := s.Run(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		return errors.Wrapf(err, "service %s", s.Name())
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		return nil
 	}
-	return nil
+	return errors.Wrapf(err, "service %s", s.Name())
 }
 
 // WriteDump writes the state of every service, or of those named, as one JSON object keyed by name.
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/twitchtv/twirp"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kernel"
+	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/relay"
+	"github.com/currantpier/currantpier/wire"
+)
+
+// Base answers the messages that both daemons share. A daemon embeds it and overrides the rest.
+type Base struct {
+	Self    Self
+	Members *Members
+	Sync    *Sync
+	Clock   func() time.Time
+	// Leaving reports whether a planned stop of this process has begun.
+	Leaving func() bool
+	// Holder returns the holder of the steering lease and its term as last seen.
+	Holder func() (ident.VM, ident.Term)
+}
+
+// Probe implements wire.Peer.
+func (b *Base) Probe(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeReply, error) {
+	if r.GetThrough() != "" && r.GetThrough() != string(b.Self.VM) {
+		return b.Members.ProbeFor(ctx, ident.VM(r.GetThrough())), nil
+	}
+	config, plan := b.Sync.Versions()
+	reply := &wire.ProbeReply{
+		Vm: string(b.Self.VM), Incarnation: uint64(b.Self.Incarnation), ConfigVersion: uint64(config),
+		PlanVersion: uint64(plan), Ready: b.Sync.Ready(), Leaving: b.Leaving(),
+	}
+	if b.Holder != nil {
+		vm, term := b.Holder()
+		reply.Holder, reply.Term = string(vm), uint64(term)
+	}
+	return reply, nil
+}
+
+// Fetch implements wire.Peer.
+func (b *Base) Fetch(ctx context.Context, r *wire.FetchRequest) (*wire.Document, error) {
+	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
+	doc := b.Sync.Fetch(ctx, relay.Kind(r.GetKind()), ident.Version(r.GetVersion()), wait)
+	return &wire.Document{Kind: r.GetKind(), Version: uint64(doc.Version), Body: doc.Body}, nil
+}
+
+// Push implements wire.Peer.
+func (b *Base) Push(_ context.Context, d *wire.Document) (*wire.PushReply, error) {
+	k := relay.Kind(d.GetKind())
+	b.Sync.Offer(fromWire(k, d))
+	return &wire.PushReply{Version: uint64(b.Sync.Current(k).Version)}, nil
+}
+
+// Report implements wire.Peer.
+func (b *Base) Report(context.Context, *wire.ReportRequest) (*wire.ReportReply, error) {
+	return nil, b.unserved("Report")
+}
+
+// Borrow implements wire.Peer.
+func (b *Base) Borrow(context.Context, *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	return nil, b.unserved("Borrow")
+}
+
+// Return implements wire.Peer.
+func (b *Base) Return(context.Context, *wire.ReturnRequest) (*wire.ReturnReply, error) {
+	return nil, b.unserved("Return")
+}
+
+// Apply implements wire.Peer.
+func (b *Base) Apply(context.Context, *wire.ApplyRequest) (*wire.ApplyReply, error) {
+	return nil, b.unserved("Apply")
+}
+
+// Unknown implements wire.Peer.
+func (b *Base) Unknown(context.Context, *wire.UnknownRequest) (*wire.UnknownReply, error) {
+	return nil, b.unserved("Unknown")
+}
+
+func (b *Base) unserved(method string) error {
+	return twirp.NewErrorf(twirp.Unimplemented, "the %s daemon does not serve %s", b.Self.Daemon, method)
+}
+
+// kindMeta is the key of a twirp error's metadata that carries the kind.
+const kindMeta = "kind"
+
+// ToWire makes a twirp error of err that carries its kind.
+func ToWire(err error) error {
+	if err == nil {
+		return nil
+	}
+	return twirp.NewError(twirp.FailedPrecondition, err.Error()).WithMeta(kindMeta, kinds.Of(err).String())
+}
+
+// FromWire restores the kind of an error that a peer returned. An error without one is of kind StoreUnknown for a
+// write, since the peer may have carried it out; readers pass another kind.
+func FromWire(err error, otherwise kinds.Kind) error {
+	if err == nil {
+		return nil
+	}
+	var te twirp.Error
+	if errors.As(err, &te) {
+		if k, ok := kinds.ByName(te.Meta(kindMeta)); ok {
+			return kinds.Errorf(k, "%s", te.Msg())
+		}
+	}
+	return kinds.Wrap(otherwise, err, "call peer")
+}
+
+// Control is the service of the control port: messages of other daemons, readiness, metrics and dumps.
+type Control struct {
+	ln     net.Listener
+	server *http.Server
+}
+
+// NewControl returns the service for a listener. ready returns a reason why the process is not ready, or an empty
+// string.
+func NewControl(ln net.Listener, peer wire.Peer, k *kernel.Kernel, reg metrics.Registry, clock func() time.Time,
+	ready func() string) *Control {
+	mux := http.NewServeMux()
+	mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(peer))
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := ready(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(reg, w)
+	})
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := k.WriteDump(w, clock(), r.URL.Query()["service"]...); err != nil {
+			http.Error(w, err.Error(), kinds.Of(err).Answer().Status)
+		}
+	})
+	return &Control{ln: ln, server: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
+}
+
+// Name implements kernel.Service.
+func (c *Control) Name() string { return "control" }
+
+// Run serves until ctx ends.
+func (c *Control) Run(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- c.server.Serve(c.ln) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	// Held fetches would keep Shutdown waiting for up to ten seconds, and their callers fetch again elsewhere.
+	_ = c.server.Close()
+	<-done
+	return ctx.Err()
+}
+
+// Dump implements kernel.Service.
+func (c *Control) Dump(time.Time) any {
+	return map[string]string{"address": c.ln.Addr().String()}
+}
--- /dev/null
+++ b/node/sync.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/member"
+	"github.com/currantpier/currantpier/relay"
+	"github.com/currantpier/currantpier/ring"
+	"github.com/currantpier/currantpier/store"
+	"github.com/currantpier/currantpier/wire"
+)
+
+// Rows of the table that hold the documents.
+const (
+	ConfigKey = "config/current"
+	PlanKey   = "plan/current"
+)
+
+// maxHeldFetch bounds how long a Fetch is held.
+const maxHeldFetch = 10 * time.Second
+
+// Getter reads rows of the table. store.Client implements it.
+type Getter interface {
+	Get(ctx context.Context, key string) (store.Row, error)
+}
+
+// Watcher is told of each document that comes into force. It must not block.
+type Watcher func(doc relay.Document)
+
+// Sync is the service that keeps the newest configuration and traffic plan. Its methods are safe for concurrent use.
+type Sync struct {
+	self    Self
+	rows    Getter
+	members *Members
+	peers   *Peers
+	clock   func() time.Time
+	logger  log.Logger
+	// check rejects documents that cannot be decoded, so that a faulty one is neither applied nor passed on.
+	check    func(relay.Document) error
+	watchers []Watcher
+
+	mu   sync.Mutex
+	node *relay.Node
+	// newer is closed and replaced when a document comes into force.
+	newer chan struct{}
+
+	// wake asks the loop for another round.
+	wake  chan struct{}
+	stats ring.Stats
+}
+
+// NewSync returns the service for one process.
+func NewSync(self Self, opts relay.Options, rows Getter, members *Members, peers *Peers, clock func() time.Time,
+	logger log.Logger, check func(relay.Document) error) *Sync {
+	opts.Self = relay.Peer{VM: self.VM, Place: self.Place}
+	opts.Leaf = self.Daemon == EntryDaemon
+	opts.Seed = uint64(self.Incarnation)
+	s := &Sync{
+		self: self, rows: rows, members: members, peers: peers, clock: clock, logger: logger, check: check,
+		node: relay.NewNode(clock(), opts), newer: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
+	members.versions = s.Versions
+	return s
+}
+
+// Watch adds a watcher. It must be called before Run.
+func (s *Sync) Watch(w Watcher) { s.watchers = append(s.watchers, w) }
+
+// Name implements kernel.Service.
+func (s *Sync) Name() string { return "sync" }
+
+// Versions returns the versions in force.
+func (s *Sync) Versions() (config, plan ident.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Current(relay.Config).Version, s.node.Current(relay.Plan).Version
+}
+
+// Current returns the document in force.
+func (s *Sync) Current(k relay.Kind) relay.Document {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Current(k)
+}
+
+// Ready reports whether the newest documents were obtained after the start.
+func (s *Sync) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Ready()
+}
+
+// Accept puts a document in force that this process has written to the store, and passes it on.
+func (s *Sync) Accept(doc relay.Document) {
+	s.update(doc, func(now time.Time) bool { return s.node.Accept(now, doc) })
+}
+
+// Offer handles a document that a peer pushed.
+func (s *Sync) Offer(doc relay.Document) {
+	if doc.Version == 0 || s.check(doc) != nil {
+		return
+	}
+	s.update(doc, func(now time.Time) bool { return s.node.Offer(now, doc) })
+}
+
+// update runs fn under the lock and tells everybody if the document came into force.
+func (s *Sync) update(doc relay.Document, fn func(now time.Time) bool) {
+	s.mu.Lock()
+	changed := fn(s.clock())
+	if changed {
+		close(s.newer)
+		s.newer = make(chan struct{})
+		// Called under the lock, so that watchers see versions in order.
+		for _, w := range s.watchers {
+			w(doc)
+		}
+	}
+	s.mu.Unlock()
+	if changed {
+		level.Info(s.logger).Log("event", "document", "kind", kindName(doc.Kind), "version", doc.Version)
+	}
+	s.poke()
+}
+
+func (s *Sync) poke() {
+	select {
+	case s.wake <- struct{}{}:
+		s.stats.Sent()
+	default:
+		// A round is due already.
+		s.stats.Full()
+	}
+}
+
+// Fetch waits up to wait for a document newer than have. It returns a document of version 0 if there is none.
+func (s *Sync) Fetch(ctx context.Context, k relay.Kind, have ident.Version, wait time.Duration) relay.Document {
+	t := time.NewTimer(min(wait, maxHeldFetch))
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		doc, ok := s.node.Newer(k, have)
+		newer := s.newer
+		s.mu.Unlock()
+		if ok {
+			return doc
+		}
+		select {
+		case <-newer:
+		case <-t.C:
+			return relay.Document{Kind: k}
+		case <-ctx.Done():
+			return relay.Document{Kind: k}
+		}
+	}
+}
+
+// Run performs the actions of the relay node until ctx ends.
+func (s *Sync) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for {
+		now := s.clock()
+		s.mu.Lock()
+		s.node.Members(now, s.relayPeers())
+		actions := s.node.Next(now, nil)
+		pause := s.node.Wake().Sub(now)
+		s.mu.Unlock()
+		for _, a := range actions {
+			g.Go(func() error {
+				s.perform(ctx, a)
+				return nil
+			})
+		}
+		if err := s.pause(ctx, pause); err != nil {
+			_ = g.Wait()
+			return err
+		}
+	}
+}
+
+// pause waits for d, a change of the members or a poke. The shortest pause bounds the work of a loop that has nothing
+// to do.
+func (s *Sync) pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(max(d, 5*time.Millisecond))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+	case <-s.wake:
+	}
+	return nil
+}
+
+func (s *Sync) relayPeers() []relay.Peer {
+	var peers []relay.Peer
+	for _, m := range s.members.Snapshot().Members {
+		if m.State == member.Alive || m.State == member.Suspected {
+			peers = append(peers, relay.Peer{VM: m.VM, Place: m.Place})
+		}
+	}
+	return peers
+}
+
+func (s *Sync) perform(ctx context.Context, a relay.Action) {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	res := s.do(ctx, a)
+	if res.OK && res.Doc.Version != 0 {
+		if err := s.check(res.Doc); err != nil {
+			level.Error(s.logger).Log("event", "bad-document", "kind", kindName(a.Kind), "from", a.To, "err", err)
+			res = relay.Result{}
+		}
+	}
+	s.update(res.Doc, func(now time.Time) bool { return s.node.Done(now, a.ID, res) })
+}
+
+func (s *Sync) do(ctx context.Context, a relay.Action) relay.Result {
+	switch a.Op {
+	case relay.PollStore:
+		return s.readStore(ctx, a)
+	case relay.Fetch:
+		return s.fetchFrom(ctx, a)
+	}
+	return s.pushTo(ctx, a)
+}
+
+func (s *Sync) readStore(ctx context.Context, a relay.Action) relay.Result {
+	key := ConfigKey
+	if a.Kind == relay.Plan {
+		key = PlanKey
+	}
+	row, err := s.rows.Get(ctx, key)
+	if err != nil {
+		return relay.Result{}
+	}
+	return relay.Result{OK: true, Doc: relay.Document{Kind: a.Kind, Version: row.Version, Body: row.Value}}
+}
+
+// addresses returns the control ports of vm that serve documents: its steer daemon and, unless that is this VM's own,
+// its entry daemon, which answers while its steer daemon is down.
+func (s *Sync) addresses(vm ident.VM) []string {
+	m, ok := s.members.Snapshot().Member(vm)
+	if !ok || len(m.Control) <= int(SteerDaemon) {
+		return nil
+	}
+	if vm == s.self.VM {
+		return m.Control[SteerDaemon:]
+	}
+	return []string{m.Control[SteerDaemon], m.Control[EntryDaemon]}
+}
+
+func (s *Sync) fetchFrom(ctx context.Context, a relay.Action) relay.Result {
+	for _, addr := range s.addresses(a.To) {
+		doc, err := s.peers.At(addr).Fetch(ctx, &wire.FetchRequest{
+			Kind: wire.DocumentKind(a.Kind), Version: uint64(a.Have), WaitMs: uint32(a.Wait.Milliseconds()),
+		})
+		if err == nil {
+			return relay.Result{OK: true, Doc: fromWire(a.Kind, doc)}
+		}
+	}
+	return relay.Result{}
+}
+
+func (s *Sync) pushTo(ctx context.Context, a relay.Action) relay.Result {
+	doc := &wire.Document{Kind: wire.DocumentKind(a.Kind), Version: uint64(a.Doc.Version), Body: a.Doc.Body}
+	for _, addr := range s.addresses(a.To) {
+		if _, err := s.peers.At(addr).Push(ctx, doc); err == nil {
+			return relay.Result{OK: true, Doc: relay.Document{Kind: a.Kind}}
+		}
+	}
+	return relay.Result{}
+}
+
+func fromWire(k relay.Kind, d *wire.Document) relay.Document {
+	return relay.Document{Kind: k, Version: ident.Version(d.GetVersion()), Body: d.GetBody()}
+}
+
+func kindName(k relay.Kind) string {
+	if k == relay.Config {
+		return "config"
+	}
+	return "plan"
+}
+
+type syncDump struct {
+	Ready  bool          `json:"ready"`
+	Config ident.Version `json:"config-version"`
+	Plan   ident.Version `json:"plan-version"`
+	Wakes  ring.Counts   `json:"wakes"`
+}
+
+// Dump implements kernel.Service.
+func (s *Sync) Dump(time.Time) any {
+	config, plan := s.Versions()
+	return syncDump{s.Ready(), config, plan, s.stats.Counts()}
+}
