--- /dev/null
+++ b/local/bench_test.go
@@ -0,0 +1,140 @@
+package local
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-kit/log"
+
+	"github.com/currantpier/currantpier/front"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/lists"
+)
+
+// oneVM is a deployment of one entry VM and one target, to measure the cost of the way through an entry.
+func oneVM(service time.Duration) Deployment {
+	return Deployment{
+		Places: []ident.Place{{Region: "riga", Domain: "riga-a"}}, VMsPerDomain: 1, LinkCapacity: 4000,
+		Services:  []Service{{Name: "workshop", PerDomain: 1, Slots: 64, Time: service}},
+		Customers: []lists.CustomerPlan{{Customer: "bench-1", Plan: "fitter"}},
+		Uses:      []lists.Use{{Plan: "fitter", Service: "workshop", Rate: 1e6, Weight: 10}},
+		ListLag:   10 * time.Millisecond,
+	}
+}
+
+// run sends n requests from a number of workers and returns their latencies and the time for all.
+func run(b *testing.B, url string, workers, n int) (*hdrhistogram.Histogram, time.Duration) {
+	b.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
+	defer client.CloseIdleConnections()
+	all := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	start := time.Now()
+	for range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+			for range n / workers {
+				begin := time.Now()
+				if err := request(client, url); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = h.RecordValue(time.Since(begin).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all.Merge(h)
+		}()
+	}
+	wg.Wait()
+	return all, time.Since(start)
+}
+
+func request(client *http.Client, url string) error {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(front.HeaderCustomer, "bench-1")
+	req.Header.Set(front.HeaderKind, front.KindIdempotent)
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(resp.Body)
+		return &badStatus{resp.StatusCode, string(body)}
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+type badStatus struct {
+	status int
+	body   string
+}
+
+func (e *badStatus) Error() string { return http.StatusText(e.status) + ": " + e.body }
+
+// BenchmarkForward measures, in one run, the same target called directly and through an entry.
+func BenchmarkForward(b *testing.B) {
+	for _, bc := range []struct {
+		name    string
+		service time.Duration
+		workers int
+	}{{"instant-1", 0, 1}, {"instant-16", 0, 16}, {"2ms-1", 2 * time.Millisecond, 1}, {"2ms-32", 2 * time.Millisecond, 32}} {
+		b.Run(bc.name, func(b *testing.B) { forward(b, bc.service, bc.workers) })
+	}
+}
+
+func forward(b *testing.B, service time.Duration, workers int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c, err := New(oneVM(service), 0, log.NewNopLogger())
+	if err != nil {
+		b.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	if err := c.AcceptInitial(ctx); err != nil {
+		b.Fatal(err)
+	}
+	direct := "http://" + c.Platform.VMs()[len(c.Platform.VMs())-1].Address
+	for _, vm := range c.Platform.VMs() {
+		if vm.Service != "" {
+			direct = "http://" + vm.Address
+		}
+	}
+	through := "http://" + c.Addresses[0].Callers + "/v1/request/workshop"
+	e, _ := c.Entry(c.Addresses[0].VM)
+	for e.NotReady() != "" {
+		time.Sleep(10 * time.Millisecond)
+	}
+	client := &http.Client{}
+	for deadline := time.Now().Add(30 * time.Second); request(client, through+"/x") != nil && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	n := max(b.N, 400*workers)
+	b.ResetTimer()
+	dh, dt := run(b, direct+"/x", workers, n)
+	eh, et := run(b, through+"/x", workers, n)
+	b.ReportMetric(float64(dh.ValueAtQuantile(50)), "direct-p50-µs")
+	b.ReportMetric(float64(eh.ValueAtQuantile(50)), "entry-p50-µs")
+	b.ReportMetric(float64(eh.ValueAtQuantile(50))/float64(dh.ValueAtQuantile(50)), "p50-ratio")
+	b.ReportMetric(float64(n)/dt.Seconds(), "direct-per-s")
+	b.ReportMetric(float64(n)/et.Seconds(), "entry-per-s")
+	b.ReportMetric(dt.Seconds()/et.Seconds(), "rate-ratio")
+	b.ReportMetric(0, "ns/op")
+}
