sched, node, entry: read the plan again after a pause before slots are used

Cause: the applier put the plan in memory in force again each second, which ended the void state of a process that was paused, although its slots may have been given to others meanwhile. Change: after a pause the grants stay void until the plan was read from the store or from two other VMs.

--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -39,13 +39,13 @@
 }
 
 // Run applies changes until ctx ends. It looks at the documents in force once a second as well, so that a dropped
-// message and grants that became void by a pause are made good.
+// message is made good.
 func (a *applier) Run(ctx context.Context) error {
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
 	for {
 		a.config(ctx, a.d.sync.Current(relay.Config))
-		a.plan(ctx, a.d.sync.Current(relay.Plan))
+		a.plan(ctx, a.d.sync.Current(relay.Plan), false)
 		a.directory()
 		a.readiness()
 		select {
@@ -53,11 +53,27 @@
 			return ctx.Err()
 		case <-a.d.documents:
 		case <-a.d.members.Changed():
+		case <-a.d.sched.Paused():
+			a.afterPause(ctx)
 		case <-t.C:
 		}
 	}
 }
 
+// afterPause reads the plan again after this process was paused. Until that succeeds, Paused is signalled again.
+func (a *applier) afterPause(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, rereadTimeout)
+	defer cancel()
+	confirmed := a.d.sync.Reread(call)
+	level.Warn(a.d.logger).Log("event", "paused", "plan-confirmed", confirmed)
+	if confirmed {
+		a.plan(ctx, a.d.sync.Current(relay.Plan), true)
+	}
+}
+
+// rereadTimeout bounds the reading of the plan after a pause.
+const rereadTimeout = 3 * time.Second
+
 func (a *applier) config(ctx context.Context, doc relay.Document) {
 	if doc.Version == 0 {
 		return
@@ -72,7 +88,7 @@
 	a.d.sched.SetConfig(ctx, &c, a.d.liveEntries())
 }
 
-func (a *applier) plan(ctx context.Context, doc relay.Document) {
+func (a *applier) plan(ctx context.Context, doc relay.Document, confirmed bool) {
 	if doc.Version == 0 {
 		return
 	}
@@ -85,7 +101,7 @@
 		// The connections of a target are divided evenly; each entry may also open a fresh one per order.
 		a.d.client.SetConnections(tg.Address, int(tg.Connections)/a.d.liveEntries())
 	}
-	a.d.sched.SetPlan(ctx, t)
+	a.d.sched.SetPlan(ctx, t, confirmed)
 }
 
 func (a *applier) directory() {
--- a/node/sync.go
+++ b/node/sync.go
@@ -278,6 +278,36 @@
 	return relay.Result{}
 }
 
+// confirmPeers is how many other VMs must answer before their newest plan counts as the newest one.
+const confirmPeers = 2
+
+// Reread reads the traffic plan again, from the store or, if that fails, from other VMs. It reports whether the plan in
+// force is at least as new as every plan that was in force when Reread was called, as far as can be known. A process
+// that was paused must not use its slots before that: they may have been given to others meanwhile.
+func (s *Sync) Reread(ctx context.Context) bool {
+	res := s.readStore(ctx, relay.Action{Kind: relay.Plan})
+	if res.OK {
+		s.Offer(res.Doc)
+		return res.Doc.Version == 0 || s.Current(relay.Plan).Version >= res.Doc.Version
+	}
+	answers, others := 0, 0
+	for _, m := range s.members.Snapshot().Live() {
+		if m.VM == s.self.VM {
+			continue
+		}
+		others++
+		have := s.Current(relay.Plan).Version
+		if res := s.fetchFrom(ctx, relay.Action{Kind: relay.Plan, To: m.VM, Have: have}); res.OK {
+			s.Offer(res.Doc)
+			answers++
+		}
+		if answers == confirmPeers {
+			return true
+		}
+	}
+	return answers > 0 && answers == others
+}
+
 func fromWire(k relay.Kind, d *wire.Document) relay.Document {
 	return relay.Document{Kind: k, Version: ident.Version(d.GetVersion()), Body: d.GetBody()}
 }
--- a/sched/control.go
+++ b/sched/control.go
@@ -17,12 +17,19 @@
 	"github.com/currantpier/currantpier/shift"
 )
 
-// SetPlan puts a traffic plan in force. Older plans are ignored.
-func (s *Scheduler) SetPlan(ctx context.Context, t *plan.Traffic) bool {
-	return s.post(ctx, &setPlan{t})
+// SetPlan puts a traffic plan in force. Older plans are ignored. Confirmed says that the plan was read again after the
+// last signal of Paused; without it, the grants stay void after a pause.
+func (s *Scheduler) SetPlan(ctx context.Context, t *plan.Traffic, confirmed bool) bool {
+	return s.post(ctx, &setPlan{t, confirmed})
 }
 
-type setPlan struct{ traffic *plan.Traffic }
+// Paused delivers a value after the control loop has not run for so long that the grants are void.
+func (s *Scheduler) Paused() <-chan struct{} { return s.paused }
+
+type setPlan struct {
+	traffic   *plan.Traffic
+	confirmed bool
+}
 
 func (m *setPlan) apply(s *Scheduler, now time.Time) {
 	t := m.traffic
@@ -42,7 +49,9 @@
 		s.state.leaving[tg.Name] = tg.Leaving
 	}
 	s.state.picker.SetTargets(now, targets)
-	s.state.holder.Apply(now, t.Grants, t.Version)
+	if m.confirmed || s.state.holder.Version() == 0 || !s.state.holder.Void(now) {
+		s.state.holder.Apply(now, t.Grants, t.Version)
+	}
 	s.setLimits(t)
 	s.setRoutes(now, t)
 	s.setQueues(now)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -79,6 +79,7 @@
 	wishes   chan LoanWish
 	wishStat ring.Stats
 	returns  chan share.Loan
+	paused   chan struct{}
 
 	state state
 	admitted,
@@ -168,6 +169,7 @@
 		self: self, place: place, clock: clock,
 		cap:      shift.Cap{PerStep: ident.Whole / 20, PerMinute: ident.Whole / 5},
 		messages: make(chan message, ringSize), wishes: make(chan LoanWish, 64), returns: make(chan share.Loan, 1024),
+		paused: make(chan struct{}, 1),
 		state: state{
 			picker: route.New(src), holder: share.NewHolder(self), queues: map[ident.Service]*queue{},
 			follow: map[followKey]*shift.Follower{}, waiting: map[uint64]*offer{},
@@ -405,6 +407,12 @@
 func (s *Scheduler) beat(now time.Time) {
 	s.state.holder.Beat(now)
 	s.state.holder.Expire(now)
+	if s.state.holder.Version() != 0 && s.state.holder.Void(now) {
+		select {
+		case s.paused <- struct{}{}:
+		default:
+		}
+	}
 	for key, f := range s.state.follow {
 		if key.origin == s.place.Region {
 			s.state.picker.SetWeights(key.service, key.origin, f.Weights(now))
