--- /dev/null
+++ b/plan/validate.go
@@ -0,0 +1,87 @@
+package plan
+
+import (
+	"cmp"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kinds"
+)
+
+// Validate checks a received plan by itself: order, sums of grants and shares. The error has the kind BadRequest.
+func Validate(t Traffic) error {
+	if t.Version == 0 {
+		return kinds.Errorf(kinds.BadRequest, "plan without a version")
+	}
+	if err := validateRoutes(t.Routes); err != nil {
+		return err
+	}
+	for i, tg := range t.Targets {
+		if i > 0 && tg.Name <= t.Targets[i-1].Name {
+			return kinds.Errorf(kinds.BadRequest, "target %s is out of order", tg.Name)
+		}
+	}
+	return validateGrants(t)
+}
+
+func validateRoutes(routes []Route) error {
+	for i, r := range routes {
+		if i > 0 {
+			p := routes[i-1]
+			if cmp.Or(cmp.Compare(r.Service, p.Service), cmp.Compare(r.Origin, p.Origin)) <= 0 {
+				return kinds.Errorf(kinds.BadRequest, "route of %s from %s is out of order", r.Service, r.Origin)
+			}
+		}
+		var sum int64
+		for k, w := range r.Weights {
+			if w.Share <= 0 || k > 0 && w.Region <= r.Weights[k-1].Region {
+				return kinds.Errorf(kinds.BadRequest, "route of %s from %s: bad weight of %s", r.Service, r.Origin, w.Region)
+			}
+			sum += int64(w.Share)
+		}
+		if sum != int64(ident.Whole) {
+			return kinds.Errorf(kinds.BadRequest, "route of %s from %s: shares add up to %d", r.Service, r.Origin, sum)
+		}
+	}
+	return nil
+}
+
+// validateGrants compares the grants of a version with the slots. Held slots are not added up: those of a target that
+// has shrunk exceed its slots until they are given up.
+func validateGrants(t Traffic) error {
+	k := 0
+	var sum int64
+	for i, g := range t.Grants {
+		if i > 0 {
+			p := t.Grants[i-1]
+			if cmp.Or(cmp.Compare(g.Target, p.Target), cmp.Compare(g.Entry, p.Entry)) <= 0 {
+				return kinds.Errorf(kinds.BadRequest, "grant of %s to %s is out of order", g.Target, g.Entry)
+			}
+		}
+		for k < len(t.Targets) && t.Targets[k].Name < g.Target {
+			k, sum = k+1, 0
+		}
+		if k == len(t.Targets) || t.Targets[k].Name != g.Target {
+			return kinds.Errorf(kinds.BadRequest, "grant of unknown target %s", g.Target)
+		}
+		if g.Slots < 0 || g.Held < 0 || g.Since > t.Version {
+			return kinds.Errorf(kinds.BadRequest, "bad grant of %s to %s", g.Target, g.Entry)
+		}
+		sum += int64(g.Slots)
+		if sum > int64(t.Targets[k].Slots) {
+			return kinds.Errorf(kinds.BadRequest, "%s has %d slots; %d are granted", g.Target, t.Targets[k].Slots, sum)
+		}
+	}
+	return nil
+}
+
+// Follows checks that next may replace previous on a process: the version is newer and the term not older. The error
+// has the kind Conflict for an older or equal version and Fenced for an older term.
+func Follows(previous, next Traffic) error {
+	switch {
+	case next.Version <= previous.Version:
+		return kinds.Errorf(kinds.Conflict, "plan version %d is not newer than %d", next.Version, previous.Version)
+	case next.Term < previous.Term:
+		return kinds.Errorf(kinds.Fenced, "plan %d has term %d, older than %d", next.Version, next.Term, previous.Term)
+	}
+	return nil
+}
--- a/share/share.go
+++ b/share/share.go
@@ -76,7 +76,7 @@
 	// Silent is how long the entry has been gone from the platform's list and unheard of; zero if it is listed or was
 	// heard.
 	Silent time.Duration
-	// Leaving entries get no more slots and give up what their demand does not need.
+	// Leaving entries get slots for their demand alone and give up what it does not need.
 	Leaving bool
 	// Demand is the number of slots of the group that the entry could use at once.
 	Demand float64
@@ -133,7 +133,7 @@
 		m := &d.members[i]
 		m.Entry, m.near = e, e.Place.Region == cur.Region
 		m.fresh = now.Sub(e.DemandAt) <= staleAfter
-		m.takes = e.Silent == 0 && !e.Leaving
+		m.takes = e.Silent == 0
 	}
 	t := 0
 	for _, g := range cur.Grants {
@@ -233,14 +233,18 @@
 		if !m.fresh && !m.DemandAt.IsZero() {
 			m.quota = m.have
 		}
+		if m.Leaving {
+			slots -= m.quota
+			continue
+		}
 		if m.near {
 			m.quota += base
 		}
 		sum += m.quota
 	}
 	for i := range d.members {
-		if sum > 0 {
-			d.members[i].quota *= max(0, slots) / sum
+		if m := &d.members[i]; sum > 0 && !m.Leaving {
+			m.quota *= max(0, slots) / sum
 		}
 	}
 }
