--- a/model/model.go
+++ b/model/model.go
@@ -64,7 +64,7 @@
 	Depth int
 	// Complete says that every reachable state was visited.
 	Complete bool
-	// Missed names the goals that were not reached.
+	// Missed names the goals that were not reached before the search ended.
 	Missed []string
 	// Violation is nil if every invariant held in every state.
 	Violation *Violation
@@ -164,10 +164,10 @@
 	if !r.Complete {
 		b.WriteString(", stopped at the limit")
 	}
-	for _, name := range r.Missed {
-		fmt.Fprintf(&b, "\nnever reached: %s", name)
-	}
 	if r.Violation == nil {
+		for _, name := range r.Missed {
+			fmt.Fprintf(&b, "\nnever reached: %s", name)
+		}
 		return b.String()
 	}
 	fmt.Fprintf(&b, "\nviolates %q: %s\n", r.Violation.Invariant, r.Violation.Detail)
--- a/model/orders.go
+++ b/model/orders.go
@@ -79,7 +79,9 @@
 // orderState is a state of the specification of orders: one owner, its journal, the upstream and the successors. A
 // pause of the owner needs no step of its own: any number of other steps may come between two steps of the owner.
 type orderState struct {
+	// owner and successors may be shared with other states; own and successor return copies that may be changed.
 	owner Orders
+	owned bool
 	alive bool
 	// stopping says that a planned stop has begun.
 	stopping bool
@@ -106,8 +108,8 @@
 type order struct {
 	id      ident.RequestID
 	submits int
-	// toSend says that a task of the owner is about to claim the order.
-	toSend bool
+	// toSend counts the tasks of the owner that are about to claim the order.
+	toSend int
 	// wires counts the copies of the request under way to the upstream.
 	wires int
 	// waiting says that the owner waits for the answer on the connection.
@@ -221,12 +223,11 @@
 	b = s.owner.AppendState(b)
 	b = append(b, flag(s.alive), flag(s.stopping), flag(s.writing), byte(s.seconds), byte(s.faults), byte(len(s.late)))
 	for _, w := range s.late {
-		b = appendHead(b, w.head)
-		b = append(b, byte(len(w.entries)))
+		b = appendEntries(appendHead(b, w.head), w.entries)
 	}
-	b = appendHead(b, s.head)
+	b = append(appendHead(b, s.head), byte(len(s.rows)))
 	for _, r := range s.rows {
-		b = fmt.Append(b, r.Seq, r.Entries)
+		b = appendEntries(append(b, byte(r.Seq)), r.Entries)
 	}
 	var keys []string
 	for _, t := range s.successors {
@@ -238,7 +239,7 @@
 		b = append(b, k...)
 	}
 	for _, o := range s.orders {
-		b = append(b, byte(o.submits), byte(o.wires), byte(o.runs), flag(o.toSend), flag(o.waiting), flag(o.notRun),
+		b = append(b, byte(o.submits), byte(o.wires), byte(o.runs), byte(o.toSend), flag(o.waiting), flag(o.notRun),
 			flag(o.unknown), byte(len(o.replies)))
 		for _, r := range o.replies {
 			b = binary.AppendUvarint(b, uint64(r))
@@ -251,6 +252,16 @@
 	return append(b, byte(h.Version), byte(h.State), byte(h.Seq), byte(h.Rows))
 }
 
+func appendEntries(b []byte, entries []once.Entry) []byte {
+	b = append(b, byte(len(entries)))
+	for _, e := range entries {
+		b = append(b, e.ID...)
+		b = append(b, byte(e.State))
+		b = binary.AppendUvarint(b, uint64(e.Answer.Status))
+	}
+	return b
+}
+
 func flag(v bool) byte {
 	if v {
 		return 1
@@ -260,15 +271,26 @@
 
 func (s *orderState) copy() *orderState {
 	c := *s
-	c.owner = s.owner.Copy()
-	c.late, c.rows, c.orders = slices.Clone(s.late), slices.Clone(s.rows), slices.Clone(s.orders)
-	c.successors = make([]Takeover, len(s.successors))
-	for i, t := range s.successors {
-		c.successors[i] = t.Copy()
-	}
+	c.owned = false
+	c.late, c.orders = slices.Clone(s.late), slices.Clone(s.orders)
+	c.successors = slices.Clone(s.successors)
 	return &c
 }
 
+// own returns the owner for a call that may change it.
+func (s *orderState) own() Orders {
+	if !s.owned {
+		s.owner, s.owned = s.owner.Copy(), true
+	}
+	return s.owner
+}
+
+// successor returns successor k for a call that changes it.
+func (s *orderState) successor(k int) Takeover {
+	s.successors[k] = s.successors[k].Copy()
+	return s.successors[k]
+}
+
 func (s *orderState) now() time.Time { return orderStart.Add(time.Duration(s.seconds) * time.Second) }
 
 // decided takes note of what a caller is told about order i.
@@ -276,7 +298,7 @@
 	o := &s.orders[i]
 	switch d.Do {
 	case once.DoSend:
-		o.toSend = true
+		o.toSend++
 	case once.DoRefuse:
 		o.notRun = true
 	case once.DoReply:
@@ -286,13 +308,13 @@
 	}
 }
 
-// events takes note of the owner's events: a request that waits goes on to send or is told "not run".
+// events takes note of the owner's events: the requests that wait all try to send, or are told "not run".
 func (s *orderState) events(events []once.Event) {
 	for _, e := range events {
 		i := slices.IndexFunc(s.orders, func(o order) bool { return o.id == e.ID })
 		switch e.State {
 		case once.Ready:
-			s.orders[i].toSend = true
+			s.orders[i].toSend += s.orders[i].submits
 		case once.Aborted:
 			s.orders[i].notRun = true
 		}
@@ -313,12 +335,12 @@
 
 // nextBatch starts the journal I/O that is due. It reports what that was.
 func (s *orderState) nextBatch() string {
-	switch w := s.owner.NextBatch(s.now(), 0); w.Kind {
+	switch w := s.own().NextBatch(s.now(), 0); w.Kind {
 	case once.WorkWrite:
 		s.writing, s.batch = true, w.Batch
 		return fmt.Sprintf("owner starts to write batch %d with %d entries", w.Batch.Seq, len(w.Batch.Entries))
 	case once.WorkReadBack:
-		s.events(s.owner.ReadBack(s.now(), s.head))
+		s.events(s.own().ReadBack(s.now(), s.head))
 		return fmt.Sprintf("owner reads back the head: %v at batch %d", s.head.State, s.head.Seq)
 	}
 	return ""
@@ -332,7 +354,7 @@
 	s.head = w.head
 	s.head.Version++
 	if len(w.entries) > 0 {
-		s.rows = append(s.rows, once.Row{Seq: w.head.Seq, Entries: w.entries})
+		s.rows = append(slices.Clone(s.rows), once.Row{Seq: w.head.Seq, Entries: w.entries})
 	}
 	return once.Result{Outcome: once.Written, Version: s.head.Version}
 }
@@ -351,7 +373,7 @@
 	s.writing, s.batch = false, once.Batch{}
 	r := s.carryOut(w, fault)
 	if heard {
-		s.events(s.owner.BatchDone(s.now(), r))
+		s.events(s.own().BatchDone(s.now(), r))
 	}
 }
 
--- /dev/null
+++ b/model/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package model
+
+const raceDetector = false
--- a/model/steps.go
+++ b/model/steps.go
@@ -78,10 +78,10 @@
 	if o.submits < b.bounds.Submits {
 		b.add(fmt.Sprintf("a caller submits %s", o.id), func(s *orderState) {
 			s.orders[i].submits++
-			s.decided(i, s.owner.Begin(s.now(), o.id, s.now().Add(orderDeadline)))
+			s.decided(i, s.own().Begin(s.now(), o.id, s.now().Add(orderDeadline)))
 		})
 	}
-	if o.toSend {
+	if o.toSend > 0 {
 		b.add(fmt.Sprintf("the owner claims %s and sends it if it may", o.id), func(s *orderState) { s.claim(i) })
 	}
 	if o.waiting {
@@ -96,17 +96,17 @@
 
 func (s *orderState) claim(i int) {
 	o := &s.orders[i]
-	o.toSend = false
-	if s.owner.ReadyToSend(s.now(), o.id) {
+	o.toSend--
+	if s.own().ReadyToSend(s.now(), o.id) {
 		o.wires++
 		o.waiting = true
 		return
 	}
-	s.decided(i, s.owner.Find(s.now(), o.id))
+	s.decided(i, s.own().Find(s.now(), o.id))
 }
 
 func (s *orderState) answer(i, status int) {
-	if s.owner.Answered(s.now(), s.orders[i].id, once.Answer{Status: status}) {
+	if s.own().Answered(s.now(), s.orders[i].id, once.Answer{Status: status}) {
 		s.decided(i, once.Decision{Do: once.DoReply, Answer: once.Answer{Status: status}})
 	}
 }
@@ -124,12 +124,14 @@
 		b.fault(fmt.Sprintf("the upstream refuses the connection for %s", o.id), func(s *orderState) {
 			s.orders[i].wires--
 			s.orders[i].waiting = false
-			s.orders[i].toSend = s.owner.NotRun(s.now(), o.id)
+			if s.own().NotRun(s.now(), o.id) {
+				s.orders[i].toSend++
+			}
 		})
 	}
 	b.fault(fmt.Sprintf("the connection of %s breaks", o.id), func(s *orderState) {
 		s.orders[i].waiting = false
-		s.owner.Broken(s.now(), o.id)
+		s.own().Broken(s.now(), o.id)
 	})
 }
 
@@ -155,14 +157,14 @@
 // process adds the steps of the owner's process as a whole.
 func (b *orderSteps) process() {
 	s := b.from.copy()
-	if events := s.owner.Expire(s.now()); len(events) > 0 {
+	if events := s.own().Expire(s.now()); len(events) > 0 {
 		s.events(events)
 		b.steps = append(b.steps, Step{"the owner aborts orders past their deadline", s})
 	}
 	if b.bounds.Stop && !b.from.stopping {
 		b.add("a planned stop begins", func(s *orderState) {
 			s.stopping = true
-			s.owner.StopAccepting()
+			s.own().StopAccepting()
 		})
 	}
 	b.fault("the owner dies", func(s *orderState) {
@@ -179,13 +181,13 @@
 	switch st := b.from.successors[k].Next(); st.Kind {
 	case once.StepReadHead:
 		b.add(who+"reads the head", func(s *orderState) {
-			s.successors[k].HeadRead(s.head)
+			s.successor(k).HeadRead(s.head)
 			s.ask(k)
 		})
 	case once.StepSeal:
 		for _, f := range storeFaults {
 			step := func(s *orderState) {
-				s.successors[k].SealDone(s.carryOut(headWrite{head: st.Head}, f.fault))
+				s.successor(k).SealDone(s.carryOut(headWrite{head: st.Head}, f.fault))
 				s.ask(k)
 			}
 			if f.fault == "" {
@@ -196,7 +198,7 @@
 		}
 	case once.StepReadRows:
 		b.add(who+"reads the batches", func(s *orderState) {
-			s.successors[k].RowsRead(s.rows, true)
+			s.successor(k).RowsRead(s.rows, true)
 			s.ask(k)
 		})
 	}
