steer, sched: demand includes refused requests; a dump does not restart the measurements

Cause: an entry without slots of a service reported no demand for it, so the plan would never give it any; and each dump restarted the means that the next report is made of. Change: refusals for want of a slot count as slots wanted; only the reporter restarts the means.

--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -356,7 +356,7 @@
 	t := time.NewTicker(reportPeriod)
 	defer t.Stop()
 	for {
-		if st, ok := r.d.sched.Status(ctx); ok {
+		if st, ok := r.d.sched.Status(ctx, true); ok {
 			r.report(ctx, st)
 		}
 		select {
@@ -391,7 +391,7 @@
 	for _, s := range st.Services {
 		req.Services = append(req.Services, &wire.ServiceUse{
 			Service: string(s.Service), Arrived: s.Arrived, Refused: s.Refused,
-			WaitingMilli: uint64(s.MeanWaiting * 1000),
+			WantedMilli: uint64(s.Wanted * 1000),
 		})
 	}
 	// A report that is lost is replaced by the next one.
--- a/sched/control.go
+++ b/sched/control.go
@@ -108,7 +108,7 @@
 func (s *Scheduler) queue(svc ident.Service) *queue {
 	q, ok := s.state.queues[svc]
 	if !ok {
-		q = &queue{Queue: admit.New(admit.MaxLength(maxQueued/8, maxQueued))}
+		q = &queue{Queue: admit.New(admit.MaxLength(maxQueued/8, maxQueued)), usual: firstUsual}
 		s.state.queues[svc] = q
 	}
 	return q
@@ -340,8 +340,8 @@
 	Waiting int           `json:"waiting"`
 	Arrived uint64        `json:"arrived"`
 	Refused uint64        `json:"refused"`
-	// MeanWaiting is the mean number of waiting requests.
-	MeanWaiting float64 `json:"mean-waiting"`
+	// Wanted is the mean number of slots that waiting and refused requests would have used.
+	Wanted float64 `json:"wanted"`
 }
 
 // WeightStatus is where the requests of a service go that arrive in one region.
@@ -351,9 +351,10 @@
 	Weights []shift.Weight `json:"weights"`
 }
 
-// Status returns the present state, or false if ctx ends before. It restarts the peaks and means.
-func (s *Scheduler) Status(ctx context.Context) (Status, bool) {
-	m := &status{reply: make(chan Status, 1)}
+// Status returns the present state, or false if ctx ends before. With restart, means and peaks start anew; only one
+// reader may ask for that.
+func (s *Scheduler) Status(ctx context.Context, restart bool) (Status, bool) {
+	m := &status{restart: restart, reply: make(chan Status, 1)}
 	if !s.post(ctx, m) {
 		return Status{}, false
 	}
@@ -365,7 +366,10 @@
 	}
 }
 
-type status struct{ reply chan Status }
+type status struct {
+	restart bool
+	reply   chan Status
+}
 
 func (m *status) apply(s *Scheduler, now time.Time) {
 	st := Status{
@@ -375,14 +379,17 @@
 	if s.state.config != nil {
 		st.Config = s.state.config.Version
 	}
-	st.Targets = s.targetStatus(now)
+	var elapsed time.Duration
+	if !s.state.measured.IsZero() {
+		elapsed = now.Sub(s.state.measured)
+	}
+	st.Targets = s.targetStatus(now, elapsed)
 	for svc, q := range s.state.queues {
-		mean := 0.0
-		if q.beats > 0 {
-			mean = q.busy / q.beats
-		}
-		q.busy, q.beats = 0, 0
-		st.Services = append(st.Services, ServiceStatus{svc, q.slots, q.Len(), q.arrived, q.refused, mean})
+		st.Services = append(st.Services,
+			ServiceStatus{svc, q.slots, q.Len(), q.arrived, q.refused, q.wanted(elapsed)})
+	}
+	if m.restart {
+		s.restart(now)
 	}
 	for key, f := range s.state.follow {
 		st.Weights = append(st.Weights, WeightStatus{key.service, key.origin, slices.Clone(f.Weights(now))})
@@ -394,26 +401,33 @@
 	m.reply <- st
 }
 
-func (s *Scheduler) targetStatus(now time.Time) []TargetStatus {
-	elapsed := now.Sub(s.state.measured).Seconds()
-	fresh := s.state.measured.IsZero() || elapsed <= 0
-	s.state.measured = now
+func (s *Scheduler) targetStatus(now time.Time, elapsed time.Duration) []TargetStatus {
 	targets := make([]TargetStatus, 0, len(s.state.usage))
 	for name, u := range s.state.usage {
 		u.count(now, 0, Traffic{})
 		ts := TargetStatus{Target: name, Service: s.state.targets[name], InProgress: u.inProgress}
-		if !fresh {
-			ts.Mean = u.slotTime.Seconds() / elapsed
-			ts.BitsPerSecond = 8 * float64(max(u.traffic.Sent, u.traffic.Received)) / elapsed
+		if elapsed > 0 {
+			ts.Mean = u.slotTime.Seconds() / elapsed.Seconds()
+			ts.BitsPerSecond = 8 * float64(max(u.traffic.Sent, u.traffic.Received)) / elapsed.Seconds()
 		}
+		targets = append(targets, ts)
+	}
+	slices.SortFunc(targets, func(a, b TargetStatus) int { return cmp.Compare(a.Target, b.Target) })
+	return targets
+}
+
+// restart starts the measurements anew and drops those of targets that are gone.
+func (s *Scheduler) restart(now time.Time) {
+	s.state.measured = now
+	for _, q := range s.state.queues {
+		q.waiting, q.beats, q.short = 0, 0, 0
+	}
+	for name, u := range s.state.usage {
 		u.slotTime, u.traffic = 0, Traffic{}
 		if _, known := s.state.targets[name]; !known && u.inProgress == 0 {
 			delete(s.state.usage, name)
 		}
-		targets = append(targets, ts)
 	}
-	slices.SortFunc(targets, func(a, b TargetStatus) int { return cmp.Compare(a.Target, b.Target) })
-	return targets
 }
 
 func sortStatus(st *Status) {
@@ -428,7 +442,7 @@
 func (s *Scheduler) Dump(time.Time) any {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	st, ok := s.Status(ctx)
+	st, ok := s.Status(ctx, false)
 	if !ok {
 		return "the scheduler does not answer"
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -120,8 +120,39 @@
 	slots   ident.Slots
 	arrived uint64
 	refused uint64
-	// busy is the sum over beats of slots in use and requests waiting, for the mean that is reported.
-	busy, beats float64
+	// waiting is the sum over beats of the waiting requests since the last status; short counts the requests that were
+	// refused for want of a slot since then.
+	waiting, beats, short int
+	// usual is the moving average of the time that a request holds a slot.
+	usual time.Duration
+}
+
+// firstUsual stands for the time that a request holds a slot before any was measured.
+const firstUsual = 20 * time.Millisecond
+
+// refuse counts a refusal.
+func (q *queue) refuse(k kinds.Kind) {
+	q.refused++
+	if k == kinds.Overloaded || k == kinds.DeadlineTooShort || k == kinds.NoTarget {
+		q.short++
+	}
+}
+
+func (q *queue) finished(latency time.Duration) {
+	q.Finished(latency)
+	q.usual += (latency - q.usual) / 16
+}
+
+// wanted returns the mean number of slots that waiting and refused requests would have used.
+func (q *queue) wanted(elapsed time.Duration) float64 {
+	w := 0.0
+	if q.beats > 0 {
+		w = float64(q.waiting) / float64(q.beats)
+	}
+	if elapsed > 0 {
+		w += float64(q.short) * q.usual.Seconds() / elapsed.Seconds()
+	}
+	return w
 }
 
 // usage measures the requests in progress and the traffic of one target since the last status.
@@ -293,7 +324,7 @@
 	}
 	q.arrived++
 	if s.state.holder.Void(now) {
-		q.refused++
+		q.refuse(kinds.NoTarget)
 		o.refuse(kinds.NoTarget)
 		return
 	}
@@ -323,7 +354,7 @@
 		s.wish(now, o)
 		s.serve(now, o.Service)
 	default:
-		q.refused++
+		q.refuse(d.Kind)
 		o.refuse(d.Kind)
 	}
 }
@@ -399,7 +430,7 @@
 		s.state.holder.Release(f.slot.Ref.Name())
 	}
 	if q := s.state.queues[svc]; q != nil && f.result == route.OK {
-		q.Finished(f.latency)
+		q.finished(f.latency)
 	}
 	s.serve(now, svc)
 }
@@ -421,7 +452,7 @@
 	var expired []admit.Item
 	for svc, q := range s.state.queues {
 		q.beats++
-		q.busy += float64(q.Len())
+		q.waiting += q.Len()
 		expired = q.Expire(now, expired[:0])
 		for _, item := range expired {
 			o, ok := s.state.waiting[item.ID]
@@ -429,7 +460,7 @@
 				continue
 			}
 			delete(s.state.waiting, item.ID)
-			q.refused++
+			q.refuse(kinds.DeadlineTooShort)
 			o.refuse(kinds.DeadlineTooShort)
 		}
 		s.serve(now, svc)
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -208,7 +208,7 @@
 		Rules: p.rules(),
 	}
 	in.Demand = p.demand(now)
-	in.Links = p.links(in.Demand, s, now)
+	in.Links = p.links(in.Demand, s)
 	return in, true
 }
 
@@ -242,6 +242,7 @@
 		e := plan.Entry{VM: m.VM, Place: m.Place, Leaving: m.State == member.Leaving}
 		if r, ok := p.reports[m.VM]; ok {
 			e.Acked = ident.Version(r.msg.GetAckedPlan())
+			e.Reported = r.at
 		}
 		if p.d.members.Vacant(now, m.VM) {
 			e.Silent = share.DeadAfter
@@ -257,17 +258,17 @@
 	entry   ident.VM
 }
 
-// demand adds up what the entries reported. Waiting requests count for the region of their entry.
+// demand adds up what the entries reported. Waiting and refused requests count for the region of their entry.
 func (p *planner) demand(now time.Time) []plan.Demand {
 	targets := map[ident.Target]plan.Target{}
 	for _, t := range p.current.Targets {
 		targets[t.Name] = t
 	}
 	sums := map[demandKey]*plan.Demand{}
-	at := func(k demandKey, when time.Time) *plan.Demand {
+	at := func(k demandKey) *plan.Demand {
 		d, ok := sums[k]
 		if !ok {
-			d = &plan.Demand{Service: k.service, Region: k.region, Entry: k.entry, At: when}
+			d = &plan.Demand{Service: k.service, Region: k.region, Entry: k.entry}
 			sums[k] = d
 		}
 		return d
@@ -279,7 +280,7 @@
 		}
 		for _, u := range r.msg.GetTargets() {
 			if t, ok := targets[ident.Target(u.GetTarget())]; ok {
-				d := at(demandKey{t.Service, t.Place.Region, vm}, r.at)
+				d := at(demandKey{t.Service, t.Place.Region, vm})
 				d.Slots += float64(u.GetMeanMilli()) / 1000
 				d.Mbps += float64(u.GetBitsPerSecond()) / 1e6
 			}
@@ -289,8 +290,8 @@
 			continue
 		}
 		for _, u := range r.msg.GetServices() {
-			d := at(demandKey{ident.Service(u.GetService()), m.Place.Region, vm}, r.at)
-			d.Slots += float64(u.GetWaitingMilli()) / 1000
+			d := at(demandKey{ident.Service(u.GetService()), m.Place.Region, vm})
+			d.Slots += float64(u.GetWantedMilli()) / 1000
 		}
 	}
 	demand := make([]plan.Demand, 0, len(sums))
@@ -303,23 +304,17 @@
 	return demand
 }
 
-// links gives both directions of each link the traffic that the entries reported between the two regions.
-func (p *planner) links(demand []plan.Demand, s *node.Snapshot, now time.Time) []plan.Link {
+// links gives both directions of each link the traffic that the entries reported between the two regions, as old as the
+// oldest of the reports.
+func (p *planner) links(demand []plan.Demand, s *node.Snapshot) []plan.Link {
 	type pair struct{ from, to ident.Region }
 	used := map[pair]float64{}
-	oldest := now
 	for _, d := range demand {
-		m, ok := s.Member(d.Entry)
-		if ok && m.Place.Region != d.Region {
+		if m, ok := s.Member(d.Entry); ok && m.Place.Region != d.Region {
 			used[pair{m.Place.Region, d.Region}] += d.Mbps
 		}
-		if d.At.Before(oldest) {
-			oldest = d.At
-		}
-	}
-	if len(demand) == 0 {
-		oldest = time.Time{}
 	}
+	oldest := p.oldestReport(s)
 	var links []plan.Link
 	for _, l := range p.d.cfg.Links {
 		links = append(links,
@@ -329,6 +324,18 @@
 	return links
 }
 
+// oldestReport is zero if a live entry has not reported.
+func (p *planner) oldestReport(s *node.Snapshot) time.Time {
+	var oldest time.Time
+	for i, m := range s.Live() {
+		at := p.reports[m.VM].at
+		if i == 0 || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
 // reported takes the report of an entry.
 func (p *planner) reported(now time.Time, r *wire.ReportRequest) bool {
 	p.mu.Lock()
