route, plan: one draw of the region per request; a drained region serves until its traffic has moved

Cause: a waiting request that draws its region again ends up where slots are free, past the weights; and a drain of a region marked its targets as leaving at once, so all traffic that had not moved yet would have been shed. Change: Picker.Draw and PickIn; targets of a drained region leave when no route has a weight for it any more. Before: with the old rule put back, TestComputeGrants fails at the start of the drain. After: go test ./route ./plan is green: all 96 slots stay granted at the start of the drain and 64 at its end. Conclusion: a drain of a region follows the cap; a drain of a target, VM or domain still takes effect at once.

--- a/plan/compute.go
+++ b/plan/compute.go
@@ -92,6 +92,8 @@
 	targets []int
 	// slots excludes leaving targets.
 	slots ident.Slots
+	// drained sites serve only until their traffic has moved.
+	drained bool
 	// demand is the part of Input.Demand for this site; used is its sum.
 	demand []Demand
 	used   float64
@@ -200,8 +202,18 @@
 	return false
 }
 
-func (w *work) placeDrained(p ident.Place) bool {
-	return w.drained(lists.ScopeDomain, string(p.Domain)) || w.drained(lists.ScopeRegion, string(p.Region))
+// emptied reports whether a region is drained and no route sends the service there any more. Until the shift has got so
+// far, the targets of a drained region go on serving what is left.
+func (w *work) emptied(svc ident.Service, region ident.Region) bool {
+	if !w.drained(lists.ScopeRegion, string(region)) {
+		return false
+	}
+	for _, r := range w.prev.Routes {
+		if r.Service == svc && slices.ContainsFunc(r.Weights, func(x Weight) bool { return x.Region == region }) {
+			return false
+		}
+	}
+	return true
 }
 
 // targets takes the targets from the platform's list. One that is not listed any more is kept as leaving while entries
@@ -216,7 +228,8 @@
 			Name: ident.Target(vm.Name), Service: vm.Service, Address: vm.Address, Place: vm.Place, Slots: vm.Slots,
 			Connections: vm.Connections,
 			Leaving: vm.State == store.Leaving || w.drained(lists.ScopeTarget, vm.Name) ||
-				w.drained(lists.ScopeVM, vm.Name) || w.placeDrained(vm.Place),
+				w.drained(lists.ScopeVM, vm.Name) || w.drained(lists.ScopeDomain, string(vm.Place.Domain)) ||
+				w.emptied(vm.Service, vm.Place.Region),
 		})
 	}
 	if len(listed) == 0 {
@@ -266,6 +279,7 @@
 	for i, s := range w.sites {
 		w.siteAt[siteKey{s.service, s.region}] = i
 		w.sites[i].at = w.reported[s.region]
+		w.sites[i].drained = w.drained(lists.ScopeRegion, string(s.region))
 	}
 }
 
@@ -418,7 +432,15 @@
 
 func (w *work) serves(svc ident.Service, r ident.Region) bool {
 	k, ok := w.siteAt[siteKey{svc, r}]
-	return ok && w.sites[k].slots > 0
+	return ok && w.sites[k].open() > 0
+}
+
+// open returns the slots that a shift may move traffic to.
+func (s *site) open() ident.Slots {
+	if s.drained {
+		return 0
+	}
+	return s.slots
 }
 
 // spread divides a share over the sites of a service in proportion to their slots, without remainder.
@@ -426,13 +448,13 @@
 	first, _ := slices.BinarySearchFunc(w.sites, svc, func(s site, svc ident.Service) int { return cmp.Compare(s.service, svc) })
 	var slots int64
 	for i := first; i < len(w.sites) && w.sites[i].service == svc; i++ {
-		slots += int64(w.sites[i].slots)
+		slots += int64(w.sites[i].open())
 	}
 	for i := first; i < len(w.sites) && w.sites[i].service == svc && slots > 0; i++ {
-		s := w.sites[i]
-		part := ident.PPM(int64(rest) * int64(s.slots) / slots)
+		s := &w.sites[i]
+		part := ident.PPM(int64(rest) * int64(s.open()) / slots)
 		shares[s.region] += part
-		rest, slots = rest-part, slots-int64(s.slots)
+		rest, slots = rest-part, slots-int64(s.open())
 	}
 }
 
@@ -551,7 +573,8 @@
 		u.at[i] = pos + 1
 		u.entries = append(u.entries, share.Entry{
 			VM: e.VM, Place: e.Place, Acked: e.Acked, Silent: e.Silent, DemandAt: e.Reported,
-			Leaving: e.Leaving || w.drained(lists.ScopeVM, string(e.VM)) || w.placeDrained(e.Place),
+			Leaving: e.Leaving || w.drained(lists.ScopeVM, string(e.VM)) ||
+				w.drained(lists.ScopeDomain, string(e.Place.Domain)),
 		})
 	}
 	for i := range s.demand {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -255,21 +255,22 @@
 		t.Fatalf("%d slots granted of 96, %d to entry-0000", got, before)
 	}
 	tests := []struct {
-		name   string
-		change func(in *plan.Input)
-		all    ident.Slots
-		kept   bool
+		name    string
+		change  func(in *plan.Input)
+		seconds int
+		all     ident.Slots
+		kept    bool
 	}{
 		{"new lease holder does not know the entry yet", func(in *plan.Input) {
 			in.Entries, in.Watched = in.Entries[1:], 59*time.Second
-		}, 96, true},
+		}, 5, 96, true},
 		{"nobody has heard of the entry for 60 s", func(in *plan.Input) {
 			in.Entries, in.Watched = in.Entries[1:], 60*time.Second
-		}, 96, false},
+		}, 5, 96, false},
 		{"target is drained", func(in *plan.Input) {
 			in.Config.Drains = []lists.Drain{{Scope: lists.ScopeTarget, Name: in.VMs[0].Name}}
-		}, 92, true},
-		{"target is gone", func(in *plan.Input) { in.VMs = in.VMs[1:] }, 92, true},
+		}, 5, 92, true},
+		{"target is gone", func(in *plan.Input) { in.VMs = in.VMs[1:] }, 5, 92, true},
 		{"domain is drained", func(in *plan.Input) {
 			in.Config.Drains = []lists.Drain{{Scope: lists.ScopeDomain, Name: "r00-0"}}
 			for i := range in.Demand {
@@ -277,12 +278,18 @@
 					in.Demand[i].Slots = 2
 				}
 			}
-		}, 80, true},
+		}, 5, 80, true},
+		{"region begins to drain", func(in *plan.Input) {
+			in.Config.Drains = []lists.Drain{{Scope: lists.ScopeRegion, Name: "r00"}}
+		}, 5, 96, true},
+		{"region is drained", func(in *plan.Input) {
+			in.Config.Drains = []lists.Drain{{Scope: lists.ScopeRegion, Name: "r00"}}
+		}, 600, 64, false},
 	}
 	for _, tt := range tests {
 		in := input(6, 4, 3, 12)
 		tt.change(&in)
-		after := run(t, in, p, start.Add(3*time.Second), 5)
+		after := run(t, in, p, start.Add(3*time.Second), tt.seconds)
 		if got := granted(after, all); got != tt.all {
 			t.Errorf("%s: %d slots granted, want %d", tt.name, got, tt.all)
 		}
--- a/route/route.go
+++ b/route/route.go
@@ -241,10 +241,8 @@
 }
 
 func (pl *pool) group(r ident.Region) *group {
-	for _, g := range pl.groups {
-		if g.region == r {
-			return g
-		}
+	if g := pl.find(r); g != nil {
+		return g
 	}
 	g := &group{region: r}
 	pl.groups = append(pl.groups, g)
@@ -259,9 +257,9 @@
 		var below ident.PPM
 		for _, w := range o.weights {
 			below += w.Share
-			g := &group{region: w.Region}
-			if k := slices.IndexFunc(pl.groups, func(g *group) bool { return g.region == w.Region }); k >= 0 {
-				g = pl.groups[k]
+			g := pl.find(w.Region)
+			if g == nil {
+				g = &group{region: w.Region}
 			}
 			o.choices = append(o.choices, choice{below: below, group: g})
 		}
@@ -290,16 +288,42 @@
 	}
 }
 
-// Pick chooses a target for a request that arrives at from. Targets in exclude are not chosen; another failure domain
-// than theirs is preferred. It reports false if no target in the region that the weights select can take the request:
-// a full region sheds and does not overflow into the next one.
+// Pick draws a region and chooses a target in it, see Draw and PickIn.
 func (p *Picker) Pick(now time.Time, from ident.Place, svc ident.Service, exclude []TargetRef) (TargetRef, bool) {
 	pl := p.pools[svc]
 	if pl == nil {
 		return TargetRef{}, false
 	}
 	r := p.rnd.Uint64()
-	g := pl.draw(from.Region, r>>32)
+	return p.pick(now, from, pl, pl.draw(from.Region, r>>32), exclude, r&0xffffffff)
+}
+
+// Draw selects the region that serves a request by the weights. It is called once per request: a request that waits and
+// draws again would end up where slots are free, whatever the weights say.
+func (p *Picker) Draw(from ident.Region, svc ident.Service) (ident.Region, bool) {
+	pl := p.pools[svc]
+	if pl == nil {
+		return "", false
+	}
+	g := pl.draw(from, p.rnd.Uint64()>>32)
+	if g == nil {
+		return "", false
+	}
+	return g.region, true
+}
+
+// PickIn chooses a target in a region for a request that arrives at from. Targets in exclude are not chosen; another
+// failure domain than theirs is preferred. It reports false if no target in the region can take the request: a full
+// region sheds and does not overflow into the next one.
+func (p *Picker) PickIn(now time.Time, from ident.Place, svc ident.Service, in ident.Region, exclude []TargetRef) (TargetRef, bool) {
+	pl := p.pools[svc]
+	if pl == nil {
+		return TargetRef{}, false
+	}
+	return p.pick(now, from, pl, pl.find(in), exclude, p.rnd.Uint64()>>32)
+}
+
+func (p *Picker) pick(now time.Time, from ident.Place, pl *pool, g *group, exclude []TargetRef, bits uint64) (TargetRef, bool) {
 	if g == nil {
 		return TargetRef{}, false
 	}
@@ -310,7 +334,7 @@
 		if d.name != from.Domain {
 			s.extra = p.domainCost
 		}
-		s.over(d, r&0xffffffff)
+		s.over(d, bits)
 	}
 	switch {
 	case s.best != nil:
@@ -321,7 +345,16 @@
 	return TargetRef{}, false
 }
 
-// draw selects the serving region with 32 random bits.
+func (pl *pool) find(r ident.Region) *group {
+	for _, g := range pl.groups {
+		if g.region == r {
+			return g
+		}
+	}
+	return nil
+}
+
+// draw selects the serving region with 32 random bits. It returns nil if that region is not known.
 func (pl *pool) draw(from ident.Region, bits uint64) *group {
 	for i := range pl.origins {
 		o := &pl.origins[i]
@@ -336,12 +369,7 @@
 		}
 		return nil
 	}
-	for _, g := range pl.groups {
-		if g.region == from {
-			return g
-		}
-	}
-	return nil
+	return pl.find(from)
 }
 
 // scan finds the cheapest target of a group.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -224,6 +224,26 @@
 	}
 }
 
+// Guards against a request that is served in another region than it was given to, in particular after it waited.
+func TestPickIn(t *testing.T) {
+	p := picker(1)
+	p.SetWeights("workshop", "riga", []shift.Weight{{Region: "riga", Share: 500_000}, {Region: "tartu", Share: 500_000}})
+	p.SetLimit("riga-a-0", 0)
+	p.SetLimit("riga-b-0", 0)
+	drawn := map[ident.Region]int{}
+	for range 1000 {
+		r, _ := p.Draw("riga", "workshop")
+		drawn[r]++
+		ref, ok := p.PickIn(start, here, "workshop", r, nil)
+		if ok != (r == "tartu") || ok && ref.Target().Place.Region != r {
+			t.Fatalf("drawn %s, chosen %v", r, ok)
+		}
+	}
+	if drawn["riga"] < 450 || drawn["tartu"] < 450 {
+		t.Errorf("drawn %v for equal weights", drawn)
+	}
+}
+
 // Guards against a retry at the same target, or in the same failure domain while another has a free slot.
 func TestExclude(t *testing.T) {
 	p := picker(2)
