relay: tree of relays, pushes, exchange and start-up as a pure node

Cause: every accepted version has to be in force everywhere within seconds, also when the store goes down right after the acceptance, with at most two thousand store reads a second. Change: Node with actions as values; the VMs of a failure domain form a tree of pairs in rendezvous order, relays also fetch from two other domains along a ring, an accepted document is pushed to at most 16 VMs until they confirm it. Before: signatures without bodies.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -4,8 +4,12 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/currantpier/currantpier/ident"
 )
 
@@ -51,7 +55,7 @@
 	ID   uint64
 	Op   Op
 	Kind Kind
-	// To is the peer for Fetch and Push. It can be the node's own VM, see Options.Leaf.
+	// To is the peer for Fetch and Push. For a leaf it can be its own VM, which means the steer daemon there.
 	To ident.VM
 	// Have is the version that the node has. For PollStore the body need not be read unless the store's is newer.
 	Have ident.Version
@@ -83,41 +87,80 @@
 	Seed uint64
 }
 
-// Node is the state of the dissemination in one process. It is not safe for concurrent use.
-type Node struct{}
-
-// NewNode returns a node that holds no documents.
-func NewNode(now time.Time, o Options) *Node { return &Node{} }
-
-// Members sets the VMs that are alive, with or without the node itself. Leaving VMs are left out by the caller.
-func (n *Node) Members(now time.Time, peers []Peer) {}
-
-// Next appends the actions that are due to dst.
-func (n *Node) Next(now time.Time, dst []Action) []Action { return dst }
-
-// Wake returns the time at which Next has to be called again if nothing else happens before.
-func (n *Node) Wake() time.Time { return time.Time{} }
-
-// Done reports the end of an action. It returns true if a newer document came into force.
-func (n *Node) Done(now time.Time, id uint64, res Result) bool { return false }
-
-// Offer handles a document that a peer pushed. It returns true if the document is newer and came into force.
-func (n *Node) Offer(now time.Time, doc Document) bool { return false }
-
-// Accept handles a document that this process has written to the store. It is in force at once and Next pushes it. It
-// returns false if the node holds a newer one.
-func (n *Node) Accept(now time.Time, doc Document) bool { return false }
-
-// Newer returns the document if it is newer than have. It answers Fetch; the daemon holds a Fetch without one until
-// Done, Offer or Accept returns true.
-func (n *Node) Newer(k Kind, have ident.Version) (Document, bool) { return Document{}, false }
-
-// Current returns the document in force; version 0 if there is none.
-func (n *Node) Current(k Kind) Document { return Document{} }
+// The periods and limits of the dissemination.
+const (
+	// relaysPerDomain of the VMs of a failure domain read the store.
+	relaysPerDomain = 2
+	// fanOut is the number of pairs of VMs that fetch from one pair. It bounds what one node sends: a relay that served
+	// all 55 VMs of its failure domain would exceed 16 KB a second with documents of 8 KB.
+	fanOut = 2
+
+	defaultInterval  = time.Second
+	storeTimeout     = 2 * time.Second
+	exchangeInterval = 5 * time.Second
+	// replyTimeout is how long a peer may take for an answer that it does not hold back.
+	replyTimeout = time.Second
+	// localWait is how long the steer daemon holds a fetch of the entry daemon on the same VM.
+	localWait = 500 * time.Millisecond
+	// fetchSpacing is the shortest time between two fetches of one document from one peer.
+	fetchSpacing = 100 * time.Millisecond
+
+	// pushPeers is the largest number of VMs to which an accepted document is pushed. 12 VMs all get it.
+	pushPeers = 16
+	// pushTimeout leaves room for a round trip between regions (110 ms) and for four attempts within 2 s.
+	pushTimeout  = 400 * time.Millisecond
+	pushAttempts = 10
+
+	// A peer that failed is avoided for avoidMin, and twice as long after each further failure in a row.
+	avoidMin = 5 * time.Second
+	avoidMax = time.Minute
+
+	// A starting node asks its peers if the store has not answered after startGrace.
+	startGrace = 500 * time.Millisecond
+	// startRound is the time between two rounds of questions.
+	startRound = time.Second
+	// maxStartBackoff limits the doubling of the interval between the reads of a starting node that is no relay.
+	maxStartBackoff = 3
+	// startAnswers is the number of peers that have to answer, or all peers if there are fewer.
+	startAnswers = 2
+)
 
-// Ready reports whether the node may serve: for each kind, the store answered, or enough peers did.
-func (n *Node) Ready() bool { return false }
+// longPoll returns how long a peer may hold a fetch. Few peers can afford short ones, which show a silent peer sooner;
+// with many the requests would cost more than the documents.
+func longPoll(peers int) time.Duration {
+	return min(max(time.Duration(peers)*10*time.Millisecond, 2*time.Second), 10*time.Second)
+}
 
 // Relays returns the VMs of a failure domain that read the store: the two with the highest rendezvous hash, or all if
 // there are fewer.
-func Relays(peers []Peer, d ident.Domain) []ident.VM { return nil }
+func Relays(peers []Peer, d ident.Domain) []ident.VM {
+	vms := rank(peers)[d]
+	return vms[:min(len(vms), relaysPerDomain)]
+}
+
+// rank returns the VMs of each failure domain in descending order of their rendezvous hash.
+func rank(peers []Peer) map[ident.Domain][]ident.VM {
+	ranked := map[ident.Domain][]ident.VM{}
+	for _, p := range peers {
+		ranked[p.Place.Domain] = append(ranked[p.Place.Domain], p.VM)
+	}
+	for d, vms := range ranked {
+		ranked[d] = byScore(vms, string(d))
+	}
+	return ranked
+}
+
+// byScore sorts names by the hash of key and name, highest first. Nodes that agree on the names agree on the order.
+func byScore(vms []ident.VM, key string) []ident.VM {
+	score := make(map[ident.VM]uint64, len(vms))
+	for _, vm := range vms {
+		score[vm] = xxhash.Sum64String(key + "/" + string(vm))
+	}
+	slices.SortFunc(vms, func(a, b ident.VM) int {
+		if c := cmp.Compare(score[b], score[a]); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return slices.Compact(vms)
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,319 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/relay"
+)
+
+// Guards against a version that reaches some nodes late or never: while messages are lost, relays die silently, and the
+// store or the accepting node goes down right after the acceptance.
+func TestInForceEverywhere(t *testing.T) {
+	tests := []struct {
+		name         string
+		vms, domains int
+		loss         float64
+		relaysDie    int
+		storeDown    bool
+		accepterDies bool
+		leaves       bool
+		limit        time.Duration
+		seeds        uint64
+	}{
+		{"12 VMs", 12, 6, 0, 0, false, false, true, 2 * time.Second, 6},
+		{"12 VMs, loss, relays die", 12, 6, 0.05, 4, false, false, true, 2 * time.Second, 10},
+		{"12 VMs, loss, store down", 12, 6, 0.05, 0, true, false, true, 2 * time.Second, 10},
+		{"12 VMs, relays die, store down", 12, 6, 0, 4, true, false, true, 2 * time.Second, 10},
+		{"12 VMs, accepter dies after 5 ms, store down", 12, 6, 0, 0, true, true, true, 2 * time.Second, 6},
+		{"600 nodes, loss, relays die", 600, 58, 0.05, 30, false, false, false, 19 * time.Second, 1},
+		{"600 nodes, loss, relays die, store down", 600, 58, 0.05, 30, true, false, false, 19 * time.Second, 1},
+		{"600 nodes, accepter dies after 5 ms, store down", 600, 58, 0.05, 0, true, true, false, 19 * time.Second, 1},
+	}
+	for _, tt := range tests {
+		var worst time.Duration
+		for seed := range tt.seeds {
+			s := cluster(seed, tt.loss, tt.vms, tt.domains)
+			if tt.leaves {
+				for _, m := range s.members {
+					s.start(m, true)
+				}
+			}
+			s.run(warmUp)
+			accepter := s.procs[s.members[seed%uint64(tt.vms)].VM]
+			for i := range tt.relaysDie {
+				d := s.members[(int(seed)+i)%tt.domains].Place.Domain
+				vm := relay.Relays(s.members, d)[i/tt.domains%2]
+				if vm != accepter.peer.VM {
+					s.kill(vm)
+				}
+			}
+			s.accept(accepter, 1, 20_000)
+			s.storeDown = tt.storeDown
+			if tt.accepterDies {
+				s.run(5 * time.Millisecond)
+				s.kill(accepter.peer.VM)
+			}
+			s.until(1, tt.limit)
+			slowest, missing := s.slowest(1, start.Add(warmUp))
+			worst = max(worst, slowest)
+			if missing > 0 {
+				t.Errorf("%s, seed %d: %d nodes have not the version after %v", tt.name, seed, missing, tt.limit)
+			}
+		}
+		t.Logf("%s: slowest of %d runs %v", tt.name, tt.seeds, worst)
+	}
+}
+
+// warmUp is long enough for every node to be ready and to hold its long polls.
+const warmUp = 5 * time.Second
+
+// until runs until every living process has version v, at most for limit.
+func (s *sim) until(v ident.Version, limit time.Duration) {
+	for range limit / (100 * time.Millisecond) {
+		if _, missing := s.slowest(v, s.now); missing == 0 {
+			return
+		}
+		s.run(100 * time.Millisecond)
+	}
+}
+
+// kill ends all processes of a VM silently; the VM stays in the list.
+func (s *sim) kill(vm ident.VM) {
+	for _, p := range s.order {
+		if p.peer.VM == vm {
+			p.dead = true
+		}
+	}
+}
+
+// Guards against an entry that depends on the steer daemon of its own VM.
+func TestLeafWithoutSteer(t *testing.T) {
+	for seed := range uint64(20) {
+		s := cluster(seed, 0, 12, 6)
+		leaf := s.start(s.members[seed%12], true)
+		s.run(20 * time.Second)
+		reads := s.storeReads
+		s.procs[leaf.peer.VM].dead = true
+		s.run(30 * time.Second)
+		s.accept(s.procs[s.members[(seed+5)%12].VM], 1, 100)
+		s.run(2 * time.Second)
+		if v := leaf.node.Current(relay.Config).Version; v != 1 || !leaf.node.Ready() {
+			t.Errorf("seed %d: version %d after 2 s", seed, v)
+		}
+		if reads == 0 {
+			t.Error("nobody read the store")
+		}
+	}
+}
+
+// Guards against a VM that is started during a store outage and serves an old version, or never serves.
+func TestStartDuringOutage(t *testing.T) {
+	for seed := range uint64(20) {
+		s := cluster(seed, 0.05, 12, 6)
+		s.run(10 * time.Second)
+		s.accept(s.procs["vm-1"], 4, 100)
+		s.run(5 * time.Second)
+		s.storeDown = true
+		fresh := relay.Peer{VM: "new", Place: s.members[3].Place}
+		s.members = append(s.members, fresh)
+		steer, entry := s.start(fresh, false), s.start(fresh, true)
+		s.run(8 * time.Second)
+		for i, p := range []*proc{steer, entry} {
+			// The plan was never published: without the store nobody can tell, so only the configuration is settled.
+			if doc, ok := p.node.Newer(relay.Config, 0); !ok || doc.Version != 4 || p.node.Ready() {
+				t.Errorf("seed %d, process %d: version %d, %v, ready %v", seed, i, doc.Version, ok, p.node.Ready())
+			}
+		}
+		s.storeDown = false
+		s.run(10 * time.Second)
+		if !steer.node.Ready() || !entry.node.Ready() {
+			t.Errorf("seed %d: not ready after the outage", seed)
+		}
+	}
+}
+
+// Guards against readiness with too few answers, before every relay was asked, or with an older version than one of the
+// answers.
+func TestStartNeeds(t *testing.T) {
+	tests := []struct {
+		name string
+		// answers has the version that each peer has, 0 for a peer that does not answer.
+		answers []ident.Version
+		ready   bool
+		version ident.Version
+	}{
+		{"no peer", nil, false, 0},
+		{"the only peer", []ident.Version{3}, true, 3},
+		{"the only peer is silent", []ident.Version{0}, false, 0},
+		{"one of two", []ident.Version{3, 0}, false, 3},
+		{"two of three, newest second", []ident.Version{3, 5, 0}, true, 5},
+		{"newest last", []ident.Version{3, 3, 3, 3, 3, 9}, true, 9},
+	}
+	for _, tt := range tests {
+		n := relay.NewNode(start, relay.Options{Self: relay.Peer{VM: "self", Place: ident.Place{Region: "r", Domain: "x"}}})
+		var peers []relay.Peer
+		at := map[ident.VM]ident.Version{}
+		for i, v := range tt.answers {
+			p := relay.Peer{VM: ident.VM(fmt.Sprint("p", i)), Place: ident.Place{Region: "r", Domain: ident.Domain(fmt.Sprint("d", i/2))}}
+			peers = append(peers, p)
+			at[p.VM] = v
+		}
+		n.Members(start, peers)
+		asked := map[ident.VM]bool{}
+		var actions []relay.Action
+		for _, ms := range []int{0, 600} {
+			actions = n.Next(start.Add(time.Duration(ms)*time.Millisecond), actions)
+		}
+		for i, a := range actions {
+			if a.Op != relay.Fetch || a.Wait > 0 {
+				continue
+			}
+			asked[a.To] = true
+			if n.Ready() {
+				t.Errorf("%s: ready before action %d ended", tt.name, i)
+			}
+			n.Done(start.Add(time.Second), a.ID, relay.Result{OK: at[a.To] > 0, Doc: relay.Document{Kind: a.Kind, Version: at[a.To]}})
+		}
+		if len(asked) != len(peers) || n.Ready() != tt.ready || n.Current(relay.Plan).Version != tt.version {
+			t.Errorf("%s: asked %d, ready %v, version %d", tt.name, len(asked), n.Ready(), n.Current(relay.Plan).Version)
+		}
+	}
+}
+
+// Guards against a version that goes back, a document of another kind, and an action that counts twice.
+func TestVersionsOnlyGrow(t *testing.T) {
+	self := relay.Peer{VM: "self", Place: ident.Place{Region: "r", Domain: "x"}}
+	n := relay.NewNode(start, relay.Options{Self: self})
+	doc := func(k relay.Kind, v ident.Version) relay.Document { return relay.Document{Kind: k, Version: v} }
+	poll := n.Next(start, nil)[0]
+	steps := []struct {
+		name string
+		got  bool
+		want bool
+	}{
+		{"not settled", n.Accept(start, doc(relay.Plan, 1)) && func() bool { _, ok := n.Newer(relay.Config, 0); return ok }(), false},
+		{"push", n.Offer(start, doc(relay.Config, 5)), true},
+		{"push before the node may serve", func() bool { _, ok := n.Newer(relay.Config, 0); return ok }(), false},
+		{"same push", n.Offer(start, doc(relay.Config, 5)), false},
+		{"older push", n.Offer(start, doc(relay.Config, 4)), false},
+		{"unknown kind", n.Offer(start, doc(9, 6)), false},
+		{"kind 0", n.Offer(start, doc(0, 6)), false},
+		{"store settles with an older version", n.Done(start, poll.ID, relay.Result{OK: true, Doc: doc(relay.Config, 3)}), true},
+		{"answer of a finished action", n.Done(start, poll.ID, relay.Result{OK: true, Doc: doc(relay.Config, 8)}), false},
+		{"older acceptance", n.Accept(start, doc(relay.Config, 2)), false},
+		{"newer acceptance", n.Accept(start, doc(relay.Config, 6)), true},
+	}
+	for _, s := range steps {
+		if s.got != s.want {
+			t.Errorf("%s: %v", s.name, s.got)
+		}
+	}
+	if v := n.Current(relay.Config).Version; v != 6 {
+		t.Errorf("version %d", v)
+	}
+}
+
+// Guards against relays that change without need, which would move the load of a domain at each restart.
+func TestRelays(t *testing.T) {
+	s := cluster(1, 0, 58*10, 58)
+	for d := range 58 {
+		domain := ident.Domain(fmt.Sprint("d", d))
+		before := relay.Relays(s.members, domain)
+		if len(before) != 2 || before[0] == before[1] {
+			t.Fatalf("relays %v", before)
+		}
+		var rest []relay.Peer
+		for _, p := range s.members {
+			if p.VM != before[0] {
+				rest = append(rest, p)
+			}
+		}
+		if after := relay.Relays(rest, domain); after[0] != before[1] {
+			t.Errorf("%v without the first became %v", before, after)
+		}
+	}
+	if got := relay.Relays(s.members[:1], "d0"); len(got) != 1 {
+		t.Errorf("one VM: %v", got)
+	}
+}
+
+// Guards against a cost that grows with the number of nodes: store reads beyond two relays per domain, and a node whose
+// share of messages and bytes exceeds 16 KB a second.
+func TestCost(t *testing.T) {
+	for _, vms := range []int{12, 200} {
+		c := measure(vms, 2)
+		t.Log(c)
+		if limit := 2 * 2 * min(58, c.domains) * 12 / 10; c.reads > float64(limit) {
+			t.Errorf("%d nodes: %v reads a second, limit %d", vms, c.reads, limit)
+		}
+		if c.worst > 16_000 {
+			t.Errorf("%d nodes: a node sends and receives %v bytes a second", vms, c.worst)
+		}
+	}
+}
+
+// cost is the steady state of a cluster in which a configuration of 20 kB changes every 24 s, 3,600 times a day.
+type cost struct {
+	vms, domains int
+	// reads is per second at the store; the others are per second and node, sent and received.
+	reads, messages, mean, worst float64
+	slowest                      time.Duration
+	cpu                          time.Duration
+}
+
+func (c cost) String() string {
+	return fmt.Sprintf("%d nodes, %d domains: %.0f store reads/s; per node %.2f messages/s, %.0f B/s, busiest %.0f B/s; "+
+		"slowest node %v; CPU with simulator %v per node and second", c.vms, c.domains, c.reads, c.messages, c.mean, c.worst,
+		c.slowest, c.cpu)
+}
+
+func measure(vms, changes int) cost {
+	c := cost{vms: vms, domains: min(58, max(6, vms/2))}
+	s := cluster(1, 0, vms, c.domains)
+	s.run(warmUp)
+	for _, p := range s.order {
+		p.messages, p.bytes = 0, 0
+	}
+	s.storeReads = 0
+	begin := time.Now()
+	for v := range ident.Version(changes) {
+		at := s.now
+		s.accept(s.order[s.rng.IntN(vms)], v+1, 20_000)
+		s.run(24 * time.Second)
+		slowest, missing := s.slowest(v+1, at)
+		c.slowest = max(c.slowest, slowest)
+		if missing > 0 {
+			c.slowest = time.Hour
+		}
+	}
+	seconds := float64(24 * changes)
+	for _, p := range s.order {
+		c.messages += float64(p.messages) / seconds / float64(vms)
+		c.mean += float64(p.bytes) / seconds / float64(vms)
+		c.worst = max(c.worst, float64(p.bytes)/seconds)
+	}
+	c.reads = float64(s.storeReads) / seconds
+	c.cpu = time.Duration(float64(time.Since(begin)) / seconds / float64(vms))
+	return c
+}
+
+// BenchmarkCluster reports the costs of docs/relay.md.
+func BenchmarkCluster(b *testing.B) {
+	for _, vms := range []int{12, 200, 800, 3200} {
+		b.Run(fmt.Sprintf("nodes=%d", vms), func(b *testing.B) {
+			var c cost
+			for range b.N {
+				c = measure(vms, 10)
+			}
+			b.ReportMetric(c.reads, "store-reads/s")
+			b.ReportMetric(c.messages, "messages/node-s")
+			b.ReportMetric(c.mean, "B/node-s")
+			b.ReportMetric(c.worst, "B/busiest-s")
+			b.ReportMetric(c.slowest.Seconds(), "slowest-s")
+			b.ReportMetric(float64(c.cpu.Microseconds()), "cpu-us/node-s")
+		})
+	}
+}
