--- a/admit/admit.go
+++ b/admit/admit.go
@@ -102,6 +102,8 @@
 	service          float64
 	deviation        float64
 	perCustomer, all int
+	// maxWait is zero if only deadlines bound the wait.
+	maxWait time.Duration
 }
 
 // Option changes a setting of a Queue.
@@ -112,6 +114,10 @@
 	return func(q *Queue) { q.perCustomer, q.all = perCustomer, all }
 }
 
+// MaxWait bounds the expected wait in the queue; by default only deadlines do. In a lasting overload a longer queue serves
+// no more requests, it only makes all of them late.
+func MaxWait(d time.Duration) Option { return func(q *Queue) { q.maxWait = d } }
+
 // Typical sets the service time that is assumed before any was measured; 20 ms by default.
 func Typical(d time.Duration) Option { return func(q *Queue) { q.service = float64(d) } }
 
@@ -179,7 +185,8 @@
 		return Decision{Verdict: Run, Kind: kinds.Answered}
 	}
 	wait := q.wait(c)
-	if len(c.items) >= q.perCustomer || q.queued >= q.all || !q.inTime(now, it, wait) {
+	if len(c.items) >= q.perCustomer || q.queued >= q.all || !q.inTime(now, it, wait) ||
+		q.maxWait > 0 && wait > q.maxWait {
 		return refuse(kinds.Overloaded, wait)
 	}
 	c.tokens--
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -81,6 +81,33 @@
 	}
 }
 
+// Guards against a queue that makes everybody late where latency matters most, and against work that is started too late
+// for its usual variation.
+func TestBounds(t *testing.T) {
+	offer := func(q *admit.Queue, id uint64, deadline int) admit.Verdict {
+		return q.Offer(start, admit.Item{ID: id, Customer: "bolt", Deadline: after(deadline)}, false).Verdict
+	}
+	q := queue(admit.MaxWait(40 * time.Millisecond))
+	n := 0
+	for offer(q, uint64(n), 60_000) == admit.Queued {
+		n++
+	}
+	if n != 4 {
+		t.Errorf("%d items wait for at most 40 ms, want 4 with 2 slots of 20 ms", n)
+	}
+	q = queue()
+	for i := range 400 {
+		q.Finished(time.Duration(10+20*(i%2)) * time.Millisecond)
+	}
+	// A mean of about 20 ms, a deviation of about 10 ms and a wait of half a service time.
+	if offer(q, 1, 45) != admit.Refused || offer(q, 2, 55) != admit.Queued {
+		t.Error("want work with 45 ms left refused and with 55 ms queued")
+	}
+	if it, ok := q.Next(after(20)); ok {
+		t.Errorf("item %d was started with 35 ms left", it.ID)
+	}
+}
+
 // Guards against a customer that gets more than its rate over time, or less.
 func TestRate(t *testing.T) {
 	q := queue()
--- a/demand/model_test.go
+++ b/demand/model_test.go
@@ -28,12 +28,14 @@
 	kbit float64
 	// work is the mean service time on warm caches; deadline is that of each request.
 	work, deadline time.Duration
+	// maxWait bounds the queue of an entry where latency comes first; zero leaves it to the deadlines.
+	maxWait time.Duration
 }
 
 // The service times, deadlines and sizes are assumptions of the model: section 1.3 gives none.
 var deployments = []deployment{
-	{"Kalniņš", 5, 6, 1500 * time.Microsecond, 55 * time.Millisecond, time.Millisecond, 4000, 400, 200 * time.Millisecond, 3 * time.Second},
-	{"Stencilcraft", 5, 4, 1500 * time.Microsecond, 20 * time.Millisecond, 8 * time.Millisecond, 280, 400, 150 * time.Millisecond, 2 * time.Second},
+	{"Kalniņš", 5, 6, 1500 * time.Microsecond, 55 * time.Millisecond, time.Millisecond, 4000, 400, 200 * time.Millisecond, 3 * time.Second, 500 * time.Millisecond},
+	{"Stencilcraft", 5, 4, 1500 * time.Microsecond, 20 * time.Millisecond, 8 * time.Millisecond, 280, 400, 150 * time.Millisecond, 2 * time.Second, 0},
 }
 
 const (
@@ -48,7 +50,9 @@
 	attempts  = 3
 )
 
-func regionName(r int) ident.Region { return ident.Region(fmt.Sprintf("r%d", r)) }
+var customers = []ident.Customer{"c0", "c1", "c2", "c3", "c4", "c5", "c6", "c7"}
+
+func regionName(r int) ident.Region { return [regionCount]ident.Region{"r0", "r1", "r2"}[r] }
 
 // server is a target as it is; what others know of it lags.
 type server struct {
@@ -134,8 +138,10 @@
 	order   uint64
 	servers []*server
 	nodes   []*node
-	steer   steering
-	sc      *scenario
+	// alive is memory for entry.
+	alive [regionCount * perRegion * perDomain]*node
+	steer steering
+	sc    *scenario
 	// mute stops the reports of targets and entries; drain announces that the first region is drained.
 	mute, drain bool
 	drainAt     time.Duration
@@ -157,6 +163,8 @@
 	firstRefusal float64
 	// drained is when less than 1% of the first region's callers were served there; zero if never.
 	drained time.Duration
+	// home is the share of the first region's callers that were served there in the last second of the run.
+	home float64
 	// breaches lists broken invariants.
 	breaches []string
 }
@@ -244,7 +252,7 @@
 		s.order++
 		r := &request{
 			id: s.order, home: home, start: s.now, end: s.now + s.deadline, node: s.entry(home),
-			customer: ident.Customer(fmt.Sprintf("c%d", s.rnd.IntN(8))),
+			customer: customers[s.rnd.IntN(len(customers))],
 		}
 		way := s.way(r)
 		r.end -= way
@@ -253,21 +261,20 @@
 	s.result.requests++
 }
 
-// entry returns the VM that a caller uses: one in its region while any is alive.
+// entry returns the VM that a caller uses: any in its region while one is alive there.
 func (s *sim) entry(home int) *node {
-	var near, all []*node
+	near := s.alive[:0]
 	for _, n := range s.nodes {
-		if !n.dead {
-			all = append(all, n)
-			if n.region == home {
-				near = append(near, n)
-			}
+		if !n.dead && n.region == home {
+			near = append(near, n)
 		}
 	}
-	if len(near) > 0 {
-		return near[s.rnd.IntN(len(near))]
+	for _, n := range s.nodes {
+		if !n.dead && len(near) == 0 || !n.dead && near[0].region != home {
+			near = append(near, n)
+		}
 	}
-	return all[s.rnd.IntN(len(all))]
+	return near[s.rnd.IntN(len(near))]
 }
 
 // way is the one-way latency between the caller and its entry.
@@ -438,7 +445,8 @@
 		}
 	}
 	s.steer.second(s)
-	if total := s.served[0][0] + s.served[0][1] + s.served[0][2]; s.drain && s.result.drained == 0 && s.served[0][0] < total/100 {
+	s.result.home = s.served[0][0] / max(1, s.served[0][0]+s.served[0][1]+s.served[0][2])
+	if s.drain && s.result.drained == 0 && s.result.home < 0.01 {
 		s.result.drained = s.now - s.drainAt
 	}
 	s.served, s.linkKbit = [regionCount][regionCount]float64{}, [regionCount][regionCount]float64{}
--- a/demand/pier_test.go
+++ b/demand/pier_test.go
@@ -1,7 +1,6 @@
 package demand_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -73,11 +72,11 @@
 			follower: shift.NewFollower(rules.Cap), refs: map[uint64][]route.TargetRef{}, loans: map[uint64]uint64{},
 		}
 		var rates []admit.Rate
-		for i := range 8 {
-			rates = append(rates, admit.Rate{Customer: ident.Customer(fmt.Sprintf("c%d", i)), PerSecond: 1e6, Weight: 1})
+		for _, c := range customers {
+			rates = append(rates, admit.Rate{Customer: c, PerSecond: 1e6, Weight: 1})
 		}
 		for r := range regionCount {
-			e.queue[r] = admit.New(admit.Typical(s.work))
+			e.queue[r] = admit.New(admit.Typical(s.work), admit.MaxWait(s.maxWait))
 			e.queue[r].SetRates(s.time(), rates, len(s.nodes))
 			e.waiting[r] = map[uint64]*request{}
 			e.took[r] = s.work.Seconds()
--- a/route/route.go
+++ b/route/route.go
@@ -130,7 +130,7 @@
 type group struct {
 	region  ident.Region
 	domains []domain
-	// latency is the mean over all targets in nanoseconds.
+	// latency is the mean over all targets in nanoseconds; zero before the first sample.
 	latency float64
 }
 
@@ -256,7 +256,7 @@
 	if g := pl.find(r); g != nil {
 		return g
 	}
-	g := &group{region: r, latency: float64(startLatency)}
+	g := &group{region: r}
 	pl.groups = append(pl.groups, g)
 	return g
 }
@@ -345,6 +345,9 @@
 		return TargetRef{}, false
 	}
 	s := scan{p: p, now: now.UnixNano(), exclude: exclude, mean: g.latency}
+	if s.mean == 0 {
+		s.mean = float64(startLatency)
+	}
 	s.slow = max(slowFactor*s.mean, s.mean+float64(wait))
 	for i := range g.domains {
 		d := &g.domains[i]
@@ -546,7 +549,7 @@
 	if t.latencyAt == 0 {
 		t.latency = float64(latency)
 	}
-	if t.group.latency == float64(startLatency) {
+	if t.group.latency == 0 {
 		t.group.latency = float64(latency)
 	}
 	t.latencyAt = now.UnixNano()
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -244,6 +244,44 @@
 	}
 }
 
+// Guards against requests at a target that is much slower than the others, as long as another slot is free sooner, and
+// against losing such a target for good.
+func TestSlowTarget(t *testing.T) {
+	slow := func(after, wait time.Duration) map[string]int {
+		p := picker(2)
+		for _, tg := range targets(2)[:4] {
+			run(p, start, tg.Name, 50, 20*time.Millisecond, route.OK)
+			p.SetLimit(tg.Name, 0)
+		}
+		p.SetLimit("riga-a-0", 3)
+		run(p, start, "riga-a-0", 10, 200*time.Millisecond, route.OK)
+		got := map[string]int{}
+		for range 3 {
+			ref, ok := p.PickIn(start.Add(after), here, "workshop", "riga", nil, wait)
+			if !ok {
+				got["none"]++
+				continue
+			}
+			got[byName(ref.Target())]++
+			p.Started(ref)
+		}
+		return got
+	}
+	tests := []struct {
+		after, wait time.Duration
+		want        map[string]int
+	}{
+		{time.Second, 10 * time.Millisecond, map[string]int{"none": 3}},
+		{time.Second, time.Second, map[string]int{"riga-a-0": 3}},
+		{10 * time.Second, 10 * time.Millisecond, map[string]int{"riga-a-0": 1, "none": 2}},
+	}
+	for _, tt := range tests {
+		if got := slow(tt.after, tt.wait); fmt.Sprint(got) != fmt.Sprint(tt.want) {
+			t.Errorf("%v later with a wait of %v: got %v, want %v", tt.after, tt.wait, got, tt.want)
+		}
+	}
+}
+
 // Guards against a retry at the same target, or in the same failure domain while another has a free slot.
 func TestExclude(t *testing.T) {
 	p := picker(2)
