once: last outcomes and final seal in one batch; tests of pace, copies and the final seal

Cause: three more one-line breaks were not found: an answer that shares the connection's buffer, no pause between attempts, and a final seal while outcomes are queued. Change: a batch that empties the queue of a drained owner is final itself, which saves a write; a test for each break.

--- a/once/flush.go
+++ b/once/flush.go
@@ -89,8 +89,7 @@
 	size := 0
 	j.intents = o.take(&b, &size, j.intents)
 	j.outcomes = o.take(&b, &size, j.outcomes)
-	queued := len(j.intents) + len(j.outcomes)
-	b.Final = o.stopping && o.Drained() && len(b.Entries) == 0 && queued == 0
+	b.Final = o.stopping && o.Drained() && len(j.intents)+len(j.outcomes) == 0
 	check := interval <= MaxJournalledFlush && now.Sub(j.written) >= checkEvery
 	if len(b.Entries) == 0 && !b.Final && !check {
 		return false
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -481,6 +481,42 @@
 	}
 }
 
+// Guards against an answer that changes when the connection's buffer is used again.
+func TestAnswerIsCopied(t *testing.T) {
+	p := newProc(t)
+	id := p.id('d', "x")
+	p.send(id)
+	buf := []byte("accepted")
+	p.Answered(p.now, id, Answer{Status: 200, Body: buf})
+	copy(buf, "REJECTED")
+	if got := p.Find(p.now, id).Answer.Body; string(got) != "accepted" {
+		t.Errorf("recorded body: %q", got)
+	}
+}
+
+// Guards against more store writes than the process's part: too soon after the last one, or without pause in an outage.
+func TestBatchPace(t *testing.T) {
+	p := newProc(t)
+	p.begin(p.id('j', "x"))
+	p.NextBatch(p.now, MinFlush)
+	p.BatchDone(p.now, Result{Written, 2})
+	p.begin(p.id('j', "y"))
+	write := func(wait time.Duration, r Result) {
+		t.Helper()
+		if early := p.NextBatch(p.now.Add(wait-1), MinFlush); early.Kind != WorkNone {
+			t.Errorf("work %d earlier than %v after the last", early.Kind, wait)
+		}
+		p.now = p.now.Add(wait)
+		if w := p.NextBatch(p.now, MinFlush); w.Kind != WorkWrite {
+			t.Errorf("work %d after %v, want a write", w.Kind, wait)
+		}
+		p.BatchDone(p.now, r)
+	}
+	write(MinFlush, Result{Outcome: Down})
+	write(retryWait, Result{Outcome: Down})
+	write(retryWait, Result{Written, 3})
+}
+
 // Guards against transactions too large for the store, and against answers too large for the record.
 func TestBatchBounds(t *testing.T) {
 	p := newProc(t, WithBatch(3, 10_000))
@@ -521,16 +557,23 @@
 
 // Guards against a final seal while an order is in progress, and against a stop that never ends after a foreign seal.
 func TestPlannedStop(t *testing.T) {
-	p := newProc(t)
-	id := p.id('d', "x")
-	p.send(id)
+	p := newProc(t, WithBatch(1, 1000))
+	ids := []ident.RequestID{p.id('d', "x"), p.id('d', "y")}
+	p.send(ids[0])
+	p.send(ids[1])
 	p.StopAccepting()
 	p.flush()
 	if p.Drained() || p.Finished() {
 		t.Error("finished with an order in progress")
 	}
-	p.Answered(p.now, id, ok200)
+	p.Answered(p.now, ids[0], ok200)
+	p.Answered(p.now, ids[1], ok200)
 	p.flush()
+	for _, id := range ids {
+		if got := p.takeover().Verdict(p.now, id).Do; got != DoReply {
+			t.Errorf("verdict on %s after the stop: %v", id, got)
+		}
+	}
 	if h, _ := NewJournal(p.tab).ReadHead(t.Context(), "riga-1", p.Incarnation()); h.State != Complete || !p.Finished() {
 		t.Errorf("head after the stop: %+v", h)
 	}
