lease: let calls of several processes overlap in the test of one holder

Cause: three breaks of the product code passed the tests: belief measured from after the write, the time of a first sight taken before the read, and belief kept after a conflict.

--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -29,8 +29,10 @@
 	pass func()
 	// readsFail makes Get fail.
 	readsFail bool
-	late      [][]store.Op
-	reads     int
+	// written is called for each row when it is written; nil does nothing.
+	written func(store.Op)
+	late    [][]store.Op
+	reads   int
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{rows: map[string]store.Row{}} }
@@ -89,6 +91,9 @@
 	for i, op := range ops {
 		if !op.CheckOnly {
 			s.rows[op.Key] = store.Row{Key: op.Key, Value: op.Value, Version: op.If + 1}
+			if s.written != nil {
+				s.written(op)
+			}
 		}
 		versions[i] = s.rows[op.Key].Version
 	}
