member: tests of precedence, incarnations, probe choice and bounds

Change: tables of lists and probes, a simulation of 12 VMs for the bound on a wrong belief, benchmarks at 3,200 VMs. Before: no tests. After: go test -count=2 -race -shuffle=on ./member passes. Conclusion: with 12 VMs a wrong state lasts at most the list's lag plus 12 s in the cases simulated.

--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,323 @@
+package member_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/member"
+	"github.com/currantpier/currantpier/store"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(sec int) time.Time { return epoch.Add(time.Duration(sec) * time.Second) }
+
+// incAt is the incarnation of a process that was started at the given second.
+func incAt(sec int) ident.Incarnation { return ident.Incarnation(at(sec).UnixNano()) }
+
+// vms makes a list from names; a name that ends in '!' is leaving.
+func vms(names ...string) []store.VMInfo {
+	var list []store.VMInfo
+	for _, n := range names {
+		vm := store.VMInfo{Name: n, Role: store.RoleEntry, State: store.Live, Address: "127.0.0.1:1"}
+		if n[len(n)-1] == '!' {
+			vm.Name, vm.State = n[:len(n)-1], store.Leaving
+		}
+		list = append(list, vm)
+	}
+	return list
+}
+
+// event is a list or a probe of b, at a second.
+type event struct {
+	sec  int
+	list []store.VMInfo
+	ok   bool
+	inc  ident.Incarnation
+}
+
+func list(sec int, names ...string) event { return event{sec: sec, list: vms(names...)} }
+func ok(sec int) event                    { return event{sec: sec, ok: true, inc: incAt(-900)} }
+func fail(secs ...int) []event {
+	var es []event
+	for _, s := range secs {
+		es = append(es, event{sec: s})
+	}
+	return es
+}
+
+func play(events []event) *member.View {
+	v := member.NewView("a", 1)
+	for _, e := range events {
+		if e.list != nil {
+			v.Platform(at(e.sec), e.list)
+		} else {
+			v.Probe(at(e.sec), "b", e.ok, e.inc)
+		}
+	}
+	return v
+}
+
+// Guards against each rule of precedence between list and probes: work for a VM that leaves, slots or journals taken
+// from a VM that lives, and a dead VM that keeps both.
+func TestStates(t *testing.T) {
+	start := []event{list(0, "a", "b", "c"), ok(0)}
+	dead := fail(1, 2, 3, 11)
+	tests := []struct {
+		name   string
+		events []event
+		sec    int
+		want   member.State
+		vacant bool
+	}{
+		{"listed and heard", nil, 1, member.Alive, false},
+		{"two probes failed", fail(1, 2), 2, member.Alive, false},
+		{"three probes failed", fail(1, 2, 3), 3, member.Suspected, false},
+		{"probes fail for long while listed", fail(1, 2, 3, 500), 500, member.Suspected, false},
+		{"an answer ends suspicion", append(fail(1, 2, 3), ok(4)), 4, member.Alive, false},
+		{"failures with an answer between", append(append(fail(1, 2), ok(3)), fail(4, 5)...), 5, member.Alive, false},
+		{"leaving wins over an answer", []event{list(1, "a", "b!"), ok(2)}, 2, member.Leaving, false},
+		{"leaving wins over failures", append(fail(1, 2, 3, 20), list(21, "a", "b!")), 21, member.Leaving, false},
+		{"gone and not yet probed", []event{list(1, "a")}, 1, member.Alive, false},
+		{"gone and one probe failed", append(fail(2), list(3, "a")), 3, member.Suspected, false},
+		{"gone and answers", []event{list(1, "a"), ok(60)}, 60, member.Alive, false},
+		{"gone for 60 s and answers", []event{list(1, "a"), ok(61)}, 61, member.Leaving, false},
+		{"gone for 60 s, answered, and one probe failed", append([]event{list(1, "a"), ok(61)}, fail(62)...), 62, member.Leaving, false},
+		{"leaving and then gone", []event{list(1, "a", "b!"), list(2, "a")}, 2, member.Leaving, false},
+		{"gone and probes fail for 10 s", append(dead, list(11, "a")), 11, member.Dead, false},
+		{"gone and probes fail for less", append(fail(1, 2, 3, 10), list(11, "a")), 11, member.Suspected, false},
+		{"the reader was paused after three failures", append(fail(1, 2, 3), list(4, "a")), 50, member.Suspected, false},
+		{"two failures 10 s apart", append(fail(1, 11), list(12, "a")), 12, member.Suspected, false},
+		{"left, gone and probes fail", append(append(dead, list(11, "a", "b!")), list(12, "a")), 12, member.Dead, false},
+		{"dead and back in the list", append(dead, list(11, "a"), list(12, "a", "b")), 12, member.Suspected, false},
+		{"dead and answers", append(dead, list(11, "a"), ok(12)), 12, member.Alive, false},
+		{"dead for almost 60 s since it was gone", append(dead, list(11, "a")), 70, member.Dead, false},
+		{"dead for 60 s since it was gone", append(dead, list(11, "a")), 71, member.Dead, true},
+		{"gone for long, answered less than 60 s ago", append([]event{list(1, "a"), ok(30)}, fail(31, 32, 41)...), 89, member.Dead, false},
+		{"a list without entry VMs is ignored", []event{{sec: 1, list: []store.VMInfo{{Name: "t", Role: store.RoleUpstream}}}}, 90, member.Alive, false},
+		{"forgotten", append(dead, list(11, "a"), list(611, "a")), 611, member.Unknown, true},
+	}
+	for _, tt := range tests {
+		v := play(slices.Concat(start, tt.events))
+		if got := v.State("b", at(tt.sec)); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+		if got := v.Vacant("b", at(tt.sec)); got != tt.vacant {
+			t.Errorf("%s: vacant = %v", tt.name, got)
+		}
+		alive := tt.want == member.Alive || tt.want == member.Suspected
+		if got := slices.ContainsFunc(v.Alive(at(tt.sec)), func(m member.Member) bool { return m.VM == "b" }); got != alive {
+			t.Errorf("%s: in Alive = %v", tt.name, got)
+		}
+	}
+}
+
+// Guards against a journal that is sealed under a process that lives, and one that is never sealed.
+func TestDead(t *testing.T) {
+	const old, now, next = -1000, -900, 2
+	start := []event{list(-100, "a", "b"), list(0, "a", "b"), ok(0)}
+	gone := append(fail(1, 2, 3, 11), list(11, "a"))
+	tests := []struct {
+		name   string
+		events []event
+		vm     ident.VM
+		inc    ident.Incarnation
+		want   bool
+	}{
+		{"present process", nil, "b", incAt(now), false},
+		{"earlier process", nil, "b", incAt(old), true},
+		{"later process that was not heard yet", nil, "b", incAt(next), false},
+		{"restarted", []event{{sec: 3, ok: true, inc: incAt(next)}}, "b", incAt(now), true},
+		{"a late answer of the earlier process", []event{{sec: 3, ok: true, inc: incAt(next)}, ok(4)}, "b", incAt(next), false},
+		{"an answer without incarnation", []event{{sec: 3, ok: true}}, "b", incAt(now), false},
+		{"suspected", fail(1, 2, 3, 500), "b", incAt(now), false},
+		{"dead VM", gone, "b", incAt(now), true},
+		{"dead VM that answers again", append(slices.Clone(gone), ok(12)), "b", incAt(now), false},
+		{"VM that was never listed, old process", nil, "z", incAt(-60), true},
+		{"VM that was never listed, new process", nil, "z", incAt(-59), false},
+		{"VM that was never listed, impossible time", nil, "z", 1 << 63, false},
+		{"VM that is not listed yet but was heard", []event{list(100, "a"), list(200, "a")}, "b", incAt(now), false},
+	}
+	for _, tt := range tests {
+		v := play(slices.Concat(start, tt.events))
+		if got := v.Dead(tt.vm, tt.inc, at(20)); got != tt.want {
+			t.Errorf("%s: %v", tt.name, got)
+		}
+	}
+	if v := play([]event{list(0, "a")}); v.Dead("z", incAt(-900), at(5)) || v.Vacant("z", at(5)) {
+		t.Error("a process that has just started judges a VM by one list")
+	}
+	if v := play(nil); v.Dead("z", incAt(-900), at(5)) {
+		t.Error("a process without a list judges a VM")
+	}
+}
+
+// Guards against a process that takes itself for dead or suspected, and one that works on after it was taken out.
+func TestSelf(t *testing.T) {
+	v := member.NewView("a", 1)
+	v.Probe(at(0), "a", true, incAt(0))
+	v.Platform(at(0), vms("a", "b"))
+	for s := 1; s < 20; s++ {
+		v.Probe(at(s), "a", false, 0)
+	}
+	if s := v.State("a", at(20)); s != member.Alive || !v.Dead("a", incAt(-1), at(20)) || v.Dead("a", incAt(0), at(20)) {
+		t.Errorf("listed: %v", s)
+	}
+	v.Platform(at(20), vms("b"))
+	if got := [2]member.State{v.State("a", at(79)), v.State("a", at(80))}; got != [2]member.State{member.Alive, member.Leaving} {
+		t.Errorf("gone: %v", got)
+	}
+	if age, ok := v.ListAge(at(25)); age != 5*time.Second || !ok {
+		t.Errorf("list age %v, %v", age, ok)
+	}
+}
+
+// Guards against probes that depend on more than seed and second, that leave VMs out, and that don't follow doubts.
+func TestPeers(t *testing.T) {
+	names := make([]string, 12)
+	for i := range names {
+		names[i] = fmt.Sprint("vm-", i)
+	}
+	round := func(seed uint64) (order []ident.VM) {
+		v := member.NewView("vm-0", seed)
+		v.Platform(at(0), vms(names...))
+		for s := range 4 {
+			first := v.Peers(at(s))
+			if again := v.Peers(at(s).Add(999 * time.Millisecond)); !slices.Equal(first, again) {
+				t.Errorf("two answers in one second: %v, %v", first, again)
+			}
+			order = append(order, first...)
+		}
+		return order
+	}
+	one := round(1)
+	if !slices.Equal(one, round(1)) || slices.Equal(one, round(2)) {
+		t.Error("the choice does not follow the seed")
+	}
+	seen := slices.Clone(one)
+	slices.Sort(seen)
+	if seen = slices.Compact(seen); len(one) != 12 || len(seen) != 11 || slices.Contains(seen, "vm-0") {
+		t.Errorf("4 s do not cover the 11 others: %v", one)
+	}
+	v := member.NewView("vm-0", 1)
+	v.Platform(at(0), vms(names...))
+	v.Probe(at(0), "vm-5", false, 0)
+	v.Platform(at(0), vms(names[:11]...))
+	for s := 1; s < 30; s++ {
+		p := v.Peers(at(s))
+		if len(p) != 3 || !slices.Contains(p, "vm-5") || !slices.Contains(p, "vm-11") {
+			t.Errorf("second %d: %v, want vm-5 that failed and vm-11 that is gone", s, p)
+		}
+	}
+}
+
+// sim probes as the daemons do: the peers of each second, against the true state of 12 VMs.
+type sim struct {
+	view *member.View
+	// down are the VMs that don't answer, from the second crash on; gone are those no longer in the true list.
+	down, gone []string
+	crash, lag int
+}
+
+func (s *sim) second(sec int) {
+	var names []string
+	for i := range 12 {
+		n := fmt.Sprintf("vm-%02d", i)
+		if sec < s.crash+s.lag || !slices.Contains(s.gone, n) {
+			names = append(names, n)
+		}
+	}
+	s.view.Platform(at(sec), vms(names...))
+	for _, vm := range s.view.Peers(at(sec)) {
+		s.view.Probe(at(sec), vm, sec < s.crash || !slices.Contains(s.down, string(vm)), incAt(-900))
+	}
+}
+
+// Guards against a wrong belief that lasts longer than the list's lag and 10 s, and a probe interval of 2 s that the
+// first and the last failed probe may miss. It runs with lists that lag less and more than probes need.
+func TestWrongBeliefIsBounded(t *testing.T) {
+	region := []string{"vm-04", "vm-05", "vm-06", "vm-07"}
+	tests := []struct {
+		name       string
+		down, gone []string
+		want       member.State
+	}{
+		{"one VM died", region[:1], region[:1], member.Dead},
+		{"a failure domain died", region[:2], region[:2], member.Dead},
+		{"a region died", region, region, member.Dead},
+		{"unreachable but listed", region[:1], nil, member.Suspected},
+	}
+	for _, tt := range tests {
+		for _, lag := range []int{0, 1, 5, 30} {
+			for crash := 20; crash < 24; crash++ {
+				s := sim{view: member.NewView("vm-00", 1), down: tt.down, gone: tt.gone, crash: crash, lag: lag}
+				last := crash
+				for sec := range 100 {
+					s.second(sec)
+					for i := range 12 {
+						n := fmt.Sprintf("vm-%02d", i)
+						want := member.Alive
+						if sec >= crash && slices.Contains(tt.down, n) {
+							want = tt.want
+						}
+						if got := s.view.State(ident.VM(n), at(sec)); got != want && sec >= crash && want != member.Alive {
+							last = sec
+						} else if got != want {
+							t.Errorf("%s, lag %d: %s is %v at %d", tt.name, lag, n, got, sec)
+						}
+					}
+				}
+				if wrong := last + 1 - crash; wrong > lag+10+2 {
+					t.Errorf("%s, lag %d: wrong for %d s", tt.name, lag, wrong)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a VM that is wrongly gone from the list and loses its journal or slots while it answers.
+func TestLiveVMIsNeverDead(t *testing.T) {
+	s := sim{view: member.NewView("vm-00", 1), gone: []string{"vm-03", "vm-04", "vm-05"}, crash: 10}
+	for sec := range 300 {
+		s.second(sec)
+		for _, n := range s.gone {
+			if vm := ident.VM(n); s.view.Dead(vm, incAt(-900), at(sec)) || s.view.Vacant(vm, at(sec)) {
+				t.Fatalf("%s is dead at %d", n, sec)
+			}
+		}
+	}
+}
+
+func bench(b *testing.B, run func(v *member.View, list []store.VMInfo)) {
+	for _, n := range []int{400, 1600, 3200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprintf("vm-%04d", i)
+			}
+			v, list := member.NewView("vm-0000", 1), vms(names...)
+			v.Platform(epoch, list)
+			b.ReportAllocs()
+			for b.Loop() {
+				run(v, list)
+			}
+		})
+	}
+}
+
+func BenchmarkAlive(b *testing.B) {
+	var dst []member.Member
+	bench(b, func(v *member.View, _ []store.VMInfo) { dst = v.AppendAlive(dst[:0], epoch) })
+}
+
+func BenchmarkPlatform(b *testing.B) {
+	bench(b, func(v *member.View, list []store.VMInfo) { v.Platform(epoch, list) })
+}
+
+func BenchmarkPeers(b *testing.B) {
+	sec := 0
+	bench(b, func(v *member.View, _ []store.VMInfo) { sec++; v.Peers(at(sec)) })
+}
