member: test answers of an earlier process, unlisted VMs and probes beside dead VMs

Cause: three breaks passed the tests: a late answer of an earlier process that sets the incarnation back, a VM without an address in Alive, and dead VMs that take the probes of VMs in doubt. Change: cases for each. Before: the breaks passed. After: TestDead, TestAliveOrder and TestPeers report them.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -131,7 +131,7 @@
 		{"earlier process", nil, "b", incAt(old), true},
 		{"later process that was not heard yet", nil, "b", incAt(next), false},
 		{"restarted", []event{{sec: 3, ok: true, inc: incAt(next)}}, "b", incAt(now), true},
-		{"a late answer of the earlier process", []event{{sec: 3, ok: true, inc: incAt(next)}, ok(4)}, "b", incAt(next), false},
+		{"a late answer of the earlier process", []event{{sec: 3, ok: true, inc: incAt(next)}, ok(4)}, "b", incAt(now), true},
 		{"an answer without incarnation", []event{{sec: 3, ok: true}}, "b", incAt(now), false},
 		{"suspected", fail(1, 2, 3, 500), "b", incAt(now), false},
 		{"dead VM", gone, "b", incAt(now), true},
@@ -155,6 +155,24 @@
 	}
 }
 
+// Guards against members that lookups can't use: out of order, or without an address.
+func TestAliveOrder(t *testing.T) {
+	v := member.NewView("b", 1)
+	v.Platform(at(0), vms("c", "a", "b"))
+	v.Probe(at(0), "x", true, incAt(0))
+	v.Platform(at(1), vms("b", "d", "c", "a"))
+	var got []ident.VM
+	for _, m := range v.Alive(at(1)) {
+		got = append(got, m.VM)
+	}
+	if !slices.Equal(got, []ident.VM{"a", "b", "c", "d"}) {
+		t.Errorf("Alive = %v", got)
+	}
+	if s := v.State("x", at(1)); s != member.Alive || !v.Dead("x", incAt(-900), at(1)) || len(v.All(at(1))) != 5 {
+		t.Errorf("a VM that was heard from and never listed is %v", s)
+	}
+}
+
 // Guards against a process that takes itself for dead or suspected, and one that works on after it was taken out.
 func TestSelf(t *testing.T) {
 	v := member.NewView("a", 1)
@@ -205,7 +223,12 @@
 	v := member.NewView("vm-0", 1)
 	v.Platform(at(0), vms(names...))
 	v.Probe(at(0), "vm-5", false, 0)
-	v.Platform(at(0), vms(names[:11]...))
+	for _, dead := range []ident.VM{"vm-8", "vm-9", "vm-10"} {
+		for _, sec := range []int{-10, -5, 0} {
+			v.Probe(at(sec), dead, false, 0)
+		}
+	}
+	v.Platform(at(0), vms(names[:8]...)) // vm-8 to vm-10 are dead now, vm-11 is only gone
 	for s := 1; s < 30; s++ {
 		p := v.Peers(at(s))
 		if len(p) != 3 || !slices.Contains(p, "vm-5") || !slices.Contains(p, "vm-11") {
