store, stubs: simpler rule for lost writes, tests of late and silent answers

Cause: three breaks passed the tests: answers without the late delay, answers on a silent connection, cold for ever. The rule of a refused second dial in store could not be tested without a race. Ruled out: a wait of fixed length for the silent answer; an answer on another connection is the barrier. Change: a write is certain not to have happened only if no connection was obtained for it; cases for the three breaks; a test of lease.Keeper over the client and the stand-in. Before: the breaks passed. Conclusion: in a rare case a writer reads back once more than it must.

--- a/store/client.go
+++ b/store/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -215,7 +214,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return answer{}, kinds.Wrap(lostKind(r, err, sent.Load()), err, "send")
+		return answer{}, kinds.Wrap(lostKind(r, sent.Load()), err, "send")
 	}
 	defer resp.Body.Close()
 	if err := statusError(r, resp); err != nil {
@@ -226,11 +225,9 @@
 }
 
 // lostKind is the kind of a call without an answer. A write is known not to have happened only if no connection was
-// obtained for it: net/http repeats a PUT or POST on a second connection only if it wrote no byte to the first.
-func lostKind(r request, err error, sent bool) kinds.Kind {
-	var op *net.OpError
-	dial := errors.As(err, &op) && op.Op == "dial"
-	if r.write && sent && !dial {
+// obtained for it. That net/http repeats no PUT or POST after a byte was written keeps a write from being sent twice.
+func lostKind(r request, sent bool) kinds.Kind {
+	if r.write && sent {
 		return kinds.StoreUnknown
 	}
 	return kinds.StoreDown
--- a/stubs/platform_test.go
+++ b/stubs/platform_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/lease"
 	"github.com/currantpier/currantpier/store"
 	"github.com/currantpier/currantpier/stubs"
 )
@@ -158,7 +159,7 @@
 		t.Error("written before the delay")
 	}
 	p.SetFaults(stubs.PlatformFaults{})
-	eventually(t, func() bool { return p.Row("k").Version == 1 })
+	eventually(func() bool { return p.Row("k").Version == 1 })
 }
 
 // Guards against a VM list that shows changes at once, in part, or while it is frozen.
@@ -190,3 +191,40 @@
 		}
 	}
 }
+
+// Guards against a client and a stand-in that together hide the result of a lost write from the lease: each loss must
+// be resolved by one read-back, and the lease must keep its term.
+func TestLeaseOverHTTP(t *testing.T) {
+	p, client, _ := newPlatform(t)
+	c := &clock{time.Unix(1000, 0)}
+	k := lease.NewKeeper(client, "a", 1, c.Now)
+	for _, f := range []stubs.PlatformFaults{{LoseAnswers: 1}, {LoseRequests: 1}, {Down: true}, {LoseAnswers: 1}} {
+		p.SetFaults(f)
+		if _, err := k.Step(t.Context()); err == nil {
+			t.Errorf("%+v: no error", f)
+		}
+		p.SetFaults(stubs.PlatformFaults{})
+		if _, err := k.Step(t.Context()); err != nil {
+			t.Errorf("after %+v: %v", f, err)
+		}
+		if term, held := k.Held(c.now); !held || term != 1 {
+			t.Errorf("after %+v: term %d, held %v", f, term, held)
+		}
+		c.now = c.now.Add(4 * time.Second)
+	}
+	fence, term, err := k.Fence(c.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := store.Op{Key: "plan/current", Value: fmt.Append(nil, term)}
+	if _, err := client.Txn(t.Context(), []store.Op{fence, plan}); err != nil {
+		t.Errorf("plan of the holder: %v", err)
+	}
+	plan.If = 1
+	if err := k.Release(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if _, err := client.Txn(t.Context(), []store.Op{fence, plan}); kinds.Of(err) != kinds.Conflict {
+		t.Errorf("plan after the release: %v", err)
+	}
+}
--- a/stubs/upstream_test.go
+++ b/stubs/upstream_test.go
@@ -18,13 +18,9 @@
 	"github.com/currantpier/currantpier/stubs"
 )
 
-// eventually waits for another goroutine; a condition that never holds is reported by the test's time limit.
-func eventually(t *testing.T, ok func() bool) {
-	t.Helper()
+// eventually waits for another goroutine. The time limit of go test reports a condition that never holds.
+func eventually(ok func() bool) {
 	for !ok() {
-		if t.Context().Err() != nil {
-			t.Fatal("the condition never held")
-		}
 		runtime.Gosched()
 	}
 }
@@ -96,11 +92,12 @@
 		{"reset", nil, `{"reset":1}`, "", 0, "", 1},
 		{"late", nil, `{"late-ms":1}`, "", 200, "", 1},
 		{"cold", []stubs.UpstreamOption{hour, stubs.WithCold(0, time.Minute)}, `{}`, "", 200, "", 1},
-		{"warm", []stubs.UpstreamOption{hour, stubs.WithCold(0, 0)}, `{}`, "1", 504, "", 1},
+		{"warm", []stubs.UpstreamOption{hour, stubs.WithCold(0, time.Second)}, `{}`, "1", 504, "", 1},
 	}
 	for _, tt := range tests {
 		c := &clock{time.Unix(1000, 0)}
 		u := stubs.NewUpstream("t-1", c.Now, tt.opts...)
+		c.now = c.now.Add(time.Second)
 		url := serve(t, u)
 		post(t, url+"/faults", tt.faults)
 		r := send(t.Context(), &http.Client{Transport: &http.Transport{}}, url, "id-1", tt.deadlineMs)
@@ -130,7 +127,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		cancel[i] = stop
 		wg.Go(func() { send(ctx, h, url, fmt.Sprint("id-", i), "") })
-		eventually(t, func() bool { return u.Report().Load == float64(i+1)/2 })
+		eventually(func() bool { return u.Report().Load == float64(i+1)/2 })
 	}
 	if r := send(t.Context(), h, url, "id-3", ""); r.shed != "not-run" {
 		t.Errorf("over slots and queue: %+v", r)
@@ -139,10 +136,10 @@
 		t.Errorf("two slots and a queue of one: %+v", n)
 	}
 	cancel[0]()
-	eventually(t, func() bool { return u.Executions("id-2") == 1 })
+	eventually(func() bool { return u.Executions("id-2") == 1 })
 	cancel[1]()
 	cancel[2]()
-	eventually(t, func() bool { return u.Report().Load == 0 })
+	eventually(func() bool { return u.Report().Load == 0 })
 	if n := u.Counts(); n.Cancelled != 3 {
 		t.Errorf("after all callers left: %+v", n)
 	}
@@ -170,6 +167,25 @@
 	}
 }
 
+// Guards against an answer to a request in progress that leaves a connection which has gone silent meanwhile.
+func TestSilenceDuringRequest(t *testing.T) {
+	u := stubs.NewUpstream("t-1", (&clock{time.Unix(1000, 0)}).Now)
+	url := serve(t, u)
+	u.SetFaults(stubs.UpstreamFaults{LateMs: 3_600_000})
+	ctx, cancel := context.WithCancel(t.Context())
+	got := make(chan result, 1)
+	go func() { got <- send(ctx, &http.Client{Transport: &http.Transport{}}, url, "id-1", "") }()
+	eventually(func() bool { return u.Executions("id-1") == 1 })
+	u.SetFaults(stubs.UpstreamFaults{Silence: true}) // also ends the delay
+	if r := send(t.Context(), &http.Client{Transport: &http.Transport{}}, url, "id-2", ""); r.status != 200 {
+		t.Errorf("on a new connection: %+v", r)
+	}
+	cancel()
+	if r := <-got; r.err == nil {
+		t.Errorf("on the silent connection: %+v", r)
+	}
+}
+
 // Guards against a late answer that ends with its caller's deadline, and against one that keeps the slot.
 func TestLateAnswer(t *testing.T) {
 	u := stubs.NewUpstream("t-1", (&clock{time.Unix(1000, 0)}).Now, stubs.WithSlots(1), stubs.WithQueue(0, 0))
@@ -180,7 +196,10 @@
 		go func() {
 			got <- send(t.Context(), &http.Client{Transport: &http.Transport{}}, url, fmt.Sprint("id-", i), "1")
 		}()
-		eventually(t, func() bool { return u.Counts().Executed == int64(i+1) && u.Report().Load == 0 })
+		eventually(func() bool { return u.Counts().Executed == int64(i+1) && u.Report().Load == 0 })
+	}
+	if len(got) > 0 {
+		t.Error("an answer came before the delay had ended")
 	}
 	u.SetFaults(stubs.UpstreamFaults{})
 	for range 2 {
