front: answer from the last target that was tried; a panic ends one request only

Cause: after a retry that got no slot, the answer named the target of an empty slot: a nil pointer ended the entry and with it every request in progress. Found by TestAnswersAreWholeAndOwn (truncated answers under concurrency). Ruled out: a fault of the truncated answer itself. Change: the last target that was tried is named; the handler recovers, logs the stack and answers internal. Before: 38 of 40 requests got EOF. After: TestAnswersAreWholeAndOwn passes. Conclusion: an attempt without a slot must not be described by its slot.

--- a/front/front.go
+++ b/front/front.go
@@ -4,13 +4,16 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
@@ -209,6 +212,14 @@
 func (silent) Printf(string, ...any) {}
 
 func (f *Front) handle(r *fasthttp.RequestCtx) {
+	// A fault in one request must not end the requests in progress of all others.
+	defer func() {
+		if v := recover(); v != nil {
+			level.Error(f.logger).Log("event", "panic", "path", r.Path(), "value", fmt.Sprint(v), "stack", debug.Stack())
+			r.Response.Reset()
+			f.refuse(r, kinds.Errorf(kinds.Internal, "a fault of the entry; see its log"))
+		}
+	}()
 	path := string(r.Path())
 	switch {
 	case path == lookupPath:
--- a/front/run.go
+++ b/front/run.go
@@ -143,10 +143,11 @@
 
 // failedKind is the answer for an idempotent request that is not tried again.
 func failedKind(res send.Result, a *attempts) error {
+	last := a.tried[len(a.tried)-1].Name()
 	if res.Failure == retry.Shed && len(a.tried) == 1 {
-		return kinds.Errorf(kinds.Overloaded, "target %s shed the request", a.slot.Ref.Name())
+		return kinds.Errorf(kinds.Overloaded, "target %s shed the request", last)
 	}
-	return kinds.Errorf(kinds.UpstreamFailed, "%d targets failed, the last one was %s", len(a.tried), a.slot.Ref.Name())
+	return kinds.Errorf(kinds.UpstreamFailed, "%d targets failed, the last one was %s", len(a.tried), last)
 }
 
 // answered marks the upstream's answer in r as passed on whole.
