--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -84,35 +84,25 @@
 // may have written it.
 func TestLostAnswers(t *testing.T) {
 	tests := []struct {
-		name string
-		fate fate
-		// afterLoss is whether the lease is held after the read-back, and until when.
-		held  bool
+		fate  fate
 		until time.Duration
-		terms ident.Term
-	}{
-		{"applied", lostAnswer, true, 9 * sec, 1},
-		{"not applied", lostRequest, true, 10 * sec, 1},
-		{"refused", refused, true, 10 * sec, 1},
-	}
+	}{{lostAnswer, 9 * sec}, {lostRequest, 10 * sec}, {refused, 10 * sec}}
 	for _, tt := range tests {
 		st, c := newFakeStore(), &fakeClock{epoch}
 		k := lease.NewKeeper(st, "a", 1, c.Now)
 		st.once(tt.fate)
 		if _, err := k.Step(t.Context()); err == nil {
-			t.Errorf("%s: no error", tt.name)
+			t.Errorf("fate %d: no error", tt.fate)
 		}
 		if _, held := k.Held(c.now); held {
-			t.Errorf("%s: believes without an answer", tt.name)
+			t.Errorf("fate %d: believes without an answer", tt.fate)
 		}
 		c.advance(sec)
-		if _, err := k.Step(t.Context()); err != nil {
-			t.Errorf("%s: read back: %v", tt.name, err)
-		}
+		mustStep(t, k)
 		term, held := k.Held(epoch.Add(tt.until - 1))
 		_, after := k.Held(epoch.Add(tt.until))
-		if held != tt.held || after || term != tt.terms {
-			t.Errorf("%s: held %v, after %v, term %d", tt.name, held, after, term)
+		if !held || after || term != 1 {
+			t.Errorf("fate %d: held %v, after %v, term %d", tt.fate, held, after, term)
 		}
 	}
 }
--- a/stubs/platform.go
+++ b/stubs/platform.go
@@ -52,27 +52,21 @@
 
 	mu      sync.Mutex
 	table   table
-	objects map[string]object
+	objects table
 	vms     vmList
 	faults  PlatformFaults
-	// changed is closed and replaced when the faults are set, to wake the calls that wait.
-	changed chan struct{}
+	slow    *delay
 	counts  PlatformCounts
 }
 
-type object struct {
-	version ident.Version
-	body    []byte
-}
-
 // NewPlatform returns an empty platform whose VM list shows changes after lag. The clock is normally time.Now.
 func NewPlatform(clock func() time.Time, lag time.Duration) *Platform {
 	return &Platform{
 		clock:   clock,
 		table:   newTable(),
-		objects: map[string]object{},
+		objects: newTable(),
 		vms:     newVMList(lag),
-		changed: make(chan struct{}),
+		slow:    newDelay(),
 	}
 }
 
@@ -107,21 +101,9 @@
 	} else {
 		p.counts.Reads++
 	}
-	for p.faults.SlowMs > 0 {
-		changed, t := p.changed, time.NewTimer(time.Duration(p.faults.SlowMs)*time.Millisecond)
-		p.mu.Unlock()
-		select {
-		case <-t.C:
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			return p.faults
-		case <-changed:
-			t.Stop()
-			p.mu.Lock()
-		}
-	}
-	defer p.mu.Unlock()
-	return p.faults
+	p.mu.Unlock()
+	p.slow.wait()
+	return p.Faults()
 }
 
 // use takes one from the count of a fault and reports whether there was one.
@@ -141,11 +123,11 @@
 	name, isObject := strings.CutPrefix(r.URL.Path, "/objects/")
 	switch {
 	case isRow && r.Method == http.MethodGet:
-		p.getRow(w, key)
+		p.get(w, &p.table, key)
 	case isRow && r.Method == http.MethodPut:
 		p.putRow(w, r, key, body)
 	case isObject && r.Method == http.MethodGet:
-		p.getObject(w, name)
+		p.get(w, &p.objects, name)
 	case isObject && r.Method == http.MethodPut:
 		p.putObject(w, name, body)
 	case r.URL.Path == "/table" && r.Method == http.MethodGet:
@@ -159,10 +141,12 @@
 	}
 }
 
-func (p *Platform) getRow(w http.ResponseWriter, key string) {
-	row := p.Row(key)
+func (p *Platform) get(w http.ResponseWriter, t *table, key string) {
+	p.mu.Lock()
+	row := t.get(key)
+	p.mu.Unlock()
 	if row.Version == 0 {
-		http.Error(w, "no such row", http.StatusNotFound)
+		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
 	w.Header().Set("ETag", etag(row.Version))
@@ -231,27 +215,15 @@
 	writeJSON(w, store.ListAnswer{Rows: rows})
 }
 
-func (p *Platform) getObject(w http.ResponseWriter, name string) {
-	p.mu.Lock()
-	o, ok := p.objects[name]
-	p.mu.Unlock()
-	if !ok {
-		http.Error(w, "no such object", http.StatusNotFound)
-		return
-	}
-	w.Header().Set("ETag", etag(o.version))
-	w.Write(o.body)
-}
-
 func (p *Platform) putObject(w http.ResponseWriter, name string, body []byte) {
 	p.mu.Lock()
-	o := object{version: p.objects[name].version + 1, body: body}
-	p.objects[name] = o
+	p.objects.write(store.Op{Key: name, Value: body})
+	version := p.objects.get(name).Version
 	p.mu.Unlock()
 	if p.use(&p.faults.LoseAnswers) {
 		panic(http.ErrAbortHandler) // closes the connection
 	}
-	w.Header().Set("ETag", etag(o.version))
+	w.Header().Set("ETag", etag(version))
 }
 
 // serveAdmin answers the routes that are not the platform's own and reports whether r was one of them.
@@ -291,8 +263,7 @@
 	defer p.mu.Unlock()
 	p.vms.freeze(f.FreezeVMs, p.clock())
 	p.faults = f
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.slow.set(f.SlowMs)
 }
 
 // Faults returns the fault switches; the counts in it fall as faults are used up.
--- a/stubs/upstream.go
+++ b/stubs/upstream.go
@@ -90,9 +90,8 @@
 	queue      []chan struct{}
 	executions map[string]int
 	faults     UpstreamFaults
-	// changed is closed and replaced when the faults are set, to wake the answers that wait.
-	changed chan struct{}
-	counts  UpstreamCounts
+	late       *delay
+	counts     UpstreamCounts
 	// history holds the reports of the last reportLag and the newest one that is older.
 	history []pastReport
 	conns   map[*conn]struct{}
@@ -142,7 +141,7 @@
 		name: name, clock: clock, start: clock(),
 		slots: 4, queueLimit: 4, queueWait: 100 * time.Millisecond,
 		executions: map[string]int{},
-		changed:    make(chan struct{}),
+		late:       newDelay(),
 		conns:      map[*conn]struct{}{},
 	}
 	for _, opt := range opts {
@@ -181,7 +180,7 @@
 		return
 	}
 	e := u.execute(ctx, r.Header.Get("Request-Id"))
-	u.waitLate()
+	u.late.wait()
 	u.answer(w, r, e)
 }
 
@@ -342,24 +341,6 @@
 	}
 }
 
-func (u *Upstream) waitLate() {
-	for {
-		u.mu.Lock()
-		ms, changed := u.faults.LateMs, u.changed
-		u.mu.Unlock()
-		if ms <= 0 {
-			return
-		}
-		t := time.NewTimer(time.Duration(ms) * time.Millisecond)
-		select {
-		case <-t.C:
-			return
-		case <-changed:
-			t.Stop()
-		}
-	}
-}
-
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, e execution) {
 	switch {
 	case e.reset:
@@ -437,8 +418,7 @@
 	f.Silence = false
 	u.faults = f
 	u.note()
-	close(u.changed)
-	u.changed = make(chan struct{})
+	u.late.set(f.LateMs)
 }
 
 // Faults returns the fault switches; the counts in it fall as faults are used up.
