share, route, shift: fewer idle slots in a rush, local targets first, link meter, orders without trials

Ruled out: a slower smoothing of demand, which also delays moves to entries that need them. Change: a saturated entry gives a slot up from a difference of 3 slots; route scans other failure domains only if the best local target costs more than an idle one there; route.NoTrial for orders; share.Holder.Inherit covers loans of a crashed predecessor; shift.Link keeps an entry within its part of a link.

--- a/route/route.go
+++ b/route/route.go
@@ -85,6 +85,10 @@
 // Name returns the name of the target.
 func (r TargetRef) Name() ident.Target { return r.t.Name }
 
+// NoTrial is an exclude list for orders. It names no target but rules out those that are due for a trial while any other
+// of the region is up, since an order at a broken target ends with an unknown outcome.
+var NoTrial = []TargetRef{{}}
+
 type health uint8
 
 const (
@@ -101,6 +105,8 @@
 	// The fields that each choice reads come first, so that they share cache lines.
 	inFlight, limit int32
 	health          health
+	// plain says that the target is up, not leaving and not ramping up.
+	plain bool
 	// announced says that the target itself said that it leaves.
 	announced bool
 	// limited says that limit was set by SetLimit.
@@ -121,9 +127,11 @@
 	group *group
 }
 
+// count changes the number in flight by d and updates what follows from it and other fields.
 func (t *target) count(d int32) {
 	t.inFlight += d
 	t.fill = float64(t.inFlight) / float64(max(1, t.limit))
+	t.plain = t.health == up && t.rampFrom == 0 && !t.Leaving && !t.announced
 }
 
 // group holds the targets of one region by failure domain.
@@ -325,8 +333,9 @@
 }
 
 // PickIn chooses a target in a region for a request that arrives at from. Targets in exclude are not chosen; another
-// failure domain than theirs is preferred. It reports false if no target in the region can take the request: a full
-// region sheds and does not overflow into the next one.
+// failure domain than theirs is preferred, and no trial of a failed target is made while any other is up, so that a retry
+// does not fail for the same reason. It reports false if no target in the region can take the request: a full region
+// sheds and does not overflow into the next one.
 //
 // The time wait is how long the request would wait for another slot, see admit.Queue.Wait. A target that is slower than
 // the others of the region by more than that is chosen for a trial now and then only.
@@ -350,18 +359,25 @@
 	}
 	s.slow = max(slowFactor*s.mean, s.mean+float64(wait))
 	for i := range g.domains {
-		d := &g.domains[i]
-		s.extra = 0
-		if d.name != from.Domain {
-			s.extra = p.domainCost
+		if d := &g.domains[i]; d.name == from.Domain {
+			s.over(d, bits)
+		}
+	}
+	// An idle target of mean latency in another domain costs this much, so a cheaper local one is taken at once.
+	if s.extra = p.domainCost; s.best == nil || s.cost > s.mean+s.extra {
+		for i := range g.domains {
+			if d := &g.domains[i]; d.name != from.Domain {
+				s.over(d, bits)
+			}
 		}
-		s.over(d, bits)
 	}
 	switch {
 	case s.best != nil:
 		return TargetRef{s.best}, true
 	case s.second != nil:
 		return TargetRef{s.second}, true
+	case s.due != nil && !s.up && !s.excluded(s.due):
+		return TargetRef{s.due}, true
 	}
 	return TargetRef{}, false
 }
@@ -405,6 +421,9 @@
 	extra float64
 	best  *target
 	cost  float64
+	// up says that a target of the region has not failed; due is one that has and can be tried.
+	up  bool
+	due *target
 	// second is the cheapest target in a failure domain of an excluded one.
 	second     *target
 	secondCost float64
@@ -420,15 +439,12 @@
 		if i++; i == n {
 			i = 0
 		}
-		if t.inFlight >= t.limit || t.announced || t.Leaving {
+		if t.plain {
+			s.up = true
+		} else if !s.special(t) {
 			continue
 		}
-		if t.health != up || t.rampFrom != 0 {
-			if !s.p.open(t, s.now, len(s.exclude) > 0) {
-				continue
-			}
-		}
-		if t.latency > s.slow && s.avoids(t) {
+		if t.inFlight >= t.limit || t.latency > s.slow && s.avoids(t) {
 			continue
 		}
 		if shared {
@@ -439,6 +455,25 @@
 	}
 }
 
+// special reports whether a target that is closed, has failed or is ramping up can take a request.
+func (s *scan) special(t *target) bool {
+	switch {
+	case t.Leaving || t.announced:
+		return false
+	case t.health != down:
+		s.up = true
+		return s.p.open(t, s.now)
+	case !s.p.open(t, s.now):
+		return false
+	case len(s.exclude) > 0:
+		if t.limit > 0 {
+			s.due = t
+		}
+		return false
+	}
+	return true
+}
+
 // avoids reports whether a slow target is not due for a trial.
 func (s *scan) avoids(t *target) bool {
 	return t.health != down && (t.inFlight > 0 || s.now-t.latencyAt < int64(slowTrial))
@@ -453,32 +488,39 @@
 	return false
 }
 
-// offerSecond considers a target in the failure domain of an excluded one.
-func (s *scan) offerSecond(t *target) {
+func (s *scan) excluded(t *target) bool {
 	for _, x := range s.exclude {
 		if x.t == t {
-			return
+			return true
 		}
 	}
+	return false
+}
+
+// offerSecond considers a target in the failure domain of an excluded one.
+func (s *scan) offerSecond(t *target) {
+	if s.excluded(t) {
+		return
+	}
 	if c := s.of(t); s.second == nil || c < s.secondCost {
 		s.second, s.secondCost = t, c
 	}
 }
 
-// open reports whether a target that is ramping up or has failed can take a request. A retry makes no trial, so that
-// its second attempt does not fail for the same reason as the first.
-func (p *Picker) open(t *target, now int64, retry bool) bool {
+// open reports whether a target that is ramping up or has failed can take a request.
+func (p *Picker) open(t *target, now int64) bool {
 	switch {
 	case t.health == paused && now < t.until:
 		return false
 	case t.health == down:
-		return now >= t.until && t.inFlight == 0 && !retry
+		return now >= t.until && t.inFlight == 0
 	case t.rampFrom == 0:
 		return true
 	}
 	part := float64(now-t.rampFrom) / float64(p.ramp)
 	if part >= 1 {
 		t.rampFrom = 0
+		t.count(0)
 		return true
 	}
 	return float64(t.inFlight) < 1+part*float64(t.limit-1)-1e-9 || t.inFlight == 0
@@ -516,7 +558,8 @@
 // Finished records the end of a request for which Started was called.
 func (p *Picker) Finished(now time.Time, ref TargetRef, latency time.Duration, res Result) {
 	t := ref.t
-	t.count(-1)
+	t.inFlight--
+	defer t.count(0)
 	switch res {
 	case OK:
 		t.sample(now, latency)
@@ -587,6 +630,7 @@
 	if !leaving {
 		t.rampFrom = now.UnixNano()
 	}
+	t.count(0)
 }
 
 // State is the state of one target for the dump of the process.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -152,15 +152,22 @@
 // Guards against many requests that try a failed target at once, and against a target that never comes back.
 func TestTrial(t *testing.T) {
 	p := picker(1)
-	p.Leaving(start, "riga-b-0", true)
+	p.SetLimit("riga-b-0", 0)
 	run(p, start, "riga-a-0", 2, 0, route.Failed)
 	at := func(d time.Duration, exclude ...route.TargetRef) bool {
 		_, ok := p.Pick(start.Add(d), here, "workshop", exclude)
 		return ok
 	}
 	other, _ := p.Lookup("riga-b-0")
-	if at(400*time.Millisecond) || !at(600*time.Millisecond) || at(600*time.Millisecond, other) {
-		t.Fatal("want no pick in the back-off, one after it, and none for a retry")
+	if at(400*time.Millisecond) || !at(600*time.Millisecond) {
+		t.Fatal("want no pick in the back-off and one after it")
+	}
+	if at(600*time.Millisecond, other) || at(600*time.Millisecond, route.NoTrial...) {
+		t.Error("want no trial by a retry or an order while another target is up")
+	}
+	p.Leaving(start, "riga-b-0", true)
+	if !at(600*time.Millisecond, route.NoTrial...) {
+		t.Error("want a trial by an order if nothing else is up")
 	}
 	ref, _ := p.Lookup("riga-a-0")
 	p.Started(ref)
@@ -318,7 +325,7 @@
 
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{30, 500} {
-		for _, state := range []string{"idle", "busy"} {
+		for _, state := range []string{"idle", "busy", "local-full"} {
 			b.Run(fmt.Sprintf("targets=%d/%s", n, state), func(b *testing.B) {
 				p := picker(n / 2)
 				for _, tg := range targets(n / 2) {
@@ -326,6 +333,9 @@
 						run(p, start, tg.Name, 3, 20*time.Millisecond, route.OK)
 						p.Report(tg.Name, 0.5, start)
 					}
+					if state == "local-full" && tg.Place == here {
+						p.SetLimit(tg.Name, 0)
+					}
 				}
 				b.ReportAllocs()
 				for b.Loop() {
--- a/share/holder.go
+++ b/share/holder.go
@@ -61,6 +61,8 @@
 	// floor is the newest version known to exist.
 	floor ident.Version
 	void  bool
+	// voidUntil is the end of the loans of a predecessor.
+	voidUntil time.Time
 	// beat is the last run of the control loop.
 	beat    time.Time
 	targets map[ident.Target]*holding
@@ -83,6 +85,11 @@
 // peers, so that it does not take up grants that its predecessor has given up.
 func (h *Holder) Expect(version ident.Version) { h.floor = max(h.floor, version) }
 
+// Inherit makes the grants void until the loans that a crashed predecessor on the same VM may have given are over: for
+// MaxLoan and Grace from started, the start of this process. A process whose predecessor returned its slots in a planned
+// stop, or had none, does not need it.
+func (h *Holder) Inherit(started time.Time) { h.voidUntil = started.Add(MaxLoan + Grace) }
+
 // Apply puts the grants of a plan version in force; grants of other entries are ignored. It reports false and changes
 // nothing for an older version than the one in force or expected, and for version zero. After a pause, the caller
 // applies the newest plan only after it has read it again: Apply ends the void state, also for the version in force.
@@ -129,15 +136,16 @@
 
 // Beat records that the control loop runs. A gap of more than PauseLimit makes the grants void until the next Apply.
 func (h *Holder) Beat(now time.Time) {
-	if !h.Void(now) {
+	h.Void(now)
+	if !h.void {
 		h.beat = now
 	}
 }
 
-// Void reports whether the grants are void, either before the first Apply or after a pause.
+// Void reports whether the grants are void: before the first Apply, after a pause or because of Inherit.
 func (h *Holder) Void(now time.Time) bool {
 	h.void = h.void || now.Sub(h.beat) > PauseLimit
-	return h.void
+	return h.void || now.Before(h.voidUntil)
 }
 
 // Free returns how many slots of the target TryTake would give now.
--- a/share/share.go
+++ b/share/share.go
@@ -30,6 +30,9 @@
 	// hysteresis is how far a surplus and a deficit must differ, in slots, before a slot moves. A move pays off from 1;
 	// the rest keeps a demand that varies by a quarter slot on either side from moving a slot back and forth.
 	hysteresis = 1.5
+	// busyHysteresis applies if the giving entry uses all it has. Such a move serves nobody more, and the slot is idle
+	// until the move is acknowledged.
+	busyHysteresis = 3.0
 )
 
 // Grant gives an entry slots of a target.
@@ -365,7 +368,14 @@
 func (d *division) release() {
 	for {
 		to, from := d.neediest(), d.richest()
-		if to == nil || from == nil || from.have-from.quota+to.quota-to.have < hysteresis {
+		if to == nil || from == nil {
+			return
+		}
+		margin := hysteresis
+		if from.Demand > from.have-1 {
+			margin = busyHysteresis
+		}
+		if from.have-from.quota+to.quota-to.have < margin {
 			return
 		}
 		r := d.farthest(from)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -73,6 +73,10 @@
 		{"equal", func([]share.Entry) {}, 0, []ident.Slots{4, 4}, []ident.Slots{4, 4}},
 		{"demand moved", func(es []share.Entry) { es[0].Demand, es[1].Demand = 0, 6 }, 0, []ident.Slots{1, 4}, []ident.Slots{1, 7}},
 		{"small change", func(es []share.Entry) { es[0].Demand, es[1].Demand = 3, 4 }, 0, []ident.Slots{4, 4}, []ident.Slots{4, 4}},
+		{"busy and uneven", func(es []share.Entry) { es[0].Demand, es[1].Demand = 10, 18 }, 0,
+			[]ident.Slots{4, 4}, []ident.Slots{4, 4}},
+		{"busy and very uneven", func(es []share.Entry) { es[0].Demand, es[1].Demand = 6, 40 }, 0,
+			[]ident.Slots{2, 4}, []ident.Slots{2, 6}},
 		{"stale demand", func(es []share.Entry) { es[0].Demand, es[1].Demand = 0, 6 }, 11 * time.Second,
 			[]ident.Slots{4, 4}, []ident.Slots{4, 4}},
 		{"silent for 59 s", func(es []share.Entry) { es[0].Silent = 59 * time.Second }, 0, []ident.Slots{4, 4}, []ident.Slots{4, 4}},
@@ -190,6 +194,7 @@
 		{"release again", func() bool { h.Release("desk"); return true }, true},
 		{"lend", func() bool { return h.Lend(at(2), loan(1, 4)) }, true},
 		{"lend the same again", func() bool { return h.Lend(at(2), loan(1, 4)) }, true},
+		{"the limit excludes what is lent", func() bool { return h.Limit(at(2), "desk") == 0 }, true},
 		{"lend another", func() bool { return h.Lend(at(2), loan(2, 4)) }, false},
 		{"lent slot is not used", take(2), false},
 		{"plan takes the lent slot", func() bool { return h.Apply(at(3), grant(0), 7) }, true},
@@ -212,6 +217,7 @@
 		{"older plan does not end it", func() bool { return h.Apply(at(15.3), grant(2), 7) || h.TryTake(at(15.3), "desk") }, false},
 		{"plan read again", func() bool { return h.Apply(at(15.4), grant(2), 8) && h.TryTake(at(15.4), "desk") }, true},
 		{"borrow", func() bool { return h.Borrow(at(16), loan(9, 18)) }, true},
+		{"the limit includes what is borrowed", func() bool { return h.Limit(at(16), "desk") == 3 }, true},
 		{"borrow the same twice", func() bool { return h.Borrow(at(16), loan(9, 18)) }, false},
 		{"use the borrowed slot", func() bool { return h.TakeBorrowed(at(17), 9) }, true},
 		{"use it twice", func() bool { return h.TakeBorrowed(at(17), 9) }, false},
@@ -230,6 +236,22 @@
 	}
 }
 
+// Guards against the use of slots that a crashed predecessor has lent.
+func TestInherit(t *testing.T) {
+	h := share.NewHolder("cluj-1")
+	h.Inherit(start)
+	for s := range 33 {
+		now := start.Add(time.Duration(s) * time.Second)
+		if s == 0 {
+			h.Apply(now, []share.Grant{{Target: "desk", Entry: "cluj-1", Slots: 1}}, 1)
+		}
+		h.Beat(now)
+		if free := h.Free(now, "desk"); (free == 1) != (s >= 31) {
+			t.Errorf("%d slots free after %d s", free, s)
+		}
+	}
+}
+
 // world is a random run of entries and a lease holder.
 type world struct {
 	rnd   *rand.Rand
--- a/shift/shift_test.go
+++ b/shift/shift_test.go
@@ -231,6 +231,45 @@
 	}
 }
 
+// Guards against entries that together use more of a link than they may, or that stop using it after a burst.
+func TestLink(t *testing.T) {
+	var links [4]shift.Link
+	var bits, late float64
+	for ms := range 20_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		for i := range links {
+			if ms == 0 {
+				links[i].SetLimit(now, 280, 0.5, len(links))
+			}
+			if links[i].Open(now) {
+				links[i].Count(now, 50_000)
+				bits += 400_000
+				if ms >= 10_000 {
+					late += 400_000
+				}
+			}
+		}
+	}
+	// Half of 280 Mbit/s, and a request of each entry that overdraws its part.
+	if limit := 20*140e6 + 4*400_000; bits > limit || late < 10*140e6*0.99 {
+		t.Errorf("%.0f Mbit in 20 s, %.0f in the last 10 s; want at most %.0f and about 1400", bits/1e6, late/1e6, limit/1e6)
+	}
+	if m := links[0].Mbps(start.Add(20 * time.Second)); m < 30 || m > 40 {
+		t.Errorf("one of 4 entries measured %.1f Mbit/s, want about 35", m)
+	}
+	burst, after := 0.0, start.Add(time.Minute)
+	for ; links[0].Open(after); burst += 0.4 {
+		links[0].Count(after, 50_000)
+	}
+	if burst > 2*35+0.4+1e-6 {
+		t.Errorf("%.1f Mbit at once after a time without traffic, want at most 2 s of 35 Mbit/s", burst)
+	}
+	var closed shift.Link
+	if closed.Open(start) {
+		t.Error("a link without a limit is open")
+	}
+}
+
 // Example moves a service from one region to another under a cap of 20% a step and 40% a minute.
 func Example() {
 	now := time.Unix(0, 0)
