--- a/model/orders_test.go
+++ b/model/orders_test.go
@@ -17,6 +17,7 @@
 // Guards against any interleaving of faults, within the bounds, that runs an order twice, says "not run" of one that
 // ran, or replaces an answer.
 func TestOrders(t *testing.T) {
+	t.Parallel()
 	tests := map[string]OrderBounds{
 		"journalled":         {Classes: classJ, Submits: 2, Faults: 2, Seconds: 3, Successors: 2},
 		"direct":             {Classes: classD, Submits: 2, Faults: 2, Seconds: 2, Successors: 2},
@@ -166,6 +167,7 @@
 // Guards against a specification that can't fail: each fault in the functions under test must yield a counter-example to
 // the invariant it breaks.
 func TestOrdersFindsFaults(t *testing.T) {
+	t.Parallel()
 	const twice, notRun, replaced = 0, 1, 2
 	tests := []struct {
 		name      string
