procs: the tests' own connections to stand-ins are not kept

Cause: the fault that silences open connections also silenced the test's own kept connection, so the test hung for its whole time limit. Ruled out: a hang of the entry (its requests were answered). Change: admin calls use a connection each; the answer of the silence call may be lost. Before: TestSilentConnections timed out.

--- a/procs/fault_test.go
+++ b/procs/fault_test.go
@@ -155,7 +155,7 @@
 		s.must(s.vms[0], call{kind: "idempotent"}, "answered")
 	}
 	for _, addr := range s.targets {
-		s.fault(addr, `{"silence": true}`)
+		s.silence(addr)
 	}
 	for range 20 {
 		s.must(s.vms[0], call{kind: "idempotent"}, "answered")
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -36,6 +36,9 @@
 	os.Exit(m.Run())
 }
 
+// admin calls the stand-ins and control ports. It keeps no connections, since a fault may silence those that are open.
+var admin = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: limit}
+
 // limit bounds every wait in these tests. It is far above what any wait needs, so that a busy machine does not fail one.
 const limit = 60 * time.Second
 
@@ -223,13 +226,21 @@
 	s.send(http.MethodPost, "http://"+addr+"/faults", body)
 }
 
+// silence makes the open connections of a target silent, the one of this call included, so that its answer is lost.
+func (s *system) silence(addr string) {
+	resp, err := admin.Post("http://"+addr+"/faults", "application/json", strings.NewReader(`{"silence": true}`))
+	if err == nil {
+		resp.Body.Close()
+	}
+}
+
 func (s *system) send(method, url, body string) {
 	s.t.Helper()
 	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := admin.Do(req)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -272,7 +283,7 @@
 }
 
 func (s *system) ready(v vm) bool {
-	resp, err := http.Get("http://" + v.Control + "/ready")
+	resp, err := admin.Get("http://" + v.Control + "/ready")
 	if err != nil {
 		return false
 	}
@@ -384,7 +395,7 @@
 	s.t.Helper()
 	sum := 0
 	for _, addr := range s.targets {
-		resp, err := http.Get("http://" + addr + "/executions?id=" + id)
+		resp, err := admin.Get("http://" + addr + "/executions?id=" + id)
 		if err != nil {
 			s.t.Fatal(err)
 		}
