relay: faster detection of a silent local daemon, forwarding to the relays

Ruled out: more long polls per node, which cost bytes at every change. Change: an entry keeps asking its steer daemon while it also uses the tree; a document that came by a push or an exchange is pushed to the relays of the failure domain.

--- a/relay/node.go
+++ b/relay/node.go
@@ -156,10 +156,14 @@
 	return domains
 }
 
-// usable reports whether a VM is not avoided. The node itself always is, except for a leaf, which means the steer daemon
-// by that name.
+// usable reports whether a VM is not avoided. The node's own never is.
 func (n *Node) usable(now time.Time, vm ident.VM) bool {
-	return vm == n.o.Self.VM && !n.o.Leaf || !now.Before(n.failed[vm].until)
+	return vm == n.o.Self.VM || !now.Before(n.failed[vm].until)
+}
+
+// local reports whether the node is a leaf and the steer daemon on its VM answers.
+func (n *Node) local() bool {
+	return n.o.Leaf && n.failed[n.o.Self.VM].count == 0
 }
 
 func (n *Node) usableOf(now time.Time, vms []ident.VM, limit int) []ident.VM {
@@ -177,18 +181,27 @@
 
 // sources returns the VMs from which the node fetches, and whether it reads the store.
 func (n *Node) sources(now time.Time) ([]ident.VM, bool) {
-	if n.o.Leaf && n.usable(now, n.o.Self.VM) {
+	if n.local() {
 		return []ident.VM{n.o.Self.VM}, false
 	}
+	from, reads := n.treeSources(now)
+	if n.o.Leaf {
+		// The steer daemon may come back at any time.
+		return append([]ident.VM{n.o.Self.VM}, from...), false
+	}
+	return from, reads
+}
+
+func (n *Node) treeSources(now time.Time) ([]ident.VM, bool) {
 	// The position is computed without the VMs that failed, so the next VMs replace relays that died. Sources always
 	// come before the node in the order on which all agree, so there is no cycle within a failure domain.
 	own := slices.DeleteFunc(slices.Clone(n.ranked[n.o.Self.Place.Domain]), func(vm ident.VM) bool {
-		return vm != n.o.Self.VM && !n.usable(now, vm)
+		return !n.usable(now, vm)
 	})
 	pair := slices.Index(own, n.o.Self.VM) / relaysPerDomain
 	if pair > 0 {
 		parent := (pair - 1) / fanOut * relaysPerDomain
-		return own[parent : parent+relaysPerDomain], false
+		return slices.Clone(own[parent : parent+relaysPerDomain]), false
 	}
 	var from []ident.VM
 	for _, vm := range own[:min(len(own), relaysPerDomain)] {
@@ -196,7 +209,7 @@
 			from = append(from, vm)
 		}
 	}
-	return append(from, n.foreignSources(now, slices.Index(own, n.o.Self.VM))...), !n.o.Leaf
+	return append(from, n.foreignSources(now, slices.Index(own, n.o.Self.VM))...), true
 }
 
 // foreignSources returns relays of two other failure domains: of the next one in the ring, and of the one that is the
@@ -371,7 +384,7 @@
 		return dst
 	}
 	n.nextExchange = now.Add(exchangeInterval)
-	if n.o.Leaf && n.usable(now, n.o.Self.VM) {
+	if n.local() {
 		return dst
 	}
 	vm, ok := n.randomPeer(now)
@@ -457,6 +470,10 @@
 		d.polling = false
 		// The store's answer counts also if it has no document yet: nothing was accepted so far.
 		d.settled = d.settled || res.OK
+	case taskExchange:
+		if newer {
+			n.forward(now, is.kind)
+		}
 	case taskLink:
 		n.endLink(now, id, res.OK)
 	case taskPush:
@@ -526,8 +543,31 @@
 }
 
 // Offer handles a document that a peer pushed. It returns true if the document is newer and came into force.
-func (n *Node) Offer(_ time.Time, doc Document) bool {
-	return n.apply(doc)
+func (n *Node) Offer(now time.Time, doc Document) bool {
+	if !n.apply(doc) {
+		return false
+	}
+	n.forward(now, doc.Kind)
+	return true
+}
+
+// forward pushes a document that did not come from a source of the node to the relays of its failure domain. They are
+// not below the node in the tree and could miss it if the sender has died.
+func (n *Node) forward(now time.Time, k Kind) {
+	if n.o.Leaf || n.reads {
+		return
+	}
+	n.push(now, k, n.usableOf(now, n.ranked[n.o.Self.Place.Domain], relaysPerDomain))
+}
+
+// push replaces the pushes of older versions.
+func (n *Node) push(now time.Time, k Kind, to []ident.VM) {
+	n.pushes = slices.DeleteFunc(n.pushes, func(p push) bool { return p.kind == k })
+	for _, vm := range to {
+		if vm != n.o.Self.VM {
+			n.pushes = append(n.pushes, push{to: vm, kind: k, next: now})
+		}
+	}
 }
 
 // apply puts a document into force if it is newer than the one in force. No other function changes a document, so
@@ -547,10 +587,7 @@
 		return false
 	}
 	n.docs[doc.Kind].settled = true
-	n.pushes = slices.DeleteFunc(n.pushes, func(p push) bool { return p.kind == doc.Kind })
-	for _, vm := range n.pushTargets(now, doc) {
-		n.pushes = append(n.pushes, push{to: vm, kind: doc.Kind, next: now})
-	}
+	n.push(now, doc.Kind, n.pushTargets(now, doc))
 	return true
 }
 
