--- a/relay/size_test.go
+++ b/relay/size_test.go
@@ -35,26 +35,45 @@
 	return c.Conn.Write(b)
 }
 
-// Guards against message sizes in the simulation that are smaller than those on the network.
-func TestMessageSize(t *testing.T) {
+// peerClient returns a client of a server on the loopback, and counters of what it receives and sends.
+func peerClient(t testing.TB) (client wire.Peer, in, out *atomic.Int64) {
 	srv := httptest.NewServer(wire.NewPeerServer(empty{}))
-	defer srv.Close()
-	var in, out atomic.Int64
+	in, out = new(atomic.Int64), new(atomic.Int64)
 	tr := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-		return counted{c, &in, &out}, err
+		return counted{c, in, out}, err
 	}}
-	defer tr.CloseIdleConnections()
-	client := wire.NewPeerProtobufClient(srv.URL, &http.Client{Transport: tr})
+	t.Cleanup(func() {
+		tr.CloseIdleConnections()
+		srv.Close()
+	})
+	return wire.NewPeerProtobufClient(srv.URL, &http.Client{Transport: tr}), in, out
+}
+
+func fetch(t testing.TB, client wire.Peer) {
+	req := &wire.FetchRequest{Kind: wire.DocumentKind_DOCUMENT_KIND_CONFIG, Version: 1 << 20, WaitMs: 10_000}
+	if _, err := client.Fetch(t.Context(), req); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against message sizes in the simulation that are smaller than those on the network.
+func TestMessageSize(t *testing.T) {
+	client, in, out := peerClient(t)
 	const n = 20
 	for range n {
-		req := &wire.FetchRequest{Kind: wire.DocumentKind_DOCUMENT_KIND_CONFIG, Version: 1 << 20, WaitMs: 10_000}
-		if _, err := client.Fetch(t.Context(), req); err != nil {
-			t.Fatal(err)
-		}
+		fetch(t, client)
 	}
 	t.Logf("request %d B, reply %d B", out.Load()/n, in.Load()/n)
 	if out.Load()/n > requestBytes || in.Load()/n > replyBytes {
 		t.Errorf("request %d B, reply %d B; the simulation uses %d and %d", out.Load()/n, in.Load()/n, requestBytes, replyBytes)
 	}
 }
+
+// BenchmarkFetch measures client and server of one fetch together.
+func BenchmarkFetch(b *testing.B) {
+	client, _, _ := peerClient(b)
+	for range b.N {
+		fetch(b, client)
+	}
+}
