--- a/plan/compute.go
+++ b/plan/compute.go
@@ -94,8 +94,10 @@
 	slots ident.Slots
 	// drained sites serve only until their traffic has moved.
 	drained bool
-	// demand is the part of Input.Demand for this site; used is its sum.
+	// demand is the part of Input.Demand for this site and users are the entries of its rows, by index; -1 for an unknown
+	// one. The sum of demand is used.
 	demand []Demand
+	users  []int
 	used   float64
 	// moved are the slots that shifts have brought here too recently to be part of used.
 	moved float64
@@ -286,24 +288,19 @@
 // measure adds the demand up per site and per origin.
 func (w *work) measure() {
 	w.traffic = map[siteKey]shift.Measured{}
+	users := make([]int, len(w.in.Demand))
 	for first := 0; first < len(w.in.Demand); {
-		d := w.in.Demand[first]
-		end := first
-		at, isSite := w.siteAt[siteKey{d.Service, d.Region}]
-		for ; end < len(w.in.Demand) && w.in.Demand[end].Service == d.Service && w.in.Demand[end].Region == d.Region; end++ {
-			row := &w.in.Demand[end]
-			i, ok := w.entryAt[row.Entry]
-			if !ok || w.in.Entries[i].Silent > 0 {
-				continue
-			}
-			w.add(siteKey{d.Service, w.in.Entries[i].Place.Region}, row)
-			if isSite {
-				w.sites[at].used += row.Slots
-			}
+		key := siteKey{w.in.Demand[first].Service, w.in.Demand[first].Region}
+		end := first + 1
+		for end < len(w.in.Demand) && w.in.Demand[end].Service == key.service && w.in.Demand[end].Region == key.region {
+			end++
 		}
-		if isSite {
-			w.sites[at].demand = w.in.Demand[first:end]
+		s := &site{service: key.service}
+		if k, ok := w.siteAt[key]; ok {
+			s = &w.sites[k]
 		}
+		s.demand, s.users = w.in.Demand[first:end], users[first:end]
+		w.sum(s)
 		first = end
 	}
 	w.links = make(map[linkKey]*link, len(w.in.Links))
@@ -312,13 +309,37 @@
 	}
 }
 
-// add counts a demand as traffic of its origin. The map is written once per row, but rows of one site come from few
-// origins, so it stays small.
-func (w *work) add(key siteKey, d *Demand) {
-	m := w.traffic[key]
-	m.Slots += d.Slots
-	m.Mbps += d.Mbps
-	w.traffic[key] = m
+// sum adds up the demand of a site. Most of it comes from one origin, so the sums of an origin are kept until another
+// one follows.
+func (w *work) sum(s *site) {
+	var origin ident.Region
+	var m shift.Measured
+	flush := func() {
+		key := siteKey{s.service, origin}
+		t := w.traffic[key]
+		t.Slots += m.Slots
+		t.Mbps += m.Mbps
+		w.traffic[key], m = t, shift.Measured{}
+	}
+	for i := range s.demand {
+		d := &s.demand[i]
+		k, ok := w.entryAt[d.Entry]
+		if !ok {
+			k = -1
+		}
+		s.users[i] = k
+		if !ok || w.in.Entries[k].Silent > 0 {
+			continue
+		}
+		if r := w.in.Entries[k].Place.Region; r != origin {
+			flush()
+			origin = r
+		}
+		m.Slots += d.Slots
+		m.Mbps += d.Mbps
+		s.used += d.Slots
+	}
+	flush()
 }
 
 // routes decides the weights of each service and origin.
@@ -557,8 +578,8 @@
 	u.index, u.entries = u.index[:0], u.entries[:0]
 	u.add(w.byRegion[s.region]...)
 	n := len(u.index)
-	for i := range s.demand {
-		if k, ok := w.entryAt[s.demand[i].Entry]; ok {
+	for _, k := range s.users {
+		if k >= 0 {
 			u.add(k)
 		}
 	}
@@ -577,8 +598,8 @@
 				w.drained(lists.ScopeDomain, string(e.Place.Domain)),
 		})
 	}
-	for i := range s.demand {
-		if k, ok := w.entryAt[s.demand[i].Entry]; ok {
+	for i, k := range s.users {
+		if k >= 0 {
 			u.entries[u.at[k]-1].Demand = s.demand[i].Slots
 		}
 	}
--- a/share/share.go
+++ b/share/share.go
@@ -89,7 +89,7 @@
 
 // member is one entry during a rebalancing.
 type member struct {
-	Entry
+	*Entry
 	// quota is the fair part of the slots; have is what the entry has or is about to get.
 	quota, have float64
 	// takes says that slots may be given to the entry or, if its demand is fresh, moved away from it.
@@ -132,8 +132,8 @@
 		next: next, targets: cur.Targets, rows: make([][]row, len(cur.Targets)),
 		free: make([]ident.Slots, len(cur.Targets)), members: make([]member, len(entries)),
 	}
-	for i, e := range entries {
-		m := &d.members[i]
+	for i := range entries {
+		m, e := &d.members[i], &entries[i]
 		m.Entry, m.near = e, e.Place.Region == cur.Region
 		m.fresh = now.Sub(e.DemandAt) <= staleAfter
 		m.takes = e.Silent == 0
@@ -151,7 +151,7 @@
 		}
 		r := row{Grant: g, entry: d.find(g.Entry)}
 		if r.entry >= 0 {
-			e := &d.members[r.entry].Entry
+			e := d.members[r.entry].Entry
 			if e.Silent >= DeadAfter {
 				continue
 			}
