sched, entry, node, front: planned stops cut nothing; one draw of the region per request; links are metered

(2) A waiting request drew its region again on each try and drifted past the weights. (3) Nothing metered the traffic of an entry on a link. (4) A process that follows a crashed one could use slots that its predecessor had lent. Ruled out: waiting for the platform's list to show the stop, since it lags and does not show a restart at all.

Conclusion: leaving must be told by the process itself.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -41,6 +42,7 @@
 	metrics metrics.Registry
 
 	kernel  *kernel.Kernel
+	store   *store.Client
 	peers   *node.Peers
 	members *node.Members
 	sync    *node.Sync
@@ -71,7 +73,7 @@
 func New(cfg *config.Settings, callers, control net.Listener, st *store.Client, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		cfg: cfg, clock: time.Now, logger: log.NewNopLogger(), metrics: metrics.NewRegistry(), kernel: kernel.New(),
-		peers: node.NewPeers(), documents: make(chan relay.Document, 16), stop: make(chan struct{}, 2),
+		store: st, peers: node.NewPeers(), documents: make(chan relay.Document, 16), stop: make(chan struct{}, 2),
 		leaving: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -88,7 +90,7 @@
 	}, st, d.members, d.peers, d.clock, d.logger, checkDocument)
 	d.sync.Watch(d.document)
 	d.sched = sched.New(d.self.VM, d.self.Place, rand.NewPCG(uint64(d.self.Incarnation), 1), d.metrics, d.clock,
-		sched.WithCap(shift.Cap{PerStep: cfg.Shift.PerStep, PerMinute: cfg.Shift.PerMinute}))
+		d.schedOptions()...)
 	d.orders = orders.New(d.self.VM, d.self.Incarnation, st, d.liveEntries, d.metrics, d.clock, d.logger,
 		once.WithRecords(cfg.Orders.MaxRecords))
 	d.client = send.New(cfg.Limits.MaxBody, d.clock)
@@ -96,17 +98,30 @@
 		Scheduler: d.sched, Orders: d.orders, Client: d.client, Members: d.members, Metrics: d.metrics,
 		Logger: d.logger, Clock: d.clock,
 	}, front.WithTTL(cfg.Limits.LookupTTL), front.WithMaxBody(cfg.Limits.MaxBody))
-	return d, d.register(control, st)
+	return d, d.register(control)
 }
 
-func (d *Daemon) register(control net.Listener, st *store.Client) error {
+func (d *Daemon) schedOptions() []sched.Option {
+	opts := []sched.Option{
+		sched.WithCap(shift.Cap{PerStep: d.cfg.Shift.PerStep, PerMinute: d.cfg.Shift.PerMinute}),
+		sched.WithQueueLength(d.cfg.Limits.QueueLength),
+	}
+	for _, r := range d.cfg.Regions {
+		if l, ok := d.cfg.Link(d.cfg.VM.Region, r.Name); ok {
+			opts = append(opts, sched.WithLink(r.Name, l.Usable()))
+		}
+	}
+	return opts
+}
+
+func (d *Daemon) register(control net.Listener) error {
 	peer := &peer{Base: node.Base{
 		Self: d.self, Members: d.members, Sync: d.sync, Clock: d.clock, Leaving: d.isLeaving,
 	}, d: d}
 	services := []kernel.Service{
 		d.members, d.sync, d.sched, d.orders, d.front,
 		&applier{d}, &watcher{d: d}, &borrower{d}, &reporter{d},
-		&blockLoader{d, st},
+		&blockLoader{d},
 		node.NewControl(control, peer, d.kernel, d.metrics, d.clock, d.front.NotReady),
 	}
 	for _, s := range services {
@@ -117,6 +132,27 @@
 	return nil
 }
 
+// writeProcessRow records that this process runs or has stopped. A lost write only makes the next process more careful.
+func (d *Daemon) writeProcessRow(ctx context.Context, version ident.Version, stopped bool) {
+	value, _ := json.Marshal(processRow{d.self.Incarnation, stopped}) // has no field that can fail
+	_, err := d.store.Txn(ctx, []store.Op{{Key: processKey(d.self.VM), Value: value, If: version}})
+	if err != nil {
+		level.Warn(d.logger).Log("event", "process-row", "stopped", stopped, "err", err)
+	}
+}
+
+// recordStop marks the end of a planned stop that cut nothing.
+func (d *Daemon) recordStop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Store.Timeout)
+	defer cancel()
+	row, err := d.store.Get(ctx, processKey(d.self.VM))
+	if err != nil {
+		level.Warn(d.logger).Log("event", "process-row", "stopped", true, "err", err)
+		return
+	}
+	d.writeProcessRow(ctx, row.Version, true)
+}
+
 // Kernel returns the kernel of the process, for a dump.
 func (d *Daemon) Kernel() *kernel.Kernel { return d.kernel }
 
@@ -159,7 +195,14 @@
 	seq := drain.NewStop(d.cfg.Limits.LookupTTL, d.cfg.Limits.StopTimeout)
 	seq.Signal(d.clock())
 	close(d.leaving)
+	d.front.SetLeaving()
 	level.Info(d.logger).Log("event", "stop", "phase", "announced")
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		d.members.Announce(ctx)
+	}()
+	defer func() { <-announced }()
 	last := drain.Announced
 	for {
 		phase := seq.Next(d.clock(), d.front.InProgress(), d.orders.Finished())
@@ -172,6 +215,9 @@
 			d.orders.Stop()
 		}
 		if phase == drain.Exit {
+			if !seq.Cut() {
+				d.recordStop(ctx)
+			}
 			return
 		}
 		t := time.NewTimer(stopPoll)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -6,6 +6,7 @@
 
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/node"
+	"github.com/currantpier/currantpier/sched"
 	"github.com/currantpier/currantpier/share"
 	"github.com/currantpier/currantpier/wire"
 )
@@ -16,14 +17,10 @@
 	d *Daemon
 }
 
-// Probe implements wire.Peer. A probe shows that its sender lives, too.
-func (p *peer) Probe(ctx context.Context, r *wire.ProbeRequest) (*wire.ProbeReply, error) {
-	return p.Base.Probe(ctx, r)
-}
-
 // Borrow implements wire.Peer.
 func (p *peer) Borrow(ctx context.Context, r *wire.BorrowRequest) (*wire.BorrowReply, error) {
-	target, ok := p.d.sched.Lend(ctx, ident.Service(r.GetService()), share.Loan{
+	site := sched.Site{Service: ident.Service(r.GetService()), Region: ident.Region(r.GetRegion())}
+	target, ok := p.d.sched.Lend(ctx, site, share.Loan{
 		ID: r.GetLoan(), Borrower: ident.VM(r.GetVm()), Incarnation: ident.Incarnation(r.GetIncarnation()),
 		Deadline: time.UnixMilli(r.GetDeadlineUnixMs()),
 	})
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -20,7 +20,6 @@
 	"github.com/currantpier/currantpier/relay"
 	"github.com/currantpier/currantpier/sched"
 	"github.com/currantpier/currantpier/share"
-	"github.com/currantpier/currantpier/store"
 	"github.com/currantpier/currantpier/wire"
 )
 
@@ -41,6 +40,10 @@
 // Run applies changes until ctx ends. It looks at the documents in force once a second as well, so that a dropped
 // message is made good.
 func (a *applier) Run(ctx context.Context) error {
+	if a.predecessorCrashed(ctx) {
+		level.Warn(a.d.logger).Log("event", "predecessor-crashed")
+		a.d.sched.Inherit(ctx, a.d.clock())
+	}
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
 	for {
@@ -60,6 +63,30 @@
 	}
 }
 
+// processKey is the table row that says whether an entry process of the VM runs.
+func processKey(vm ident.VM) string { return "entry/" + string(vm) }
+
+// processRow is the content of that row. A planned stop sets Stopped; a crash leaves it false.
+type processRow struct {
+	Incarnation ident.Incarnation `json:"incarnation"`
+	Stopped     bool              `json:"stopped"`
+}
+
+// predecessorCrashed registers this process and reports whether the one before it ended without a planned stop. If the
+// store does not tell, a crash is assumed.
+func (a *applier) predecessorCrashed(ctx context.Context) bool {
+	row, err := a.d.store.Get(ctx, processKey(a.d.self.VM))
+	if err != nil {
+		return true
+	}
+	var before processRow
+	if row.Version != 0 && json.Unmarshal(row.Value, &before) != nil {
+		return true
+	}
+	a.d.writeProcessRow(ctx, row.Version, false)
+	return row.Version != 0 && !before.Stopped
+}
+
 // afterPause reads the plan again after this process was paused. Until that succeeds, Paused is signalled again.
 func (a *applier) afterPause(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, rereadTimeout)
@@ -89,7 +116,8 @@
 }
 
 func (a *applier) plan(ctx context.Context, doc relay.Document, confirmed bool) {
-	if doc.Version == 0 {
+	// An older plan than the newest may grant slots that a predecessor on this VM has given up.
+	if doc.Version == 0 || !a.d.sync.Ready() {
 		return
 	}
 	t, err := decodePlan(doc)
@@ -283,7 +311,7 @@
 	for _, m := range b.lenders(int(loan.ID)) {
 		call, cancel := context.WithTimeout(ctx, borrowTimeout)
 		reply, err := b.d.peers.At(m.control).Borrow(call, &wire.BorrowRequest{
-			Vm: string(loan.Borrower), Incarnation: uint64(loan.Incarnation), Service: string(w.Service),
+			Vm: string(loan.Borrower), Incarnation: uint64(loan.Incarnation), Service: string(w.Site.Service), Region: string(w.Site.Region),
 			DeadlineUnixMs: loan.Deadline.UnixMilli(), Loan: loan.ID,
 		})
 		cancel()
@@ -295,11 +323,11 @@
 		}
 		if reply.GetGranted() {
 			loan.Lender, loan.Target = m.vm, ident.Target(reply.GetTarget())
-			b.d.sched.Lent(ctx, w.Service, loan)
+			b.d.sched.Lent(ctx, w.Site, loan)
 			return
 		}
 	}
-	b.d.sched.NotLent(ctx, w.Service)
+	b.d.sched.NotLent(ctx, w.Site)
 }
 
 type lender struct {
@@ -400,9 +428,9 @@
 	for _, name := range st.Leaving {
 		req.Targets = append(req.Targets, &wire.TargetUse{Target: string(name), Leaving: true})
 	}
-	for _, s := range st.Services {
-		req.Services = append(req.Services, &wire.ServiceUse{
-			Service: string(s.Service), Arrived: s.Arrived, Refused: s.Refused,
+	for _, s := range st.Sites {
+		req.Sites = append(req.Sites, &wire.SiteUse{
+			Service: string(s.Service), Region: string(s.Region), Arrived: s.Arrived, Refused: s.Refused,
 			WantedMilli: uint64(s.Wanted * 1000),
 		})
 	}
@@ -435,10 +463,7 @@
 }
 
 // blockLoader reads the table of client blocks from the object store.
-type blockLoader struct {
-	d  *Daemon
-	st *store.Client
-}
+type blockLoader struct{ d *Daemon }
 
 const (
 	// BlocksObject is the object that holds the table of client blocks.
@@ -478,7 +503,7 @@
 }
 
 func (b *blockLoader) load(ctx context.Context) (*lookup.Table, error) {
-	body, err := b.st.GetObject(ctx, BlocksObject)
+	body, err := b.d.store.GetObject(ctx, BlocksObject)
 	if err != nil {
 		return nil, err
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -87,6 +87,8 @@
 	// notReady is a reason to refuse requests, or empty.
 	notReady atomic.Pointer[string]
 	budget   budget
+	// leaving is set when a planned stop begins: no tickets are given from then on.
+	leaving atomic.Bool
 
 	// ctx ends when the process does.
 	ctx context.Context
@@ -156,6 +158,21 @@
 // SetNotReady refuses requests for a reason; an empty reason accepts them.
 func (f *Front) SetNotReady(reason string) { f.notReady.Store(&reason) }
 
+// SetLeaving ends the issue of tickets, since this process will not be there to run the orders.
+func (f *Front) SetLeaving() { f.leaving.Store(true) }
+
+// ticket returns a ticket for a new order at this process.
+func (f *Front) ticket() (string, bool) {
+	if f.leaving.Load() || f.NotReady() != "" {
+		return "", false
+	}
+	t, ok := f.orders.Ticket(f.clock())
+	if !ok {
+		return "", false
+	}
+	return t.String(), true
+}
+
 // NotReady returns the reason for which requests are refused, or an empty string.
 func (f *Front) NotReady() string { return *f.notReady.Load() }
 
@@ -275,9 +292,7 @@
 			ans.Entries = append(ans.Entries, LookupEntry{vm, m.Address, m.Place.Region, m.Place.Domain})
 		}
 	}
-	if t, ok := f.orders.Ticket(f.clock()); ok && f.NotReady() == "" {
-		ans.Ticket = t.String()
-	}
+	ans.Ticket, _ = f.ticket()
 	if len(ans.Entries) == 0 {
 		f.refuse(r, kinds.Errorf(kinds.Stopping, "no entry VM is known yet"))
 		return
@@ -437,8 +452,8 @@
 		r.Response.Header.Set("Retry-After", strconv.Itoa(int(a.After.Seconds())))
 	}
 	if a.Retry == kinds.RetryNewID || a.Retry == kinds.RetryLater {
-		if t, ok := f.orders.Ticket(f.clock()); ok {
-			r.Response.Header.Set(HeaderTicket, t.String())
+		if t, ok := f.ticket(); ok {
+			r.Response.Header.Set(HeaderTicket, t)
 		}
 	}
 	writeJSON(r, a.Status, refusal{a.Name, a.Ran.String(), a.Retry, err.Error()})
--- a/front/run.go
+++ b/front/run.go
@@ -263,13 +263,18 @@
 		}
 		return true
 	}
+	f.succeed(r, c, t)
+	return true
+}
+
+// succeed answers from the journal of an owner that has ended.
+func (f *Front) succeed(r *fasthttp.RequestCtx, c call, t ident.Ticket) {
 	d, err := f.orders.Successor(f.ctx, c.id, t)
 	if err != nil {
 		f.refuse(r, kinds.Wrap(kinds.OutcomeUnknown, err, "the journal of the ended owner could not be read"))
-		return true
+		return
 	}
 	f.recorded(r, c, d)
-	return true
 }
 
 // passOn carries an order to the process that owns it and brings its answer back.
@@ -289,6 +294,10 @@
 	req.Header.Set(HeaderHop, "1")
 	if res := f.client.PassOn(m.Address, req, &r.Response, c.deadline); !res {
 		r.Response.Reset()
+		if f.orders.Ended(f.ctx, t) {
+			f.succeed(r, c, t)
+			return
+		}
 		f.refuse(r, kinds.Errorf(kinds.OutcomeUnknown, "the owner %s of the order did not answer", t.Owner))
 		return
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -34,6 +34,9 @@
 	if r.GetThrough() != "" && r.GetThrough() != string(b.Self.VM) {
 		return b.Members.ProbeFor(ctx, ident.VM(r.GetThrough())), nil
 	}
+	if r.GetLeaving() {
+		b.Members.Leaving(b.Clock(), ident.VM(r.GetVm()), ident.Incarnation(r.GetIncarnation()))
+	}
 	config, plan := b.Sync.Versions()
 	reply := &wire.ProbeReply{
 		Vm: string(b.Self.VM), Incarnation: uint64(b.Self.Incarnation), ConfigVersion: uint64(config),
--- a/node/members.go
+++ b/node/members.go
@@ -72,6 +72,9 @@
 	mu        sync.Mutex
 	view      *member.View
 	upstreams []store.VMInfo
+	// leaving holds the entry processes that have announced a planned stop. The platform's list shows it later or, for
+	// a restart, not at all.
+	leaving map[ident.VM]ident.Incarnation
 
 	snapshot atomic.Pointer[Snapshot]
 	changed  chan struct{}
@@ -83,7 +86,7 @@
 		self: self, lister: lister, peers: peers, clock: clock, logger: logger,
 		versions: func() (ident.Version, ident.Version) { return 0, 0 },
 		view:     member.NewView(self.VM, uint64(self.Incarnation)),
-		changed:  make(chan struct{}, 1),
+		leaving:  map[ident.VM]ident.Incarnation{}, changed: make(chan struct{}, 1),
 	}
 	m.snapshot.Store(&Snapshot{})
 	return m
@@ -117,6 +120,44 @@
 	m.probed(now, vm, true, inc)
 }
 
+// Leaving records that the entry process inc of vm has begun a planned stop.
+func (m *Members) Leaving(now time.Time, vm ident.VM, inc ident.Incarnation) {
+	m.mu.Lock()
+	known := m.leaving[vm] >= inc
+	if !known {
+		m.leaving[vm] = inc
+	}
+	m.mu.Unlock()
+	if !known {
+		level.Info(m.logger).Log("event", "member-leaving", "member", vm)
+		m.refresh(now)
+	}
+}
+
+// announcers bounds the concurrent calls of Announce.
+const announcers = 32
+
+// Announce tells every live VM that this entry process leaves.
+func (m *Members) Announce(ctx context.Context) {
+	m.Leaving(m.clock(), m.self.VM, m.self.Incarnation)
+	var g errgroup.Group
+	g.SetLimit(announcers)
+	for _, mem := range m.Snapshot().Live() {
+		for _, addr := range mem.Control {
+			g.Go(func() error {
+				call, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				// A VM that is missed learns it from a probe or the platform's list.
+				_, _ = m.peers.At(addr).Probe(call, &wire.ProbeRequest{
+					Vm: string(m.self.VM), Incarnation: uint64(m.self.Incarnation), Leaving: true,
+				})
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+}
+
 // Run reads the list and probes peers until ctx ends.
 func (m *Members) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -199,7 +240,11 @@
 	if ctx.Err() != nil && err != nil && ctx.Err() != context.DeadlineExceeded {
 		return
 	}
-	m.probed(m.clock(), vm, err == nil, ident.Incarnation(reply.GetIncarnation()))
+	inc := ident.Incarnation(reply.GetIncarnation())
+	if reply.GetLeaving() {
+		m.Leaving(m.clock(), vm, inc)
+	}
+	m.probed(m.clock(), vm, err == nil, inc)
 }
 
 func (m *Members) ask(ctx context.Context, addr, through string) (*wire.ProbeReply, error) {
@@ -257,6 +302,12 @@
 func (m *Members) refresh(now time.Time) {
 	m.mu.Lock()
 	s := &Snapshot{At: now, Members: m.view.All(now), Upstreams: m.upstreams}
+	for i, mem := range s.Members {
+		inc, ok := m.leaving[mem.VM]
+		if ok && inc >= mem.Incarnation && (mem.State == member.Alive || mem.State == member.Suspected) {
+			s.Members[i].State = member.Leaving
+		}
+	}
 	m.mu.Unlock()
 	s.byVM = make(map[ident.VM]int, len(s.Members))
 	for i, mem := range s.Members {
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -355,6 +355,15 @@
 	return dec, err
 }
 
+// Ended reports whether the journal of a ticket's owner is sealed or complete, so that Successor changes nothing. It
+// tells a process that has stopped as planned from one that cannot be reached.
+func (s *Service) Ended(ctx context.Context, t ident.Ticket) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	h, err := s.journal.ReadHead(ctx, t.Owner, t.Incarnation)
+	return err == nil && (h.State == once.Sealed || h.State == once.Complete)
+}
+
 type successorKey struct {
 	vm  ident.VM
 	inc ident.Incarnation
--- a/sched/control.go
+++ b/sched/control.go
@@ -37,36 +37,26 @@
 		return
 	}
 	s.state.plan = t
-	targets := make([]route.Target, 0, len(t.Targets))
-	s.state.targets = make(map[ident.Target]ident.Service, len(t.Targets))
+	s.state.targets = make(map[ident.Target]Site, len(t.Targets))
 	s.state.leaving = make(map[ident.Target]bool, len(t.Targets))
+	targets := make([]route.Target, 0, len(t.Targets))
 	for _, tg := range t.Targets {
 		targets = append(targets, route.Target{
 			Name: tg.Name, Service: tg.Service, Address: tg.Address, Place: tg.Place, Slots: tg.Slots,
 			Leaving: tg.Leaving || s.state.noted[tg.Name],
 		})
-		s.state.targets[tg.Name] = tg.Service
+		s.state.targets[tg.Name] = Site{tg.Service, tg.Place.Region}
 		s.state.leaving[tg.Name] = tg.Leaving
 	}
 	s.state.picker.SetTargets(now, targets)
 	if m.confirmed || s.state.holder.Version() == 0 || !s.state.holder.Void(now) {
 		s.state.holder.Apply(now, t.Grants, t.Version)
 	}
-	s.setLimits(t)
-	s.setRoutes(now, t)
-	s.setQueues(now)
-}
-
-// setLimits tells the picker the slots of this entry; targets without a grant get none.
-func (s *Scheduler) setLimits(t *plan.Traffic) {
 	for name := range s.state.targets {
-		s.state.picker.SetLimit(name, 0)
-	}
-	for _, g := range t.Grants {
-		if g.Entry == s.self {
-			s.state.picker.SetLimit(g.Target, g.Slots)
-		}
+		s.limit(now, name)
 	}
+	s.setRoutes(now, t)
+	s.setQueues(now)
 }
 
 func (s *Scheduler) setRoutes(now time.Time, t *plan.Traffic) {
@@ -78,15 +68,13 @@
 			s.state.follow[key] = f
 		}
 		f.Set(t.Version, r.Weights)
-		if r.Origin == s.place.Region {
-			s.state.picker.SetWeights(r.Service, r.Origin, f.Weights(now))
-		}
 	}
+	s.followWeights(now)
 }
 
-// setQueues makes a queue for each service that has targets or customers, and gives each its slots and rates.
+// setQueues makes a queue for each site of the plan, and gives each its slots and rates and each link its limit.
 func (s *Scheduler) setQueues(now time.Time) {
-	slots := map[ident.Service]ident.Slots{}
+	slots := map[Site]ident.Slots{}
 	if s.state.plan != nil {
 		for _, g := range s.state.plan.Grants {
 			if g.Entry == s.self {
@@ -94,17 +82,48 @@
 			}
 		}
 		for _, t := range s.state.plan.Targets {
-			s.queue(t.Service)
+			s.queue(Site{t.Service, t.Place.Region})
 		}
 	}
 	rates := s.rates()
-	for svc, q := range s.state.queues {
-		q.slots = slots[svc]
+	for site, q := range s.state.queues {
+		q.slots = slots[site]
 		q.SetSlots(s.usable(q.slots))
-		q.SetRates(now, rates[svc], s.state.live)
+		q.SetRates(now, scaled(rates[site.Service], s.share(now, site)), s.state.live)
+	}
+	for region, usable := range s.capacity {
+		l, ok := s.state.links[region]
+		if !ok {
+			l = &shift.Link{}
+			s.state.links[region] = l
+		}
+		l.SetLimit(now, usable, 1, s.state.live)
 	}
 }
 
+// share is the part of a service's traffic at this entry that goes to the site.
+func (s *Scheduler) share(now time.Time, site Site) float64 {
+	f, ok := s.state.follow[followKey{site.Service, s.place.Region}]
+	if !ok {
+		return 1
+	}
+	for _, w := range f.Weights(now) {
+		if w.Region == site.Region {
+			return float64(w.Share) / float64(ident.Whole)
+		}
+	}
+	return 0
+}
+
+// scaled divides the rates of customers among the sites of a service.
+func scaled(rates []admit.Rate, share float64) []admit.Rate {
+	part := slices.Clone(rates)
+	for i := range part {
+		part[i].PerSecond *= share
+	}
+	return part
+}
+
 // usable is the number of slots that the admission counts on. An entry without slots of its own can borrow one at a
 // time, so its requests wait for a loan and are not refused at once.
 func (s *Scheduler) usable(own ident.Slots) ident.Slots {
@@ -114,11 +133,11 @@
 	return own
 }
 
-func (s *Scheduler) queue(svc ident.Service) *queue {
-	q, ok := s.state.queues[svc]
+func (s *Scheduler) queue(site Site) *queue {
+	q, ok := s.state.queues[site]
 	if !ok {
-		q = &queue{Queue: admit.New(admit.MaxLength(maxQueued/8, maxQueued)), usual: firstUsual}
-		s.state.queues[svc] = q
+		q = &queue{Queue: admit.New(admit.MaxLength(s.queueLength, maxQueued)), usual: firstUsual}
+		s.state.queues[site] = q
 	}
 	return q
 }
@@ -141,6 +160,16 @@
 	return rates
 }
 
+// Inherit says that a process of this VM ended without a planned stop before this one started. Its loans may still be
+// out, so the grants are void until they have ended; until then requests are served with loans of peers.
+func (s *Scheduler) Inherit(ctx context.Context, started time.Time) bool {
+	return s.post(ctx, &inherit{started})
+}
+
+type inherit struct{ started time.Time }
+
+func (m *inherit) apply(s *Scheduler, _ time.Time) { s.state.holder.Inherit(m.started) }
+
 // SetConfig puts a configuration in force for live entries that share the rates. Older ones are ignored.
 func (s *Scheduler) SetConfig(ctx context.Context, c *lists.Config, live int) bool {
 	return s.post(ctx, &setConfig{c, live})
@@ -184,13 +213,13 @@
 
 // wish asks the borrower task for a slot if more requests wait than loans are asked for. A full ring is counted; the
 // next beat asks again.
-func (s *Scheduler) wish(now time.Time, svc ident.Service) {
-	if s.state.live < 2 || s.state.wanted[svc] >= s.state.queues[svc].Len() {
+func (s *Scheduler) wish(now time.Time, site Site) {
+	if s.state.live < 2 || s.state.wanted[site] >= s.state.queues[site].Len() {
 		return
 	}
 	select {
-	case s.wishes <- LoanWish{svc, now.Add(share.MaxLoan - time.Second)}:
-		s.state.wanted[svc]++
+	case s.wishes <- LoanWish{site, now.Add(share.MaxLoan - time.Second)}:
+		s.state.wanted[site]++
 		s.wishStat.Sent()
 	default:
 		s.wishStat.Full()
@@ -198,50 +227,53 @@
 }
 
 // Lent hands in a loan that a peer gave for a wish.
-func (s *Scheduler) Lent(ctx context.Context, svc ident.Service, l share.Loan) {
-	if !s.post(ctx, &lent{svc, l}) {
+func (s *Scheduler) Lent(ctx context.Context, site Site, l share.Loan) {
+	if !s.post(ctx, &lent{site, l}) {
 		s.giveBackLoan(l)
 	}
 }
 
 // NotLent says that no peer gave a loan for a wish.
-func (s *Scheduler) NotLent(ctx context.Context, svc ident.Service) {
-	s.post(ctx, &lent{service: svc})
+func (s *Scheduler) NotLent(ctx context.Context, site Site) {
+	s.post(ctx, &lent{site: site})
 }
 
 type lent struct {
-	service ident.Service
-	loan    share.Loan
+	site Site
+	loan share.Loan
 }
 
 func (m *lent) apply(s *Scheduler, now time.Time) {
-	s.state.wanted[m.service] = max(s.state.wanted[m.service]-1, 0)
+	s.state.wanted[m.site] = max(s.state.wanted[m.site]-1, 0)
 	if m.loan.ID == 0 {
 		return
 	}
 	ref, known := s.state.picker.Lookup(m.loan.Target)
-	q := s.state.queues[m.service]
-	if !known || ref.Target().Leaving || q == nil || !s.state.holder.Borrow(now, m.loan) {
+	q := s.state.queues[m.site]
+	if !known || s.state.noted[m.loan.Target] || s.state.leaving[m.loan.Target] || q == nil ||
+		!s.state.holder.Borrow(now, m.loan) {
 		s.giveBackLoan(m.loan)
 		return
 	}
 	o, ok := s.next(now, q)
 	if !ok {
-		s.giveBack(m.loan.ID)
+		s.giveBack(now, m.loan.ID)
 		return
 	}
 	if !s.state.holder.TakeBorrowed(now, m.loan.ID) {
 		o.refuse(kinds.Overloaded)
 		return
 	}
+	s.limit(now, m.loan.Target)
 	s.borrowed.Inc(1)
 	s.state.picker.Started(ref)
 	s.usage(ref.Name()).count(now, 1, Traffic{})
 	o.reply <- verdict{slot: Slot{Ref: ref, Loan: m.loan.ID, Started: now}}
 }
 
-func (s *Scheduler) giveBack(id uint64) {
+func (s *Scheduler) giveBack(now time.Time, id uint64) {
 	if l, ok := s.state.holder.ReleaseBorrowed(id); ok {
+		s.limit(now, l.Target)
 		s.giveBackLoan(l)
 	}
 }
@@ -256,8 +288,8 @@
 }
 
 // Lend asks for a slot for a peer. The loan's target is chosen here; false means that no slot is free.
-func (s *Scheduler) Lend(ctx context.Context, svc ident.Service, l share.Loan) (ident.Target, bool) {
-	m := &lend{service: svc, loan: l, reply: make(chan ident.Target, 1)}
+func (s *Scheduler) Lend(ctx context.Context, site Site, l share.Loan) (ident.Target, bool) {
+	m := &lend{site: site, loan: l, reply: make(chan ident.Target, 1)}
 	if !s.post(ctx, m) {
 		return "", false
 	}
@@ -271,18 +303,18 @@
 }
 
 type lend struct {
-	service ident.Service
-	loan    share.Loan
-	reply   chan ident.Target
+	site  Site
+	loan  share.Loan
+	reply chan ident.Target
 }
 
 func (m *lend) apply(s *Scheduler, now time.Time) {
-	q := s.state.queues[m.service]
+	q := s.state.queues[m.site]
 	if q == nil || q.Len() > 0 {
 		m.reply <- ""
 		return
 	}
-	ref, ok := s.state.picker.Pick(now, s.place, m.service, nil)
+	ref, ok := s.state.picker.PickIn(now, s.place, m.site.Service, m.site.Region, route.NoTrial, 0)
 	if !ok {
 		m.reply <- ""
 		return
@@ -293,6 +325,7 @@
 		return
 	}
 	s.lent.Inc(1)
+	s.limit(now, ref.Name())
 	m.reply <- ref.Name()
 }
 
@@ -307,53 +340,65 @@
 	id       uint64
 }
 
+// apply leaves the picker's limits of the target to the next beat if the loan is not known any more.
 func (m *returned) apply(s *Scheduler, now time.Time) {
 	if !s.state.holder.Return(m.borrower, m.inc, m.id) {
 		return
 	}
-	for svc := range s.state.queues {
-		s.serve(now, svc)
+	for name := range s.state.targets {
+		s.limit(now, name)
+	}
+	for site := range s.state.queues {
+		s.serve(now, site)
 	}
 }
 
 // Status is the state of the scheduler at one time, for reports and dumps.
 type Status struct {
-	Plan     ident.Version   `json:"plan-version"`
-	Acked    ident.Version   `json:"acked-plan-version"`
-	Config   ident.Version   `json:"config-version"`
-	Void     bool            `json:"grants-void"`
-	Live     int             `json:"live-entries"`
-	Uses     []share.Use     `json:"slots"`
-	Targets  []TargetStatus  `json:"targets"`
-	Services []ServiceStatus `json:"services"`
-	Weights  []WeightStatus  `json:"weights"`
-	Leaving  []ident.Target  `json:"leaving-targets"`
-	Ring     ring.Counts     `json:"ring"`
-	Loans    ring.Counts     `json:"loan-ring"`
+	Plan    ident.Version  `json:"plan-version"`
+	Acked   ident.Version  `json:"acked-plan-version"`
+	Config  ident.Version  `json:"config-version"`
+	Void    bool           `json:"grants-void"`
+	Live    int            `json:"live-entries"`
+	Uses    []share.Use    `json:"slots"`
+	Targets []TargetStatus `json:"targets"`
+	Sites   []SiteStatus   `json:"sites"`
+	Links   []LinkStatus   `json:"links"`
+	Weights []WeightStatus `json:"weights"`
+	Leaving []ident.Target `json:"leaving-targets"`
+	Ring    ring.Counts    `json:"ring"`
+	Loans   ring.Counts    `json:"loan-ring"`
 }
 
 // TargetStatus is the use of one target by this entry since the last status.
 type TargetStatus struct {
-	Target     ident.Target  `json:"target"`
-	Service    ident.Service `json:"service"`
-	InProgress int           `json:"in-progress"`
+	Target ident.Target `json:"target"`
+	Site
+	InProgress int `json:"in-progress"`
 	// Mean is the mean number of requests in progress.
 	Mean float64 `json:"mean"`
 	// BitsPerSecond is the traffic in the busier direction.
 	BitsPerSecond float64 `json:"bits-per-second"`
 }
 
-// ServiceStatus is the demand of one service since the last status.
-type ServiceStatus struct {
-	Service ident.Service `json:"service"`
-	Slots   ident.Slots   `json:"slots"`
-	Waiting int           `json:"waiting"`
-	Arrived uint64        `json:"arrived"`
-	Refused uint64        `json:"refused"`
+// SiteStatus is the demand of this entry for one site since the last status.
+type SiteStatus struct {
+	Site
+	Slots   ident.Slots `json:"slots"`
+	Waiting int         `json:"waiting"`
+	Arrived uint64      `json:"arrived"`
+	Refused uint64      `json:"refused"`
 	// Wanted is the mean number of slots that waiting and refused requests would have used.
 	Wanted float64 `json:"wanted"`
 }
 
+// LinkStatus is the traffic of this entry to another region.
+type LinkStatus struct {
+	To   ident.Region `json:"to"`
+	Mbps float64      `json:"mbit-per-second"`
+	Open bool         `json:"open"`
+}
+
 // WeightStatus is where the requests of a service go that arrive in one region.
 type WeightStatus struct {
 	Service ident.Service  `json:"service"`
@@ -394,9 +439,11 @@
 		elapsed = now.Sub(s.state.measured)
 	}
 	st.Targets = s.targetStatus(now, elapsed)
-	for svc, q := range s.state.queues {
-		st.Services = append(st.Services,
-			ServiceStatus{svc, q.slots, q.Len(), q.arrived, q.refused, q.wanted(elapsed)})
+	for site, q := range s.state.queues {
+		st.Sites = append(st.Sites, SiteStatus{site, q.slots, q.Len(), q.arrived, q.refused, q.wanted(elapsed)})
+	}
+	for region, l := range s.state.links {
+		st.Links = append(st.Links, LinkStatus{region, l.Mbps(now), l.Open(now)})
 	}
 	if m.restart {
 		s.restart(now)
@@ -415,7 +462,7 @@
 	targets := make([]TargetStatus, 0, len(s.state.usage))
 	for name, u := range s.state.usage {
 		u.count(now, 0, Traffic{})
-		ts := TargetStatus{Target: name, Service: s.state.targets[name], InProgress: u.inProgress}
+		ts := TargetStatus{Target: name, Site: s.state.targets[name], InProgress: u.inProgress}
 		if elapsed > 0 {
 			ts.Mean = u.slotTime.Seconds() / elapsed.Seconds()
 			ts.BitsPerSecond = 8 * float64(max(u.traffic.Sent, u.traffic.Received)) / elapsed.Seconds()
@@ -441,7 +488,10 @@
 }
 
 func sortStatus(st *Status) {
-	slices.SortFunc(st.Services, func(a, b ServiceStatus) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(st.Sites, func(a, b SiteStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
+	})
+	slices.SortFunc(st.Links, func(a, b LinkStatus) int { return cmp.Compare(a.To, b.To) })
 	slices.SortFunc(st.Weights, func(a, b WeightStatus) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Origin, b.Origin))
 	})
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -30,8 +29,6 @@
 	beat = 20 * time.Millisecond
 	// maxQueued bounds the waiting requests of one service.
 	maxQueued = 2048
-	// maxChoices bounds the targets that are tried for one request when slots of the first ones are lent.
-	maxChoices = 4
 )
 
 // MaxDeadline is the longest time from the arrival of a request to its deadline. It is below share.MaxLoan, so that
@@ -60,9 +57,15 @@
 	Started time.Time
 }
 
+// Site is the targets of one service in one region.
+type Site struct {
+	Service ident.Service `json:"service"`
+	Region  ident.Region  `json:"region"`
+}
+
 // LoanWish asks the borrower task to find a slot at a peer.
 type LoanWish struct {
-	Service ident.Service
+	Site Site
 	// Until is the deadline to ask for. It is after the deadline of every waiting request.
 	Until time.Time
 }
@@ -72,7 +75,11 @@
 	self  ident.VM
 	place ident.Place
 	cap   shift.Cap
-	clock func() time.Time
+	// capacity is the part of each link's capacity that steered traffic may use, by the region at its other end.
+	capacity map[ident.Region]ident.Mbps
+	clock    func() time.Time
+	// queueLength is how many requests of one customer may wait for a site.
+	queueLength int
 
 	messages chan message
 	stats    ring.Stats
@@ -93,7 +100,7 @@
 type state struct {
 	picker  *route.Picker
 	holder  *share.Holder
-	queues  map[ident.Service]*queue
+	queues  map[Site]*queue
 	follow  map[followKey]*shift.Follower
 	waiting map[uint64]*offer
 	nextID  uint64
@@ -102,12 +109,18 @@
 	config   *lists.Config
 	plan     *plan.Traffic
 	live     int
-	targets  map[ident.Target]ident.Service
+	targets  map[ident.Target]Site
 	// leaving says which targets leave by the plan, noted which ones have announced it to this entry.
 	leaving, noted map[ident.Target]bool
 	usage          map[ident.Target]*usage
-	// wanted counts the loan wishes per service that no reply has come to yet.
-	wanted map[ident.Service]int
+	// wanted counts the loan wishes per site that no reply has come to yet.
+	wanted map[Site]int
+	// links meters the traffic of this entry to each other region.
+	links map[ident.Region]*shift.Link
+	// beats counts the runs of the control loop.
+	beats uint64
+	// expired is reused by each beat.
+	expired []admit.Item
 }
 
 type followKey struct {
@@ -193,19 +206,29 @@
 // WithCap sets the cap of traffic shifts.
 func WithCap(c shift.Cap) Option { return func(s *Scheduler) { s.cap = c } }
 
+// WithQueueLength sets how many requests of one customer may wait for a site; 64 by default.
+func WithQueueLength(n int) Option { return func(s *Scheduler) { s.queueLength = n } }
+
+// WithLink sets the capacity of the link to another region that steered traffic may use. Without a link, no request
+// goes to that region.
+func WithLink(to ident.Region, usable ident.Mbps) Option {
+	return func(s *Scheduler) { s.capacity[to] = usable }
+}
+
 // New returns the scheduler of an entry.
 func New(self ident.VM, place ident.Place, src rand.Source, reg metrics.Registry, clock func() time.Time,
 	opts ...Option) *Scheduler {
 	s := &Scheduler{
-		self: self, place: place, clock: clock,
+		self: self, place: place, clock: clock, capacity: map[ident.Region]ident.Mbps{}, queueLength: 64,
 		cap:      shift.Cap{PerStep: ident.Whole / 20, PerMinute: ident.Whole / 5},
 		messages: make(chan message, ringSize), wishes: make(chan LoanWish, 64), returns: make(chan share.Loan, 1024),
 		paused: make(chan struct{}, 1),
 		state: state{
-			picker: route.New(src), holder: share.NewHolder(self), queues: map[ident.Service]*queue{},
+			picker: route.New(src), holder: share.NewHolder(self), queues: map[Site]*queue{},
 			follow: map[followKey]*shift.Follower{}, waiting: map[uint64]*offer{},
-			targets: map[ident.Target]ident.Service{}, noted: map[ident.Target]bool{},
-			leaving: map[ident.Target]bool{}, usage: map[ident.Target]*usage{}, wanted: map[ident.Service]int{}, live: 1,
+			targets: map[ident.Target]Site{}, noted: map[ident.Target]bool{},
+			leaving: map[ident.Target]bool{}, usage: map[ident.Target]*usage{}, wanted: map[Site]int{},
+			links: map[ident.Region]*shift.Link{}, live: 1,
 		},
 		admitted: metrics.GetOrRegisterCounter("requests-admitted", reg),
 		queued:   metrics.GetOrRegisterCounter("requests-queued", reg),
@@ -311,37 +334,34 @@
 type offer struct {
 	Request
 	id    uint64
+	site  Site
 	reply chan verdict
 }
 
 func (o *offer) refuse(k kinds.Kind) { o.reply <- verdict{kind: k} }
 
 func (o *offer) apply(s *Scheduler, now time.Time) {
-	q, ok := s.state.queues[o.Service]
-	if !ok {
+	region, ok := s.state.picker.Draw(s.place.Region, o.Service)
+	o.site = Site{o.Service, region}
+	q := s.state.queues[o.site]
+	if !ok || q == nil {
 		o.refuse(kinds.NoTarget)
 		return
 	}
 	q.arrived++
-	if s.state.holder.Void(now) {
-		q.refuse(kinds.NoTarget)
-		o.refuse(kinds.NoTarget)
+	if k := s.blocked(now, region); k != kinds.Answered {
+		q.refuse(k)
+		o.refuse(k)
 		return
 	}
-	ref, free := s.choose(now, &o.Request)
+	ref, free := s.choose(now, o.site, q, o.exclude())
 	if o.Admitted {
-		// A retry does not wait: its first attempt has used up a part of the deadline already.
-		if !free {
-			o.refuse(kinds.Overloaded)
-			return
-		}
-		s.start(now, o, ref)
+		o.further(s, q, ref, free)
 		return
 	}
 	s.state.nextID++
 	o.id = s.state.nextID
-	item := admit.Item{ID: o.id, Customer: o.Customer, Class: o.Class, Deadline: o.Deadline}
-	d := q.Offer(now, item, free)
+	d := q.Offer(now, admit.Item{ID: o.id, Customer: o.Customer, Class: o.Class, Deadline: o.Deadline}, free)
 	if free && d.Verdict != admit.Run {
 		s.state.holder.Release(ref.Name())
 	}
@@ -351,29 +371,52 @@
 	case admit.Queued:
 		s.queued.Inc(1)
 		s.state.waiting[o.id] = o
-		s.serve(now, o.Service)
-		s.wish(now, o.Service)
+		s.serve(now, o.site)
+		s.wish(now, o.site)
 	default:
 		q.refuse(d.Kind)
 		o.refuse(d.Kind)
 	}
 }
 
-// choose picks a target and takes a slot of it.
-func (s *Scheduler) choose(now time.Time, r *Request) (route.TargetRef, bool) {
-	exclude := r.Exclude
-	for range maxChoices {
-		ref, ok := s.state.picker.Pick(now, s.place, r.Service, exclude)
-		if !ok {
-			break
-		}
-		if s.state.holder.TryTake(now, ref.Name()) {
-			return ref, true
-		}
-		// The picker does not know of slots that are lent to peers.
-		exclude = append(slices.Clip(exclude), ref)
+// blocked says why no request may go to a region now: this entry's part of the link is used up, or there is none. Void
+// grants do not block: requests then wait for loans.
+func (s *Scheduler) blocked(now time.Time, region ident.Region) kinds.Kind {
+	if region == s.place.Region {
+		return kinds.Answered
+	}
+	if l := s.state.links[region]; l == nil || !l.Open(now) {
+		return kinds.Overloaded
+	}
+	return kinds.Answered
+}
+
+// exclude lists the targets that are not to be chosen. An order never serves as the trial of a failed target.
+func (o *offer) exclude() []route.TargetRef {
+	if o.Class == admit.Order && len(o.Exclude) == 0 {
+		return route.NoTrial
 	}
-	return route.TargetRef{}, false
+	return o.Exclude
+}
+
+// further starts another attempt of a request that was admitted before. It does not wait: the first attempt has used up
+// a part of the deadline already.
+func (o *offer) further(s *Scheduler, q *queue, ref route.TargetRef, free bool) {
+	if !free {
+		q.refuse(kinds.Overloaded)
+		o.refuse(kinds.Overloaded)
+		return
+	}
+	s.start(s.clock(), o, ref)
+}
+
+// choose picks a target of the site and takes a slot of it.
+func (s *Scheduler) choose(now time.Time, site Site, q *queue, exclude []route.TargetRef) (route.TargetRef, bool) {
+	ref, ok := s.state.picker.PickIn(now, s.place, site.Service, site.Region, exclude, q.Wait())
+	if !ok || !s.state.holder.TryTake(now, ref.Name()) {
+		return route.TargetRef{}, false
+	}
+	return ref, true
 }
 
 func (s *Scheduler) start(now time.Time, o *offer, ref route.TargetRef) {
@@ -383,11 +426,11 @@
 	o.reply <- verdict{slot: Slot{Ref: ref, Started: now}}
 }
 
-// serve gives free slots to waiting requests.
-func (s *Scheduler) serve(now time.Time, svc ident.Service) {
-	q := s.state.queues[svc]
-	for q != nil && q.Len() > 0 {
-		ref, free := s.choose(now, &Request{Service: svc})
+// serve gives free slots to waiting requests. None of them serves as a trial, since any of them may be an order.
+func (s *Scheduler) serve(now time.Time, site Site) {
+	q := s.state.queues[site]
+	for q != nil && q.Len() > 0 && s.blocked(now, site.Region) == kinds.Answered {
+		ref, free := s.choose(now, site, q, route.NoTrial)
 		if !free {
 			return
 		}
@@ -421,20 +464,32 @@
 }
 
 func (f *finished) apply(s *Scheduler, now time.Time) {
-	svc := f.slot.Ref.Target().Service
-	s.usage(f.slot.Ref.Name()).count(now, -1, f.traffic)
+	t := f.slot.Ref.Target()
+	site := Site{t.Service, t.Place.Region}
+	s.usage(t.Name).count(now, -1, f.traffic)
 	s.state.picker.Finished(now, f.slot.Ref, f.latency, f.result)
 	if f.slot.Loan != 0 {
-		s.giveBack(f.slot.Loan)
+		s.giveBack(now, f.slot.Loan)
 	} else {
-		s.state.holder.Release(f.slot.Ref.Name())
+		s.state.holder.Release(t.Name)
+	}
+	if l := s.state.links[t.Place.Region]; l != nil {
+		l.Count(now, int64(max(f.traffic.Sent, f.traffic.Received)))
 	}
-	if q := s.state.queues[svc]; q != nil && f.result == route.OK {
+	if q := s.state.queues[site]; q != nil && f.result == route.OK {
 		q.finished(f.latency)
 	}
-	s.serve(now, svc)
+	s.serve(now, site)
 }
 
+// limit tells the picker how many requests this entry may have at a target: grants less loans given, and loans taken.
+func (s *Scheduler) limit(now time.Time, name ident.Target) {
+	s.state.picker.SetLimit(name, s.state.holder.Limit(now, name))
+}
+
+// beatsPerRates is how many beats pass between two updates of the rates, which follow the weights during a shift.
+const beatsPerRates = 50
+
 func (s *Scheduler) beat(now time.Time) {
 	s.state.holder.Beat(now)
 	s.state.holder.Expire(now)
@@ -444,26 +499,38 @@
 		default:
 		}
 	}
+	s.followWeights(now)
+	if s.state.beats++; s.state.beats%beatsPerRates == 0 {
+		s.setQueues(now)
+		for name := range s.state.targets {
+			s.limit(now, name)
+		}
+	}
+	for site, q := range s.state.queues {
+		q.beats++
+		q.waiting += q.Len()
+		s.expire(now, q)
+		s.serve(now, site)
+		s.wish(now, site)
+	}
+}
+
+func (s *Scheduler) followWeights(now time.Time) {
 	for key, f := range s.state.follow {
 		if key.origin == s.place.Region {
 			s.state.picker.SetWeights(key.service, key.origin, f.Weights(now))
 		}
 	}
-	var expired []admit.Item
-	for svc, q := range s.state.queues {
-		q.beats++
-		q.waiting += q.Len()
-		expired = q.Expire(now, expired[:0])
-		for _, item := range expired {
-			o, ok := s.state.waiting[item.ID]
-			if !ok {
-				continue
-			}
+}
+
+// expire refuses the waiting requests that cannot finish in time any more.
+func (s *Scheduler) expire(now time.Time, q *queue) {
+	s.state.expired = q.Expire(now, s.state.expired[:0])
+	for _, item := range s.state.expired {
+		if o, ok := s.state.waiting[item.ID]; ok {
 			delete(s.state.waiting, item.ID)
 			q.refuse(kinds.DeadlineTooShort)
 			o.refuse(kinds.DeadlineTooShort)
 		}
-		s.serve(now, svc)
-		s.wish(now, svc)
 	}
 }
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -258,7 +258,7 @@
 	entry   ident.VM
 }
 
-// demand adds up what the entries reported. Waiting and refused requests count for the region of their entry.
+// demand adds up what the entries reported.
 func (p *planner) demand(now time.Time) []plan.Demand {
 	targets := map[ident.Target]plan.Target{}
 	for _, t := range p.current.Targets {
@@ -285,12 +285,8 @@
 				d.Mbps += float64(u.GetBitsPerSecond()) / 1e6
 			}
 		}
-		m, ok := p.d.members.Snapshot().Member(vm)
-		if !ok {
-			continue
-		}
-		for _, u := range r.msg.GetServices() {
-			d := at(demandKey{ident.Service(u.GetService()), m.Place.Region, vm})
+		for _, u := range r.msg.GetSites() {
+			d := at(demandKey{ident.Service(u.GetService()), ident.Region(u.GetRegion()), vm})
 			d.Slots += float64(u.GetWantedMilli()) / 1000
 		}
 	}
