procs: stopped owner, paused entry and start during an outage

Cause: three promises had no test across processes. Change: TestStoppedOwnerHandsOver, TestPausedEntry, TestStartDuringOutage.

--- a/procs/fault_test.go
+++ b/procs/fault_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/currantpier/currantpier/cmds"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/share"
 )
 
 // Guards R5 and R4: an entry is killed with orders in progress. Whatever a caller is told afterwards through another
@@ -216,3 +217,70 @@
 		t.Error(err)
 	}
 }
+
+// Guards R7 and R5: after a planned stop, another entry answers for the stopped owner for certain, although the platform
+// still lists its VM.
+func TestStoppedOwnerHandsOver(t *testing.T) {
+	s := newSystem(t, 2, 2, deskTargets()...)
+	owner, other := s.vms[0], s.vms[1]
+	ticket := s.ticket(owner, ident.Journalled)
+	done := s.must(owner, call{kind: "order", id: ticket + ".done"}, "answered")
+	owner.entry.signal(syscall.SIGTERM)
+	if err := owner.entry.exit(); err != nil {
+		t.Fatalf("the stopped entry ended with %v", err)
+	}
+	again := s.must(other, call{kind: "order", id: ticket + ".done"}, "answered")
+	if again.body != done.body {
+		t.Errorf("the handed-over answer is %s, want %s", again.body, done.body)
+	}
+	a := s.must(other, call{kind: "order", id: ticket + ".never-sent"}, "stale-ticket")
+	if a.ticket == "" {
+		t.Error("the refusal has no new ticket")
+	}
+	for id, want := range map[string]int{ticket + ".done": 1, ticket + ".never-sent": 0} {
+		if n := s.executions(id); n != want {
+			t.Errorf("%s ran %d times, want %d", id, n, want)
+		}
+	}
+}
+
+// Guards R2 and the slot counts: an entry that was paused for longer than its control loop may stand still reads the
+// plan again before it uses its slots, and then serves.
+func TestPausedEntry(t *testing.T) {
+	s := newSystem(t, 2, 2, deskTargets()...)
+	paused := s.vms[0]
+	paused.entry.signal(syscall.SIGSTOP)
+	pause := time.NewTimer(share.PauseLimit + time.Second) // the length of the fault itself
+	<-pause.C
+	s.must(s.vms[1], call{kind: "idempotent"}, "answered")
+	paused.entry.signal(syscall.SIGCONT)
+	s.await("the entry reads the plan again", func() bool {
+		return strings.Contains(paused.entry.log.String(), "event=paused plan-confirmed=true")
+	})
+	s.must(paused, call{kind: "idempotent"}, "answered")
+}
+
+// Guards R8: a VM that starts while the store is down gets the newest accepted configuration from its peers.
+func TestStartDuringOutage(t *testing.T) {
+	s := newSystem(t, 2, 2, deskTargets()...)
+	s.write("customers.csv", "customer,plan\nshop-1,trade\nshop-2,trade\nlook-1,looks\n")
+	out, code := run(t, "apply", "--steer", s.vms[0].Steer, "--customers", s.path("customers.csv"), "--uses",
+		s.path("uses.csv"))
+	if code != cmds.ExitOK {
+		t.Fatalf("apply: exit %d, %s", code, out)
+	}
+	for _, v := range s.vms {
+		s.await("the second configuration is in force", func() bool {
+			a, err := s.request(v, call{customer: "shop-2", kind: "idempotent"})
+			return err == nil && a.outcome == "answered"
+		})
+	}
+	s.fault(s.platform, `{"down": true}`)
+	s.addVM(2, true)
+	late := s.vms[2]
+	s.await("the late VM is ready", func() bool { return s.ready(late) })
+	s.await("the late VM serves the newest configuration", func() bool {
+		a, err := s.request(late, call{customer: "shop-2", kind: "idempotent"})
+		return err == nil && a.outcome == "answered"
+	})
+}
