relay: fetch a newer version that a probe shows

Cause: probes carry the versions of both sides; a difference should lead to a fetch at once and not wait for the exchange. Ruled out: a fetch for each probe that shows the version, since three probes a second would repeat a large body. Before: the versions in probes had no use.

--- a/relay/node.go
+++ b/relay/node.go
@@ -71,6 +71,9 @@
 	asking    int
 	nextRound time.Time
 	answers   map[ident.VM]bool
+	// hinted is the newest version that a peer mentioned; hintFrom is that peer until it is asked, then empty.
+	hinted   ident.Version
+	hintFrom ident.VM
 }
 
 // Node is the state of the dissemination in one process. It is not safe for concurrent use.
@@ -267,6 +270,7 @@
 	for k := Config; k <= Plan; k++ {
 		dst = n.nextPoll(now, k, dst)
 		dst = n.nextStart(now, k, dst)
+		dst = n.nextHint(k, dst)
 	}
 	dst = n.nextLinks(now, dst)
 	dst = n.nextPushes(now, dst)
@@ -337,6 +341,20 @@
 	return list
 }
 
+func (n *Node) nextHint(k Kind, dst []Action) []Action {
+	d := &n.docs[k]
+	if d.hintFrom == "" {
+		return dst
+	}
+	from := d.hintFrom
+	d.hintFrom = ""
+	if d.doc.Version >= d.hinted {
+		return dst
+	}
+	a := Action{Op: Fetch, Kind: k, To: from, Have: d.doc.Version, Timeout: replyTimeout}
+	return append(dst, n.issue(taskExchange, a))
+}
+
 func (n *Node) nextLinks(now time.Time, dst []Action) []Action {
 	for i := range n.links {
 		l := &n.links[i]
@@ -425,6 +443,9 @@
 		if !d.polling && n.polls(k) {
 			t = earlier(t, d.nextPoll)
 		}
+		if d.hintFrom != "" {
+			return time.Time{}
+		}
 		if !d.settled && d.asking == 0 {
 			t = earlier(t, d.nextRound)
 		}
@@ -551,6 +572,17 @@
 	return true
 }
 
+// Hint handles a version that a peer mentioned in a probe. The node fetches a newer one from that peer, once for each
+// version, since the other paths repeat what fails.
+func (n *Node) Hint(from ident.VM, k Kind, v ident.Version) {
+	if k < Config || k > Plan || from == n.o.Self.VM {
+		return
+	}
+	if d := &n.docs[k]; v > d.hinted && v > d.doc.Version {
+		d.hinted, d.hintFrom = v, from
+	}
+}
+
 // forward pushes a document that did not come from a source of the node to the relays of its failure domain. They are
 // not below the node in the tree and could miss it if the sender has died.
 func (n *Node) forward(now time.Time, k Kind) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -250,6 +250,25 @@
 	}
 }
 
+// Guards against a newer version that a probe shows and nobody fetches, and against a fetch for each of many probes.
+func TestHint(t *testing.T) {
+	s := cluster(1, 0, 12, 6)
+	n := s.procs["vm-0"].node
+	n.Offer(start, relay.Document{Kind: relay.Plan, Version: 5})
+	n.Next(start, nil)
+	for _, tt := range []struct {
+		from    ident.VM
+		version ident.Version
+		fetches int
+	}{{"vm-3", 5, 0}, {"vm-0", 9, 0}, {"vm-3", 6, 1}, {"vm-4", 6, 0}, {"vm-4", 7, 1}} {
+		n.Hint(tt.from, relay.Plan, tt.version)
+		got := n.Next(start, nil)
+		if len(got) != tt.fetches || tt.fetches == 1 && (got[0].Op != relay.Fetch || got[0].To != tt.from || got[0].Have != 5) {
+			t.Errorf("version %d from %s: %+v", tt.version, tt.from, got)
+		}
+	}
+}
+
 // Guards against a document that stays below the relays because its sender died before it reached them.
 func TestForward(t *testing.T) {
 	s := cluster(1, 0, 20, 2)
