node, config, sched: a VM that starts during an outage learns its peers from seeds and serves with loans

Cause: a process that starts while the platform's VM list cannot be read knew no peers, so it never became ready; and the void state after a crash of the predecessor was taken for a pause, which logged an event fifty times a second. Ruled out: keeping the list in the store, since that is down at the same time. Change: the setting "seeds" names control ports of other VMs that give their copy of the list; a pause is detected by the gap between two beats, before any plan is put in force. Before: TestStartDuringOutage waited in vain. After: it passes, as do TestPausedEntry and TestWholePath.

--- a/config/config.go
+++ b/config/config.go
@@ -31,6 +31,9 @@
 	Region ident.Region
 	// Domain is one of the failure domains of Region.
 	Domain ident.Domain
+	// Seeds are control ports of other VMs, IP:port. They are asked for the list of VMs by a process that starts while
+	// the platform's list cannot be read.
+	Seeds []string
 }
 
 // Place returns where the VM is.
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		text := minimal + "[" + k.Section + "]\n" + k.Name + " = " + k.Default + "\n"
-		if k.Section == "steer" || k.Section == "store" {
+		if k.Section == "vm" || k.Section == "steer" || k.Section == "store" {
 			text = strings.Replace(minimal, "["+k.Section+"]", "["+k.Section+"]\n"+k.Name+" = "+k.Default, 1)
 		}
 		if _, err := config.Parse(k.Name, []byte(text)); err != nil {
--- a/config/keys.go
+++ b/config/keys.go
@@ -59,6 +59,8 @@
 		func(d *draft, v string) bool { d.VM.Region = ident.Region(v); return ident.ValidName(v) }},
 	{secVM, "failure-domain", "", "a failure domain of the VM's region", "failure domain of this VM",
 		func(d *draft, v string) bool { d.VM.Domain = ident.Domain(v); return ident.ValidName(v) }},
+	{secVM, "seeds", "none", "none, or up to 16 IP:port separated by commas, ports not 0",
+		"control ports of other VMs, asked for the VM list if the platform's cannot be read at the start", setSeeds},
 
 	{secEntry, "listen", "", allowedListen, "address of the entry daemon for callers",
 		func(d *draft, v string) bool { return setListen(&d.Entry.Listen, v) }},
@@ -187,6 +189,23 @@
 	return false
 }
 
+// maxSeeds bounds the time in which all seeds are asked.
+const maxSeeds = 16
+
+func setSeeds(d *draft, v string) bool {
+	if v == "none" {
+		return true
+	}
+	for _, addr := range strings.Split(v, ",") {
+		var a netip.AddrPort
+		if !setListen(&a, strings.TrimSpace(addr)) || a.Port() == 0 {
+			return false
+		}
+		d.VM.Seeds = append(d.VM.Seeds, a.String())
+	}
+	return len(d.VM.Seeds) <= maxSeeds
+}
+
 func setDomains(d *draft, v string) bool {
 	for _, name := range strings.Split(v, ",") {
 		name = strings.TrimSpace(name)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,7 +84,7 @@
 		Incarnation: ident.Incarnation(d.clock().UnixNano()),
 	}
 	d.logger = log.With(d.logger, "vm", d.self.VM, "daemon", "entry")
-	d.members = node.NewMembers(d.self, st, d.peers, d.clock, d.logger)
+	d.members = node.NewMembers(d.self, st, d.peers, d.clock, d.logger, cfg.VM.Seeds)
 	d.sync = node.NewSync(d.self, relay.Options{
 		ConfigInterval: cfg.Steer.ConfigInterval, PlanInterval: cfg.Steer.PlanInterval,
 	}, st, d.members, d.peers, d.clock, d.logger, checkDocument)
--- a/node/control.go
+++ b/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"time"
@@ -63,6 +64,16 @@
 	return &wire.PushReply{Version: uint64(b.Sync.Current(k).Version)}, nil
 }
 
+// List implements wire.Peer.
+func (b *Base) List(context.Context, *wire.ListRequest) (*wire.ListReply, error) {
+	list := b.Members.List()
+	if len(list) == 0 {
+		return &wire.ListReply{}, nil
+	}
+	vms, err := json.Marshal(list)
+	return &wire.ListReply{Vms: vms}, ToWire(err)
+}
+
 // Report implements wire.Peer.
 func (b *Base) Report(context.Context, *wire.ReportRequest) (*wire.ReportReply, error) {
 	return nil, b.unserved("Report")
--- a/node/members.go
+++ b/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,12 +67,16 @@
 	peers  *Peers
 	clock  func() time.Time
 	logger log.Logger
+	// seeds are control addresses of other VMs.
+	seeds []string
 	// versions returns the newest versions held, to be exchanged by probes.
 	versions func() (config, plan ident.Version)
 
 	mu        sync.Mutex
 	view      *member.View
 	upstreams []store.VMInfo
+	// list is the platform's list as last read; nil if it never was.
+	list []store.VMInfo
 	// leaving holds the entry processes that have announced a planned stop. The platform's list shows it later or, for
 	// a restart, not at all.
 	leaving map[ident.VM]ident.Incarnation
@@ -80,10 +85,12 @@
 	changed  chan struct{}
 }
 
-// NewMembers returns the service for one process. The clock is normally time.Now.
-func NewMembers(self Self, lister Lister, peers *Peers, clock func() time.Time, logger log.Logger) *Members {
+// NewMembers returns the service for one process. The clock is normally time.Now. Seeds are control addresses of other
+// VMs, which are asked for the list if the platform's cannot be read at the start.
+func NewMembers(self Self, lister Lister, peers *Peers, clock func() time.Time, logger log.Logger,
+	seeds []string) *Members {
 	m := &Members{
-		self: self, lister: lister, peers: peers, clock: clock, logger: logger,
+		self: self, lister: lister, peers: peers, clock: clock, logger: logger, seeds: seeds,
 		versions: func() (ident.Version, ident.Version) { return 0, 0 },
 		view:     member.NewView(self.VM, uint64(self.Incarnation)),
 		leaving:  map[ident.VM]ident.Incarnation{}, changed: make(chan struct{}, 1),
@@ -170,8 +177,11 @@
 	failing := false
 	for {
 		list, err := m.lister.VMs(ctx)
-		if err == nil {
+		switch {
+		case err == nil:
 			m.listed(m.clock(), list)
+		case len(m.List()) == 0:
+			m.askSeeds(ctx)
 		}
 		if failed := err != nil; failed != failing {
 			failing = failed
@@ -183,6 +193,30 @@
 	}
 }
 
+// List returns the platform's list as last read, or nil.
+func (m *Members) List() []store.VMInfo {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list
+}
+
+// askSeeds takes over the list of another VM. It is used by a process that starts while the platform's list cannot be
+// read.
+func (m *Members) askSeeds(ctx context.Context) {
+	for _, addr := range m.seeds {
+		call, cancel := context.WithTimeout(ctx, probeTimeout)
+		reply, err := m.peers.At(addr).List(call, &wire.ListRequest{})
+		cancel()
+		var list []store.VMInfo
+		if err != nil || json.Unmarshal(reply.GetVms(), &list) != nil || len(list) == 0 {
+			continue
+		}
+		level.Warn(m.logger).Log("event", "vm-list-from-peer", "seed", addr, "vms", len(list))
+		m.listed(m.clock(), list)
+		return
+	}
+}
+
 // listInterval grows with the number of VMs. Each VM has two processes that read the list.
 func (m *Members) listInterval() time.Duration {
 	n := len(m.Snapshot().Members)
@@ -191,6 +225,7 @@
 
 func (m *Members) listed(now time.Time, list []store.VMInfo) {
 	m.mu.Lock()
+	m.list = list
 	m.view.Platform(now, list)
 	m.upstreams = m.upstreams[:0:0]
 	for _, vm := range list {
--- a/procs/fault_test.go
+++ b/procs/fault_test.go
@@ -260,7 +260,8 @@
 	s.must(paused, call{kind: "idempotent"}, "answered")
 }
 
-// Guards R8: a VM that starts while the store is down gets the newest accepted configuration from its peers.
+// Guards R8: a VM that starts while the platform is down gets the newest accepted configuration from its peers and
+// serves with loans, since no plan can grant it slots.
 func TestStartDuringOutage(t *testing.T) {
 	s := newSystem(t, 2, 2, deskTargets()...)
 	s.write("customers.csv", "customer,plan\nshop-1,trade\nshop-2,trade\nlook-1,looks\n")
@@ -276,7 +277,7 @@
 		})
 	}
 	s.fault(s.platform, `{"down": true}`)
-	s.addVM(2, true)
+	s.addVM(3, true) // in the failure domain of the first VM, whose slots it can borrow
 	late := s.vms[2]
 	s.await("the late VM is ready", func() bool { return s.ready(late) })
 	s.await("the late VM serves the newest configuration", func() bool {
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -259,6 +259,9 @@
 	}}
 	d := local.Deployment{Places: places, LinkCapacity: 280}
 	text := d.Settings(v.Address, place, s.platform) + "[limits]\nlookup-ttl = 1s\n"
+	if len(s.vms) > 0 {
+		text = strings.Replace(text, "[entry]", "seeds = "+s.vms[0].Steer+"\n[entry]", 1)
+	}
 	v.settings = s.write(string(v.VM)+".ini", text)
 	s.setVM(store.VMInfo{
 		Name: string(v.VM), Role: store.RoleEntry, State: store.Live, Place: place, Address: v.Callers,
--- a/sched/control.go
+++ b/sched/control.go
@@ -32,6 +32,8 @@
 }
 
 func (m *setPlan) apply(s *Scheduler, now time.Time) {
+	// After a pause this message may come before the first beat.
+	s.notePause(now)
 	t := m.traffic
 	if s.state.plan != nil && t.Version < s.state.plan.Version {
 		return
@@ -49,7 +51,10 @@
 		s.state.leaving[tg.Name] = tg.Leaving
 	}
 	s.state.picker.SetTargets(now, targets)
-	if m.confirmed || s.state.holder.Version() == 0 || !s.state.holder.Void(now) {
+	if m.confirmed {
+		s.state.unconfirmed = false
+	}
+	if !s.state.unconfirmed {
 		s.state.holder.Apply(now, t.Grants, t.Version)
 	}
 	for name := range s.state.targets {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -117,6 +117,9 @@
 	wanted map[Site]int
 	// links meters the traffic of this entry to each other region.
 	links map[ident.Region]*shift.Link
+	// beatAt is the time of the last beat. unconfirmed says that a pause was found and no confirmed plan has come since.
+	beatAt      time.Time
+	unconfirmed bool
 	// beats counts the runs of the control loop.
 	beats uint64
 	// expired is reused by each beat.
@@ -493,12 +496,7 @@
 func (s *Scheduler) beat(now time.Time) {
 	s.state.holder.Beat(now)
 	s.state.holder.Expire(now)
-	if s.state.holder.Version() != 0 && s.state.holder.Void(now) {
-		select {
-		case s.paused <- struct{}{}:
-		default:
-		}
-	}
+	s.notePause(now)
 	s.followWeights(now)
 	if s.state.beats++; s.state.beats%beatsPerRates == 0 {
 		s.setQueues(now)
@@ -515,6 +513,21 @@
 	}
 }
 
+// notePause asks for a confirmed plan after a gap between two beats that made the grants void, until one comes.
+func (s *Scheduler) notePause(now time.Time) {
+	if !s.state.beatAt.IsZero() && now.Sub(s.state.beatAt) > share.PauseLimit {
+		s.state.unconfirmed = true
+	}
+	s.state.beatAt = now
+	if !s.state.unconfirmed {
+		return
+	}
+	select {
+	case s.paused <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Scheduler) followWeights(now time.Time) {
 	for key, f := range s.state.follow {
 		if key.origin == s.place.Region {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -65,7 +65,7 @@
 		Incarnation: ident.Incarnation(d.clock().UnixNano()),
 	}
 	d.logger = log.With(d.logger, "vm", d.self.VM, "daemon", "steer")
-	d.members = node.NewMembers(d.self, st, d.peers, d.clock, d.logger)
+	d.members = node.NewMembers(d.self, st, d.peers, d.clock, d.logger, cfg.VM.Seeds)
 	d.sync = node.NewSync(d.self, relay.Options{
 		ConfigInterval: cfg.Steer.ConfigInterval, PlanInterval: cfg.Steer.PlanInterval,
 	}, st, d.members, d.peers, d.clock, d.logger, checkDocument)
