model: followers with state in the lease specification

Cause: a follower limits its movement relative to its own past, which the stateless interface could not express. Change: the interface Follower, which is asked any number of times in a tick; a fault that moves twice in a tick.

--- a/model/lease.go
+++ b/model/lease.go
@@ -43,14 +43,21 @@
 	AppendState(b []byte, now int) []byte
 }
 
-// Shifter decides on weights. It stands for package shift.
+// Shifter decides on the weights of plans. It stands for shift.Next.
 type Shifter interface {
 	// Next returns the weight of the plan after cur on the way to goal.
-	Next(cur, goal int) int
-	// Follow returns the weight that an entry uses in the next tick, given the one it uses and that of its plan.
-	Follow(own, plan int) int
-	// Newer reports whether an entry with plan version held applies version seen.
-	Newer(held, seen int) bool
+	Next(cur, goal, now int) int
+}
+
+// Follower decides on the weight that one entry uses. It stands for shift.Follower.
+type Follower interface {
+	// Set gives it the weight of a plan version and reports whether it applies that version.
+	Set(version, weight int) bool
+	// Weight returns the weight to use at tick now. It is called any number of times in a tick.
+	Weight(now int) int
+	Copy() Follower
+	// AppendState appends an encoding of the state at tick now.
+	AppendState(b []byte, now int) []byte
 }
 
 // LeaseBounds limits the specification.
@@ -69,7 +76,7 @@
 	// published holds each plan by version; version 1 is the first.
 	published []PlanRow
 	steerers  []steerer
-	entries   []follower
+	entries   []entry
 	// late lists plan writes and lateLeases lease writes that may still reach the store.
 	late       []planWrite
 	lateLeases []LeaseRow
@@ -97,28 +104,30 @@
 	lease, plan int
 }
 
-// follower is one entry.
-type follower struct {
-	version int
-	weight  int
+// entry is one entry.
+type entry struct {
+	// follower may be shared with other states.
+	follower Follower
+	version  int
+	weight   int
 	// before is the weight at the start of the present tick.
 	before int
-	// moved says that the entry has moved in the present tick.
-	moved bool
 	// regressed says that it applied an older plan.
 	regressed bool
 }
 
 // NewLeaseSpec returns the specification of lease and plan publication over the given decisions. Leaser returns the state
-// of process me at start-up.
-func NewLeaseSpec(b LeaseBounds, leaser func(me int) Leaser, sh Shifter) Spec {
+// of process me at start-up, and f is an entry's state at start-up.
+func NewLeaseSpec(b LeaseBounds, leaser func(me int) Leaser, sh Shifter, f Follower) Spec {
 	first := PlanRow{Version: 1}
 	start := &leaseState{plan: first, published: []PlanRow{first}}
 	for me := range b.Steerers {
 		start.steerers = append(start.steerers, steerer{lease: leaser(me), plan: first})
 	}
+	f = f.Copy()
+	f.Set(first.Version, first.Weight)
 	for range b.Entries {
-		start.entries = append(start.entries, follower{version: 1})
+		start.entries = append(start.entries, entry{follower: f, version: 1})
 	}
 	return Spec{
 		Name:  "lease and plan publication",
@@ -152,14 +161,14 @@
 			return ""
 		}),
 		on("an entry never applies an older plan", func(s *leaseState) string {
-			if i := slices.IndexFunc(s.entries, func(e follower) bool { return e.regressed }); i >= 0 {
+			if i := slices.IndexFunc(s.entries, func(e entry) bool { return e.regressed }); i >= 0 {
 				return fmt.Sprintf("entry %d went back to version %d", i, s.entries[i].version)
 			}
 			return ""
 		}),
 		// The sum over all entries then stays under the cap too, since each has a part of the traffic.
 		on("an entry moves at most the cap in a tick", func(s *leaseState) string {
-			if i := slices.IndexFunc(s.entries, func(e follower) bool { return distance(e.weight, e.before) > b.Cap }); i >= 0 {
+			if i := slices.IndexFunc(s.entries, func(e entry) bool { return distance(e.weight, e.before) > b.Cap }); i >= 0 {
 				return fmt.Sprintf("entry %d moved from %d to %d", i, s.entries[i].before, s.entries[i].weight)
 			}
 			return ""
@@ -177,7 +186,7 @@
 			return s.plan.Term >= 2 && s.published[1].Term == 1
 		}),
 		on("an entry skips a plan", func(s *leaseState) bool {
-			return slices.ContainsFunc(s.entries, func(e follower) bool { return e.version >= 3 && e.weight == 0 })
+			return slices.ContainsFunc(s.entries, func(e entry) bool { return e.version >= 3 && e.weight == 0 })
 		}),
 	}
 	if b.Entries > 1 {
@@ -216,7 +225,8 @@
 	// The order of the entries makes no difference.
 	entries := make([]string, len(s.entries))
 	for i, e := range s.entries {
-		entries[i] = string([]byte{byte(e.version), byte(e.weight), byte(e.before), flag(e.moved), flag(e.regressed)})
+		key := []byte{byte(e.version), byte(e.weight), byte(e.before), flag(e.regressed)}
+		entries[i] = string(e.follower.AppendState(key, s.now))
 	}
 	slices.Sort(entries)
 	for _, e := range entries {
@@ -295,7 +305,7 @@
 		b.add("a tick passes", func(s *leaseState) {
 			s.now++
 			for i := range s.entries {
-				s.entries[i].before, s.entries[i].moved = s.entries[i].weight, false
+				s.entries[i].before = s.entries[i].weight
 			}
 		})
 	}
@@ -364,7 +374,7 @@
 func (b *leaseSteps) publisher(i int) {
 	t := b.from.steerers[i]
 	version, term, ok := t.lease.Fence(b.from.now)
-	next := PlanRow{Version: t.plan.Version, Term: term, Weight: b.shifter.Next(t.plan.Weight, b.bounds.Goals[i])}
+	next := PlanRow{Version: t.plan.Version, Term: term, Weight: b.shifter.Next(t.plan.Weight, b.bounds.Goals[i], b.from.now)}
 	if !ok || next.Weight == t.plan.Weight {
 		return
 	}
@@ -379,19 +389,20 @@
 
 // entry adds the steps of entry i. It may receive any plan that was ever published, since the relays are not ordered.
 func (b *leaseSteps) entry(i int) {
-	s, e := b.from, b.from.entries[i]
-	for _, p := range s.published {
-		if p.Version != e.version && b.shifter.Newer(e.version, p.Version) {
+	e := b.from.entries[i]
+	for _, p := range b.from.published {
+		f := e.follower.Copy()
+		if p.Version != e.version && f.Set(p.Version, p.Weight) {
 			b.add(fmt.Sprintf("entry %d applies plan %d", i, p.Version), func(s *leaseState) {
+				s.entries[i].follower, s.entries[i].version = f, p.Version
 				s.entries[i].regressed = p.Version < e.version
-				s.entries[i].version = p.Version
 			})
 		}
 	}
-	goal := s.published[e.version-1].Weight
-	if next := b.shifter.Follow(e.weight, goal); !e.moved && next != e.weight {
-		b.add(fmt.Sprintf("entry %d moves to weight %d", i, next), func(s *leaseState) {
-			s.entries[i].weight, s.entries[i].moved = next, true
+	f := e.follower.Copy()
+	if w := f.Weight(b.from.now); w != e.weight {
+		b.add(fmt.Sprintf("entry %d moves to weight %d", i, w), func(s *leaseState) {
+			s.entries[i].follower, s.entries[i].weight = f, w
 		})
 	}
 }
--- a/model/lease_test.go
+++ b/model/lease_test.go
@@ -71,28 +71,56 @@
 	return &l
 }
 
-// localShift stands for package shift until that package is merged.
+// localShift stands for shift.Next until package shift is merged here.
 type localShift struct {
-	cap int
-	// The faults, each a one-line break.
-	jump, followPlan, anyVersion bool
+	// jump is a fault.
+	jump bool
 }
 
-func (s localShift) Next(cur, goal int) int {
+func (s localShift) Next(cur, goal, _ int) int {
 	if s.jump {
 		return goal
 	}
-	return cur + max(-s.cap, min(s.cap, goal-cur))
+	return cur + max(-1, min(1, goal-cur))
+}
+
+// localFollower stands for shift.Follower until package shift is merged here.
+type localFollower struct {
+	version, cur, goal int
+	// moved is the tick after that of the last movement; zero if there was none.
+	moved int
+	// The faults, each a one-line break.
+	anyVersion, jump, noGap bool
 }
 
-func (s localShift) Follow(own, plan int) int {
-	if s.followPlan {
-		return plan
+func (f *localFollower) Set(version, weight int) bool {
+	if version <= f.version && !f.anyVersion {
+		return false
 	}
-	return own + max(-s.cap, min(s.cap, plan-own))
+	f.version, f.goal = version, weight
+	return true
 }
 
-func (s localShift) Newer(held, seen int) bool { return seen > held || s.anyVersion }
+func (f *localFollower) Weight(now int) int {
+	if f.jump {
+		f.cur = f.goal
+	}
+	if f.moved <= now || f.noGap {
+		if d := max(-1, min(1, f.goal-f.cur)); d != 0 {
+			f.cur, f.moved = f.cur+d, now+1
+		}
+	}
+	return f.cur
+}
+
+func (f *localFollower) Copy() Follower {
+	c := *f
+	return &c
+}
+
+func (f *localFollower) AppendState(b []byte, now int) []byte {
+	return append(b, byte(f.cur), byte(f.goal), byte(max(0, f.moved-now)))
+}
 
 func leaseBounds(entries, faults int) LeaseBounds {
 	return LeaseBounds{Steerers: 2, Entries: entries, Ticks: 3, Faults: faults, Cap: 1, Goals: []int{2, 3}}
@@ -113,7 +141,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := Check(NewLeaseSpec(leaseBounds(tt.entries, tt.faults), tt.lease.start, localShift{cap: 1}))
+			r := Check(NewLeaseSpec(leaseBounds(tt.entries, tt.faults), tt.lease.start, localShift{}, &localFollower{}))
 			t.Log(r)
 			if r.Violation != nil || !r.Complete || len(r.Missed) > 0 {
 				t.Error("want a complete search without violation that reaches every goal")
@@ -129,18 +157,20 @@
 		name      string
 		lease     localLease
 		shift     localShift
+		follower  localFollower
 		invariant int
 	}{
-		{"plan written without a condition on the lease", localLease{noFence: true}, localShift{cap: 1}, 0},
-		{"term that does not grow", localLease{oldTerm: true}, localShift{cap: 1}, 1},
-		{"plan that jumps to the goal", localLease{}, localShift{cap: 1, jump: true}, 2},
-		{"entry that applies any version", localLease{}, localShift{cap: 1, anyVersion: true}, 3},
-		{"entry that jumps to the plan", localLease{}, localShift{cap: 1, followPlan: true}, 4},
+		{"plan written without a condition on the lease", localLease{noFence: true}, localShift{}, localFollower{}, 0},
+		{"term that does not grow", localLease{oldTerm: true}, localShift{}, localFollower{}, 1},
+		{"plan that jumps to the goal", localLease{}, localShift{jump: true}, localFollower{}, 2},
+		{"entry that applies any version", localLease{}, localShift{}, localFollower{anyVersion: true}, 3},
+		{"entry that jumps to the plan", localLease{}, localShift{}, localFollower{jump: true}, 4},
+		{"entry that moves twice in a tick", localLease{}, localShift{}, localFollower{noGap: true}, 4},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			spec := NewLeaseSpec(leaseBounds(2, 1), tt.lease.start, tt.shift)
+			spec := NewLeaseSpec(leaseBounds(2, 1), tt.lease.start, tt.shift, &tt.follower)
 			r := Check(spec)
 			if r.Violation == nil || r.Violation.Invariant != spec.Invariants[tt.invariant].Name {
 				t.Fatalf("want a violation of %q, got %s", spec.Invariants[tt.invariant].Name, r)
