once: a takeover of a live owner ends; test of a second answer

Cause: an owner that is wrongly taken for dead and is nearer to the store changes the head between each read and seal, so Takeover looped until its context ended. Ruled out: an unconditional seal; it would hide batches written since the read. Change: Takeover returns a Conflict error after five seals that failed; the answer stays "outcome unknown". Conclusion: the caller may take over again later.

--- a/once/journal.go
+++ b/once/journal.go
@@ -28,6 +28,10 @@
 	store Store
 }
 
+// maxSeals bounds the attempts to seal in one takeover. An owner that is alive and nearer to the store can write between
+// each read of the head and the seal, and the loop would not end.
+const maxSeals = 5
+
 // listRows is how many batch rows one List asks for. A row is at most about 1.4 MB and usually under 100 KB.
 const listRows = 16
 
@@ -98,9 +102,9 @@
 }
 
 // Takeover seals the journal and reads it, until the successor's steps are done. After an error it can be called again
-// with the same successor.
+// with the same successor. It returns a Conflict error if the head keeps changing.
 func (j *Journal) Takeover(ctx context.Context, s *Successor) error {
-	for {
+	for failed := 0; failed < maxSeals; {
 		if err := ctx.Err(); err != nil {
 			return kinds.Wrap(kinds.StoreDown, err, "take over journal")
 		}
@@ -111,7 +115,11 @@
 		if err := j.step(ctx, s, st); err != nil {
 			return err
 		}
+		if st.Kind == StepSeal && s.Next().Kind == StepReadHead {
+			failed++
+		}
 	}
+	return kinds.Errorf(kinds.Conflict, "the journal of %s changes faster than it can be sealed; its owner is alive", s.owner)
 }
 
 func (j *Journal) step(ctx context.Context, s *Successor, st Step) error {
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -397,6 +397,28 @@
 	}
 }
 
+// busyTable writes the head before each transaction, as an owner does that is alive and near.
+type busyTable struct{ *table }
+
+func (s busyTable) Txn(ctx context.Context, ops []store.Op) ([]ident.Version, error) {
+	row := s.rows[ops[0].Key]
+	row.Version++
+	s.rows[row.Key] = row
+	return s.table.Txn(ctx, ops)
+}
+
+// Guards against a takeover that never ends.
+func TestSealOfBusyOwner(t *testing.T) {
+	p := newProc(t)
+	s := NewSuccessor("riga-1", p.Incarnation(), "riga-2")
+	if err := NewJournal(busyTable{p.tab}).Takeover(t.Context(), s); kinds.Of(err) != kinds.Conflict {
+		t.Errorf("takeover of a busy owner: %v", err)
+	}
+	if got := s.Verdict(p.now, p.id('j', "x")); got.Do != DoUnknown {
+		t.Errorf("verdict without a seal: %v", got.Do)
+	}
+}
+
 // Guards against class j tickets that would have to wait too long, or whose orders can't be journalled at all.
 func TestTicketClass(t *testing.T) {
 	tests := []struct {
@@ -481,14 +503,17 @@
 	}
 }
 
-// Guards against an answer that changes when the connection's buffer is used again.
-func TestAnswerIsCopied(t *testing.T) {
+// Guards against an answer that changes: by a second answer, or when the connection's buffer is used again.
+func TestAnswerStays(t *testing.T) {
 	p := newProc(t)
 	id := p.id('d', "x")
 	p.send(id)
 	buf := []byte("accepted")
 	p.Answered(p.now, id, Answer{Status: 200, Body: buf})
 	copy(buf, "REJECTED")
+	if p.Answered(p.now, id, Answer{Status: 500}) {
+		t.Error("a second answer was recorded")
+	}
 	if got := p.Find(p.now, id).Answer.Body; string(got) != "accepted" {
 		t.Errorf("recorded body: %q", got)
 	}
