config: fuzz target of the settings parser

Cause: the parser hands each line to the INI library and must survive any file. Change: FuzzParse. Before: no fuzz target.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -176,3 +176,14 @@
 		}
 	}
 }
+
+// Guards against panics on damaged files, and against a file that gives both settings and errors, or neither.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(minimal))
+	f.Add([]byte("[a\n[link a b]\ncapacity = 1Gbit/s\n`x`=\"\"\"y\n-=1\n[region x]\nfailure-domains = a,a"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, err := config.Parse("vm.ini", b); (s == nil) == (err == nil) {
+			t.Fatal(s, err)
+		}
+	})
+}
