--- /dev/null
+++ b/faults/shift_test.go
@@ -0,0 +1,185 @@
+package faults
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/shift"
+)
+
+// entries is the number of entries that share the traffic of the origin evenly.
+const entries = 12
+
+// follower is the part of shift.Follower that an entry uses.
+type follower interface {
+	Set(version ident.Version, weights []shift.Weight) bool
+	Weights(now time.Time) []shift.Weight
+}
+
+// shiftRun is a shift of the traffic of region east to region west: the publisher's state and the entries' followers.
+// The store of the plan is a list of versions.
+type shiftRun struct {
+	w     *world
+	state shift.State
+	goal  []shift.Weight
+	// versions holds the published weights; version n is at index n-1.
+	versions  [][]shift.Weight
+	followers []follower
+	// cut holds the time until which an entry gets no plan.
+	cut map[int]time.Time
+	// holder is false while no process publishes.
+	holder   bool
+	frozen   bool
+	westDown bool
+	measured time.Time
+	moved    movement
+}
+
+var shiftProtocol = protocol{name: "capped shift and followers", checks: []check{capHolds, slotsHold}, start: startShift}
+
+func startShift(w *world) *scenario {
+	r := &shiftRun{w: w, goal: toWest, state: shift.State{Weights: toEast}, holder: true, cut: map[int]time.Time{}}
+	r.versions = [][]shift.Weight{toEast}
+	for range entries {
+		r.followers = append(r.followers, breakFollower(w, shift.NewFollower(rules.Cap)))
+	}
+	r.deliver()
+	var steps []step
+	for i, name := range []string{"first step", "second step", "third step", "fourth step"} {
+		steps = append(steps, step{"publish the " + name, r.publish}, step{"deliver the " + name, r.deliver},
+			step{"follow the " + name, func() { r.pass(time.Duration(14+i) * time.Second) }})
+	}
+	steps = append(steps, step{"missed versions arrive", r.rejoin}, step{"two more minutes", func() { r.pass(2 * time.Minute) }})
+	return &scenario{
+		steps: steps,
+		inject: map[fault]func(){
+			measurementsStop: func() { r.frozen = true },
+			processDies:      r.restart,
+			regionFails:      func() { r.westDown = true },
+			storeDown:        func() { r.holder = false },
+			storeSlow:        func() { r.holder = w.coin() },
+			pausedHolder:     func() { r.cut[0], r.holder = w.now.Add(time.Hour), w.coin() },
+			operators: func() {
+				r.goal = toEast
+				r.publish()
+				r.goal = toWest
+			},
+			// A long poll of 10 s ends a silent connection, and a random exchange comes within 5 s.
+			silentConnection: func() {
+				for i := range 4 {
+					r.cut[i] = w.now.Add(15 * time.Second)
+				}
+			},
+		},
+		noInput: map[fault]string{answerLost: "a plan that is read back is the same plan; see lease and plan publication"},
+		finish:  r.finish,
+	}
+}
+
+// restart starts the processes of two entries anew. They take over the newest plan from their peers.
+func (r *shiftRun) restart() {
+	for i := range 2 {
+		r.followers[i] = breakFollower(r.w, shift.NewFollower(rules.Cap))
+		delete(r.cut, i)
+		r.set(i, len(r.versions))
+	}
+	r.sample()
+}
+
+func (r *shiftRun) publish() {
+	if !r.frozen {
+		r.measured = r.w.now
+	}
+	if !r.holder {
+		return
+	}
+	head := []shift.Headroom{{Region: "east", Slots: 60, Used: 50, At: r.measured, Local: true}}
+	if !r.westDown {
+		head = append(head, shift.Headroom{
+			Region: "west", Slots: 40, Used: r.load(), At: r.measured, Link: 1000, LinkAt: r.measured,
+		})
+	}
+	st, why := shift.Next(rules, r.state, r.goal, head, shift.Measured{Slots: 50, Mbps: 10, At: r.measured}, r.w.now)
+	r.w.note("publisher: %v, %d ppm in west", why, west(st.State.Weights))
+	if why == shift.Stepped {
+		r.state = st.State
+		r.versions = append(r.versions, st.State.Weights)
+	}
+}
+
+// load is the load of region west: its own traffic and what was shifted there. What came in the last two minutes costs
+// twice as much on cold caches.
+func (r *shiftRun) load() float64 {
+	share := r.share()
+	warm := share
+	for i, at := range r.moved.at {
+		if r.w.now.Sub(at) <= 2*time.Minute {
+			warm = min(warm, r.moved.share[i])
+		}
+	}
+	return 10 + float64(share+share-warm)/1e6*50
+}
+
+// share is the share of all traffic that the entries send to region west.
+func (r *shiftRun) share() ident.PPM {
+	var sum ident.PPM
+	for _, f := range r.followers {
+		sum += west(f.Weights(r.w.now))
+	}
+	return sum / entries
+}
+
+func (r *shiftRun) deliver() {
+	for i := range r.followers {
+		if !r.w.now.Before(r.cut[i]) {
+			r.set(i, len(r.versions))
+		}
+	}
+	r.sample()
+}
+
+// set gives an entry a version, and an older one after it, as a peer that lags would.
+func (r *shiftRun) set(i, version int) {
+	r.followers[i].Set(ident.Version(version), r.versions[version-1])
+	if version > 1 {
+		r.followers[i].Set(ident.Version(version-1), r.versions[version-2])
+	}
+}
+
+func (r *shiftRun) rejoin() {
+	clear(r.cut)
+	r.deliver()
+}
+
+func (r *shiftRun) pass(d time.Duration) {
+	for end := r.w.now.Add(d); r.w.now.Before(end); {
+		r.w.now = r.w.now.Add(time.Second)
+		if r.w.now.Unix()%5 == 0 {
+			r.publish()
+			r.deliver()
+		}
+		r.sample()
+	}
+}
+
+func (r *shiftRun) sample() {
+	r.moved.add(r.w.now, r.share())
+	r.w.ensure(slotsHold, r.load() <= 40, "region west has 40 slots and a load of %.1f", r.load())
+}
+
+func (r *shiftRun) finish() string {
+	r.frozen, r.holder = false, true
+	r.rejoin()
+	r.pass(time.Minute)
+	r.moved.check(r.w)
+	moving := !slices.Equal(r.state.Weights, r.goal)
+	switch {
+	case west(r.state.Weights) == 0:
+		return "nothing moved"
+	case moving:
+		return fmt.Sprintf("holds at %d%%", r.moved.last()/10_000)
+	}
+	return "reached its goal"
+}
