--- /dev/null
+++ b/faults/config_test.go
@@ -0,0 +1,269 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/relay"
+	"github.com/currantpier/currantpier/store"
+)
+
+const configKey = "config/current"
+
+// disseminator is the part of relay.Node that a daemon uses.
+type disseminator interface {
+	Members(now time.Time, peers []relay.Peer)
+	Next(now time.Time, dst []relay.Action) []relay.Action
+	Done(now time.Time, id uint64, res relay.Result) bool
+	Offer(now time.Time, doc relay.Document) bool
+	Accept(now time.Time, doc relay.Document) bool
+	Newer(k relay.Kind, have ident.Version) (relay.Document, bool)
+	Current(k relay.Kind) relay.Document
+	Ready() bool
+}
+
+// configNode is the process of one VM that takes part in the dissemination.
+type configNode struct {
+	peer         relay.Peer
+	node         disseminator
+	dead, paused bool
+	// newest is the newest version that the process had in force.
+	newest ident.Version
+	// calls are the actions that are under way.
+	calls []configCall
+}
+
+// configCall is an action under way. A silent one never gets an answer.
+type configCall struct {
+	action relay.Action
+	from   time.Time
+	silent bool
+}
+
+// configRun is a cluster of six VMs in three failure domains of two regions, and two operators.
+type configRun struct {
+	w     *world
+	nodes []*configNode
+	// accepted is the newest version of which an operator was told that it is accepted, and since when.
+	accepted   ident.Version
+	acceptedAt time.Time
+	// patience is how long the acceptance may take to reach every node.
+	patience time.Duration
+	written  bool
+	body     []byte
+}
+
+var configProtocol = protocol{
+	name: "configuration acceptance and dissemination", checks: []check{inForce, neverReverts}, start: startConfig,
+}
+
+func startConfig(w *world) *scenario {
+	r := &configRun{w: w, patience: 2 * time.Second}
+	for _, kind := range []string{configKey, planKey} {
+		w.store.apply([]store.Op{{Key: kind, Value: []byte("1")}})
+	}
+	for i, d := range []ident.Domain{"east-a", "east-a", "east-b", "east-b", "west-a", "west-a"} {
+		place := ident.Place{Region: ident.Region(d[:4]), Domain: d}
+		n := &configNode{peer: relay.Peer{VM: ident.VM(fmt.Sprintf("vm%d", i)), Place: place}}
+		r.nodes = append(r.nodes, n)
+		r.restart(n)
+	}
+	r.pass(5 * time.Second)
+	first, second := r.nodes[0], r.nodes[5]
+	return &scenario{
+		steps: []step{
+			{"write", func() { r.written = r.write(first, 1, "operator one") }},
+			{"accept", func() { r.accept(first, 2) }},
+			{"push", func() { r.pass(100 * time.Millisecond) }},
+			{"second operator", func() { r.conflict(second) }},
+			{"a late push of the old version", r.stale},
+			{"spread", func() { r.pass(2 * time.Second) }},
+			{"start a VM", func() { r.restart(r.nodes[3]); r.pass(2 * time.Second) }},
+			{"half a minute later", func() { r.pass(30 * time.Second) }},
+		},
+		inject: map[fault]func(){
+			processDies: func() { r.die(first) },
+			regionFails: func() { r.die(r.nodes[4]); r.die(r.nodes[5]) },
+			pausedHolder: func() {
+				r.nodes[1].paused = true
+				r.patience = 20 * time.Second
+			},
+			operators:        func() { r.write(second, 1, "operator two") },
+			silentConnection: r.silence,
+		},
+		noInput: map[fault]string{measurementsStop: "the dissemination reads no measurement"},
+		finish:  r.finish,
+	}
+}
+
+// restart starts the process of a VM without documents.
+func (r *configRun) restart(n *configNode) {
+	seed := r.w.rnd.Uint64()
+	n.node = breakNode(r.w, relay.NewNode(r.w.now, relay.Options{Self: n.peer, Seed: seed}))
+	n.calls, n.newest, n.dead, n.paused = nil, 0, false, false
+}
+
+func (r *configRun) die(n *configNode) { n.dead = true }
+
+// write proposes a configuration as steer.apply does, without its pauses. It reports whether it is accepted.
+func (r *configRun) write(n *configNode, expected ident.Version, text string) bool {
+	if n.dead || n.paused {
+		return false
+	}
+	r.body = []byte(text)
+	for range 3 {
+		_, err := r.w.store.Txn(context.Background(), []store.Op{{Key: configKey, Value: r.body, If: expected}})
+		switch kinds.Of(err) {
+		case kinds.Answered:
+			return true
+		case kinds.StoreDown:
+			return false
+		}
+		row, err := r.w.store.Get(context.Background(), configKey)
+		switch {
+		case err == nil && row.Version == expected+1 && bytes.Equal(row.Value, r.body):
+			return true
+		case err == nil && row.Version != expected:
+			r.w.note("%q conflicts with version %d", text, row.Version)
+			return false
+		}
+	}
+	return false
+}
+
+// accept puts the written configuration in force and tells the operator.
+func (r *configRun) accept(n *configNode, v ident.Version) {
+	if !r.written || n.dead || n.paused {
+		return
+	}
+	n.node.Accept(r.w.now, relay.Document{Kind: relay.Config, Version: v, Body: r.body})
+	r.accepted, r.acceptedAt = v, r.w.now
+	r.w.note("version %d is accepted", v)
+}
+
+// conflict lets a second operator propose a change of the version that is no longer the newest.
+func (r *configRun) conflict(n *configNode) {
+	if r.accepted > 0 && !n.dead {
+		r.w.ensure(neverReverts, !r.write(n, r.accepted-1, "operator two"), "a change of an old version is accepted")
+	}
+}
+
+// stale delivers a push of the old version that was delayed.
+func (r *configRun) stale() {
+	r.nodes[2].node.Offer(r.w.now, relay.Document{Kind: relay.Config, Version: 1, Body: []byte("1")})
+	r.look()
+}
+
+// silence lets every connection that is open go silent. A call on it ends with its timeout.
+func (r *configRun) silence() {
+	for _, n := range r.nodes {
+		for i := range n.calls {
+			n.calls[i].silent = true
+		}
+	}
+	r.patience = 15 * time.Second
+}
+
+// pass lets time pass in steps of 50 ms, with a one-way latency below that.
+func (r *configRun) pass(d time.Duration) {
+	for end := r.w.now.Add(d); r.w.now.Before(end); {
+		r.w.now = r.w.now.Add(50 * time.Millisecond)
+		peers := make([]relay.Peer, 0, len(r.nodes))
+		for _, n := range r.nodes {
+			if !n.dead {
+				peers = append(peers, n.peer)
+			}
+		}
+		for _, n := range r.nodes {
+			if n.dead || n.paused {
+				continue
+			}
+			n.node.Members(r.w.now, peers)
+			for _, a := range n.node.Next(r.w.now, nil) {
+				n.calls = append(n.calls, configCall{action: a, from: r.w.now})
+			}
+			r.answer(n)
+		}
+		r.look()
+	}
+}
+
+// answer ends the calls of a node that have an answer or are past their timeout.
+func (r *configRun) answer(n *configNode) {
+	calls := n.calls
+	n.calls = nil
+	for _, c := range calls {
+		res, done := r.perform(c)
+		if !done && r.w.now.Sub(c.from) < c.action.Timeout {
+			n.calls = append(n.calls, c)
+			continue
+		}
+		n.node.Done(r.w.now, c.action.ID, res)
+	}
+}
+
+// perform returns the result of a call, or false if there is none yet.
+func (r *configRun) perform(c configCall) (relay.Result, bool) {
+	a := c.action
+	if a.Op == relay.PollStore {
+		key := configKey
+		if a.Kind == relay.Plan {
+			key = planKey
+		}
+		row, err := r.w.store.Get(context.Background(), key)
+		if err != nil {
+			return relay.Result{}, true
+		}
+		return relay.Result{OK: true, Doc: relay.Document{Kind: a.Kind, Version: row.Version, Body: row.Value}}, true
+	}
+	for _, n := range r.nodes {
+		if n.peer.VM != a.To {
+			continue
+		}
+		if n.dead {
+			return relay.Result{}, true
+		}
+		if n.paused || c.silent {
+			return relay.Result{}, false
+		}
+		if a.Op == relay.Push {
+			n.node.Offer(r.w.now, a.Doc)
+			return relay.Result{OK: true, Doc: relay.Document{Kind: a.Kind}}, true
+		}
+		doc, ok := n.node.Newer(a.Kind, a.Have)
+		return relay.Result{OK: true, Doc: doc}, ok || r.w.now.Sub(c.from) >= a.Wait
+	}
+	return relay.Result{}, true
+}
+
+// look checks what every process has in force.
+func (r *configRun) look() {
+	for _, n := range r.nodes {
+		if n.dead || n.paused {
+			continue
+		}
+		v := n.node.Current(relay.Config).Version
+		r.w.ensure(neverReverts, v >= n.newest, "%s goes from version %d back to %d", n.peer.VM, n.newest, v)
+		n.newest = max(n.newest, v)
+		late := r.accepted > 0 && r.w.now.Sub(r.acceptedAt) > r.patience && n.node.Ready()
+		r.w.ensure(inForce, !late || v >= r.accepted, "%s has version %d, %s after version %d was accepted", n.peer.VM, v,
+			r.w.now.Sub(r.acceptedAt), r.accepted)
+	}
+}
+
+func (r *configRun) finish() string {
+	r.nodes[1].paused = false
+	r.pass(20 * time.Second)
+	for _, n := range r.nodes {
+		r.w.ensure(inForce, n.dead || n.node.Ready() && n.newest >= r.accepted, "%s is not ready or has version %d", n.peer.VM,
+			n.newest)
+	}
+	if r.accepted == 0 {
+		return "not accepted"
+	}
+	return "accepted and in force everywhere"
+}
--- /dev/null
+++ b/faults/page_test.go
@@ -0,0 +1,6 @@
+package faults
+
+const header = "# Fault matrix\n"
+const breaksIntro = ""
+
+var notProved []string
