--- a/faults/world_test.go
+++ b/faults/world_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/once"
 	"github.com/currantpier/currantpier/store"
 )
 
@@ -63,6 +64,29 @@
 	return slices.ContainsFunc(w.breaches, func(b breach) bool { return b.check == c })
 }
 
+// journalOwner is the part of once.Owner that the journal task uses.
+type journalOwner interface {
+	NextBatch(now time.Time, interval time.Duration) once.Work
+	BatchDone(now time.Time, r once.Result) []once.Event
+	ReadBack(now time.Time, h once.Head) []once.Event
+	ReadBackFailed()
+}
+
+// writeJournal performs the journal I/O that is due.
+func (w *world) writeJournal(o journalOwner) []once.Event {
+	var events []once.Event
+	once.NewJournal(w.store).Do(context.Background(), o.NextBatch(w.now, once.MinFlush),
+		func(r once.Result) { events = o.BatchDone(w.now, r) },
+		func(h once.Head, err error) {
+			if err != nil {
+				o.ReadBackFailed()
+				return
+			}
+			events = o.ReadBack(w.now, h)
+		})
+	return events
+}
+
 // table is a fake of the platform's table with the three store faults.
 type table struct {
 	rows map[string]store.Row
