--- a/faults/breaks_test.go
+++ b/faults/breaks_test.go
@@ -27,7 +27,7 @@
 	ignoreNotice = "an entry that heeds the plan alone and not the notice of a target"
 	hasty        = "a stop that ends as soon as lookups have expired"
 	takeOlder    = "a node that takes an older version"
-	noPush       = "a node that leaves an accepted version to the polls of the store"
+	keepAccepted = "a node that keeps an accepted version to itself"
 )
 
 // breaks lists each broken decision with the check that must report it.
@@ -46,7 +46,7 @@
 	{ignoreNotice, leavingProtocol, leavingIdle},
 	{hasty, stopProtocol, nothingCut},
 	{takeOlder, configProtocol, neverReverts},
-	{noPush, configProtocol, inForce},
+	{keepAccepted, configProtocol, inForce},
 }
 
 // Guards against a check that reports nothing: every broken decision must be reported by its check in some run with a
@@ -238,27 +238,28 @@
 	return n.disseminator.Current(k)
 }
 
-// silentNode drops its pushes.
-type silentNode struct{ disseminator }
+// keeper neither pushes a document nor answers a fetch.
+type keeper struct{ disseminator }
 
-func (n silentNode) Next(now time.Time, dst []relay.Action) []relay.Action {
-	kept := dst
+func (n keeper) Next(now time.Time, dst []relay.Action) []relay.Action {
 	for _, a := range n.disseminator.Next(now, nil) {
-		if a.Op == relay.Push {
-			n.Done(now, a.ID, relay.Result{OK: true, Doc: relay.Document{Kind: a.Kind}})
-			continue
+		if a.Op != relay.Push {
+			dst = append(dst, a)
 		}
-		kept = append(kept, a)
 	}
-	return kept
+	return dst
+}
+
+func (n keeper) Newer(k relay.Kind, _ ident.Version) (relay.Document, bool) {
+	return relay.Document{Kind: k}, false
 }
 
 func breakNode(w *world, n *relay.Node) disseminator {
 	switch w.wrong {
 	case takeOlder:
 		return &olderNode{disseminator: n}
-	case noPush:
-		return silentNode{n}
+	case keepAccepted:
+		return keeper{n}
 	}
 	return n
 }
--- a/faults/config_test.go
+++ b/faults/config_test.go
@@ -31,8 +31,9 @@
 	peer         relay.Peer
 	node         disseminator
 	dead, paused bool
-	// newest is the newest version that the process had in force.
+	// newest is the newest version that the process had in force, since the time from which it runs without a pause.
 	newest ident.Version
+	since  time.Time
 	// calls are the actions that are under way.
 	calls []configCall
 }
@@ -52,11 +53,9 @@
 	accepted   ident.Version
 	acceptedAt time.Time
 	// lost says that the accepting process died during an outage of the store within a second of the acceptance.
-	lost bool
-	// patience is how long the acceptance may take to reach every node.
-	patience time.Duration
-	written  bool
-	body     []byte
+	lost    bool
+	written bool
+	body    []byte
 }
 
 var configProtocol = protocol{
@@ -64,7 +63,7 @@
 }
 
 func startConfig(w *world) *scenario {
-	r := &configRun{w: w, patience: 2 * time.Second}
+	r := &configRun{w: w}
 	for _, kind := range []string{configKey, planKey} {
 		w.store.apply([]store.Op{{Key: kind, Value: []byte("1")}})
 	}
@@ -88,12 +87,9 @@
 			{"ten seconds later", func() { r.pass(10 * time.Second) }},
 		},
 		inject: map[fault]func(){
-			processDies: func() { first.dead = true },
-			regionFails: func() { r.nodes[4].dead, r.nodes[5].dead = true, true },
-			pausedHolder: func() {
-				r.nodes[1].paused = true
-				r.patience = 20 * time.Second
-			},
+			processDies:      func() { first.dead = true },
+			regionFails:      func() { r.nodes[4].dead, r.nodes[5].dead = true, true },
+			pausedHolder:     func() { r.nodes[1].paused = true },
 			operators:        func() { r.write(second, 1, "operator two") },
 			silentConnection: r.silence,
 		},
@@ -106,7 +102,7 @@
 func (r *configRun) restart(n *configNode) {
 	seed := r.w.rnd.Uint64()
 	n.node = breakNode(r.w, relay.NewNode(r.w.now, relay.Options{Self: n.peer, Seed: seed}))
-	n.calls, n.newest, n.dead, n.paused = nil, 0, false, false
+	n.calls, n.newest, n.since, n.dead, n.paused = nil, 0, r.w.now, false, false
 }
 
 // write proposes a configuration as steer.apply does, without its pauses. It reports whether it is accepted.
@@ -165,7 +161,6 @@
 			n.calls[i].silent = true
 		}
 	}
-	r.patience = 15 * time.Second
 }
 
 // pass lets time pass in steps of 100 ms, with a latency below that.
@@ -255,15 +250,22 @@
 		if r.lost {
 			c = acceptLost
 		}
-		late := r.accepted > 0 && r.w.now.Sub(r.acceptedAt) > r.patience && n.node.Ready()
+		deadline := r.acceptedAt.Add(2 * time.Second)
+		if again := n.since.Add(2 * time.Second); again.After(deadline) {
+			deadline = again
+		}
+		late := r.accepted > 0 && r.w.now.After(deadline) && n.node.Ready()
 		r.w.ensure(c, !late || v >= r.accepted, "%s has version %d, %s after version %d was accepted", n.peer.VM, v,
 			r.w.now.Sub(r.acceptedAt), r.accepted)
 	}
 }
 
 func (r *configRun) finish() string {
-	r.nodes[1].paused = false
-	r.pass(20 * time.Second)
+	r.w.store.heal()
+	if n := r.nodes[1]; n.paused {
+		n.paused, n.since = false, r.w.now
+	}
+	r.pass(10 * time.Second)
 	for _, n := range r.nodes {
 		r.w.ensure(inForce, n.dead || n.node.Ready() && n.newest >= r.accepted, "%s is not ready or has version %d", n.peer.VM,
 			n.newest)
