--- a/share/share.go
+++ b/share/share.go
@@ -30,6 +30,9 @@
 	// hysteresis is how far a surplus and a deficit must differ, in slots, before a slot moves. A move pays off from 1;
 	// the rest keeps a demand that varies by a quarter slot on either side from moving a slot back and forth.
 	hysteresis = 1.5
+	// busyHysteresis applies if the giving entry uses all it has. Such a move serves nobody more, and the slot is idle
+	// until the move is acknowledged.
+	busyHysteresis = 3.0
 )
 
 // Grant gives an entry slots of a target.
@@ -86,7 +89,7 @@
 
 // member is one entry during a rebalancing.
 type member struct {
-	Entry
+	*Entry
 	// quota is the fair part of the slots; have is what the entry has or is about to get.
 	quota, have float64
 	// takes says that slots may be given to the entry or, if its demand is fresh, moved away from it.
@@ -129,8 +132,8 @@
 		next: next, targets: cur.Targets, rows: make([][]row, len(cur.Targets)),
 		free: make([]ident.Slots, len(cur.Targets)), members: make([]member, len(entries)),
 	}
-	for i, e := range entries {
-		m := &d.members[i]
+	for i := range entries {
+		m, e := &d.members[i], &entries[i]
 		m.Entry, m.near = e, e.Place.Region == cur.Region
 		m.fresh = now.Sub(e.DemandAt) <= staleAfter
 		m.takes = e.Silent == 0
@@ -148,7 +151,7 @@
 		}
 		r := row{Grant: g, entry: d.find(g.Entry)}
 		if r.entry >= 0 {
-			e := &d.members[r.entry].Entry
+			e := d.members[r.entry].Entry
 			if e.Silent >= DeadAfter {
 				continue
 			}
@@ -365,7 +368,14 @@
 func (d *division) release() {
 	for {
 		to, from := d.neediest(), d.richest()
-		if to == nil || from == nil || from.have-from.quota+to.quota-to.have < hysteresis {
+		if to == nil || from == nil {
+			return
+		}
+		margin := hysteresis
+		if from.Demand > from.have-1 {
+			margin = busyHysteresis
+		}
+		if from.have-from.quota+to.quota-to.have < margin {
 			return
 		}
 		r := d.farthest(from)
