--- a/faults/leaving_test.go
+++ b/faults/leaving_test.go
@@ -55,9 +55,11 @@
 	reported, publishes bool
 	noticed             time.Time
 	late                int
+	// target follows the reports of the entries; nil before the notice.
+	target *drain.Target
 }
 
-var leavingProtocol = protocol{name: "leaving upstream", checks: []check{leavingIdle}, slow: true, start: startLeaving}
+var leavingProtocol = protocol{name: "leaving upstream", checks: []check{leavingIdle, drainedIdle}, slow: true, start: startLeaving}
 
 func startLeaving(w *world) *scenario {
 	r := &leavingRun{w: w, now: w.now, polls: true, publishes: true}
@@ -180,12 +182,14 @@
 	e.sched.Status(r.ctx, false)
 }
 
-// pass lets time pass. Entries poll each second.
+// pass lets time pass. Each second, entries send new work, then get the newest plan and poll.
 func (r *leavingRun) pass(d time.Duration) {
 	for range d / time.Second {
 		r.mu.Lock()
 		r.now = r.now.Add(time.Second)
 		r.mu.Unlock()
+		r.take(r.a)
+		r.take(r.b)
 		r.apply(r.a)
 		r.apply(r.b)
 		r.poll(r.a)
@@ -195,6 +199,7 @@
 
 // take sends eight requests through an entry. Both targets have slots for all.
 func (r *leavingRun) take(e *leavingEntry) {
+	defer r.follow()
 	for range 8 {
 		if e.gone || e.paused {
 			return
@@ -233,13 +238,44 @@
 	r.apply(r.b)
 }
 
+// follow brings the reports of the entries to the one who follows the target, and checks what it concludes.
+func (r *leavingRun) follow() {
+	if r.noticed.IsZero() {
+		return
+	}
+	if r.target == nil {
+		r.target = drain.NewTarget("t1", r.noticed, []ident.VM{"a", "b"})
+	}
+	busy := 0
+	for _, e := range []*leavingEntry{r.a, r.b} {
+		n := 0
+		for _, s := range e.slots {
+			if s.Ref.Name() == "t1" {
+				n++
+			}
+		}
+		busy += n
+		switch {
+		case e.gone:
+			r.target.Gone(r.now, e.vm)
+		case !e.paused:
+			r.target.Report(r.now, e.vm, e.noted, n)
+		}
+	}
+	_, done := r.target.Done()
+	r.w.ensure(drainedIdle, !done || busy == 0, "the target counts as drained with %d requests in progress", busy)
+}
+
 func (r *leavingRun) done(e *leavingEntry) {
 	for _, s := range e.slots {
 		if !e.paused && !e.gone {
 			e.sched.Done(s, time.Millisecond, route.OK, sched.Traffic{})
 		}
 	}
-	e.slots = nil
+	if !e.paused {
+		e.slots = nil
+	}
+	r.follow()
 }
 
 func (r *leavingRun) finish() string {
@@ -247,9 +283,15 @@
 	r.publishes, r.polls = true, true
 	r.take(r.a)
 	r.take(r.b)
+	r.done(r.a)
+	r.done(r.b)
 	r.stop()
 	if r.noticed.IsZero() {
 		return "no notice"
 	}
-	return fmt.Sprintf("new work in the first 3 s: %v", r.late > 0)
+	drained := "not confirmed as drained"
+	if _, ok := r.target.Done(); ok {
+		drained = "drained"
+	}
+	return fmt.Sprintf("new work in the first 3 s: %v, %s", r.late > 0, drained)
 }
--- a/faults/matrix_test.go
+++ b/faults/matrix_test.go
@@ -65,6 +65,7 @@
 	atMostOnce     check = "R5: an order runs at most once"
 	loanOutlives   check = "R2: a lender that was restarted does not use a slot that its predecessor has lent"
 	leavingIdle    check = "R6: a leaving target gets no new work 3 s after the first notice"
+	drainedIdle    check = "R6: a leaving target counts as drained only when no entry has a request in progress there"
 	leavingRestart check = "R6: a restarted entry sends nothing to a leaving target before its first poll of the target"
 	nothingCut     check = "R7: a planned stop interrupts no request in progress"
 	inForce        check = "R8: an accepted configuration is in force on every live node within 2 s, unless faults last"
