relay: exchange asks avoided peers too

Cause: in a new test a region that was cut off for 3 minutes while the store was down got the version 11.1 s after the end of the cut, since the peers of the other side were avoided and the exchange stayed inside the region. Ruled out: a shorter time of avoidance, which would let silent peers hold long polls more often. Conclusion: the exchange is the way back after a partition, so it must not follow the list of failures.

--- a/relay/node.go
+++ b/relay/node.go
@@ -92,11 +92,15 @@
 	// All nodes agree on the ring.
 	foreign []ident.Domain
 
-	links        []link
-	relinkAt     time.Time
-	relink       bool
-	reads        bool
-	pushes       []push
+	// links has one entry for each source and kind, see sources. It is computed again if relink is set, and at relinkAt,
+	// when a peer is no longer avoided; zero means never.
+	links    []link
+	relink   bool
+	relinkAt time.Time
+	// reads is set while the node is a relay.
+	reads  bool
+	pushes []push
+	// failed has the peers whose last answer is missing.
 	failed       map[ident.VM]failure
 	issued       map[uint64]issued
 	nextExchange time.Time
@@ -405,7 +409,7 @@
 	if n.local() {
 		return dst
 	}
-	vm, ok := n.randomPeer(now)
+	vm, ok := n.randomPeer()
 	if !ok {
 		return dst
 	}
@@ -416,20 +420,19 @@
 	return dst
 }
 
-func (n *Node) randomPeer(now time.Time) (ident.VM, bool) {
-	var fallback ident.VM
-	// A few attempts find a usable peer unless nearly all have failed; then any peer will do.
-	for range 8 {
-		if len(n.peers) == 0 {
-			break
-		}
-		p := n.peers[n.rng.IntN(len(n.peers))]
-		fallback = p.VM
-		if n.usable(now, p.VM) && (p.Place.Domain != n.o.Self.Place.Domain || len(n.foreign) == 0) {
-			return p.VM, true
+// randomPeer returns a VM of another failure domain, if there is one. Peers that failed are asked like others: after
+// regions had lost connection to each other, this is how a node learns that the other side is back.
+func (n *Node) randomPeer() (ident.VM, bool) {
+	var list []ident.VM
+	for _, p := range n.peers {
+		if p.Place.Domain != n.o.Self.Place.Domain || len(n.foreign) == 0 {
+			list = append(list, p.VM)
 		}
 	}
-	return fallback, fallback != ""
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[n.rng.IntN(len(list))], true
 }
 
 // Wake returns the time at which Next has to be called again if nothing else happens before. It can lie in the past.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -121,6 +121,31 @@
 	}
 }
 
+// Guards against nodes that avoid each other for long after a region was cut off: the exchange has to find a way, also
+// while the store is down.
+func TestPartition(t *testing.T) {
+	for seed := range uint64(10) {
+		s := cluster(seed, 0, 12, 6)
+		s.run(warmUp)
+		s.cut = "r1"
+		s.run(3 * time.Minute)
+		s.storeDown = seed%2 == 0
+		s.accept(s.procs["vm-0"], 1, 100)
+		s.run(10 * time.Second)
+		if _, missing := s.slowest(1, s.now); missing != 4 {
+			t.Fatalf("seed %d: %d nodes have not the version, want the 4 that are cut off", seed, missing)
+		}
+		healed := s.now
+		s.cut = ""
+		s.until(1, 20*time.Second)
+		slowest, missing := s.slowest(1, healed)
+		t.Logf("seed %d, store down %v: slowest %v", seed, s.storeDown, slowest)
+		if missing > 0 || slowest > 8*time.Second {
+			t.Errorf("seed %d: %d without the version, slowest %v after the end of the cut", seed, missing, slowest)
+		}
+	}
+}
+
 // Guards against a VM that is started during a store outage and serves an old version, or never serves.
 func TestStartDuringOutage(t *testing.T) {
 	for seed := range uint64(20) {
--- a/relay/sim_test.go
+++ b/relay/sim_test.go
@@ -76,6 +76,8 @@
 	storeReads int
 	// loss is the probability that a request or a reply is lost.
 	loss float64
+	// cut is a region without connection to the others and to the store; empty if there is none.
+	cut ident.Region
 }
 
 func newSim(seed uint64, loss float64) *sim {
@@ -179,7 +181,7 @@
 // poll reads the store. A store that is down does not answer at all, which is its worst form.
 func (p *proc) poll(a relay.Action) {
 	p.s.storeReads++
-	if p.s.storeDown || p.s.rng.Float64() < p.s.loss {
+	if p.s.storeDown || p.peer.Place.Region == p.s.cut || p.s.rng.Float64() < p.s.loss {
 		return
 	}
 	doc := p.s.store[a.Kind]
@@ -197,6 +199,9 @@
 	if from.peer.VM != to.peer.VM && p.s.rng.Float64() < p.s.loss {
 		return
 	}
+	if (from.peer.Place.Region == p.s.cut) != (to.peer.Place.Region == p.s.cut) {
+		return
+	}
 	p.s.after(p.s.latency(from.peer.Place, to.peer.Place), func() {
 		if to.dead {
 			return
