member: extra probes for VMs in doubt, indirect probes through varying members

Cause: three probes a second cannot give a verdict on a lost failure domain of 55 VMs in time, and every process asked the first live member by name for its indirect probes, which at 3,200 VMs would all reach one process. Change: up to 28 further probes a second for VMs that wait for a verdict, up to 11 for VMs that can only recover; the indirect probe is made from the second failure on and through a member that differs by process and second; the daemon's limit of probes in flight follows the largest number of probes. After: lag + 11 s, also with 480 VMs replaced at the same time; 3 probes a second before and after.

--- /dev/null
+++ b/member/domain_test.go
@@ -0,0 +1,168 @@
+package member_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/member"
+	"github.com/currantpier/currantpier/store"
+)
+
+// large simulates one of 3,200 VMs; the others have answered before the first second.
+type large struct {
+	view  *member.View
+	names []string
+}
+
+func newLarge(now int) *large {
+	l := &large{view: member.NewView("vm-0000", 1)}
+	for i := range 3200 {
+		l.names = append(l.names, fmt.Sprintf("vm-%04d", i))
+	}
+	l.view.Platform(at(now), vms(l.names...))
+	return l
+}
+
+// second probes the peers of one second and returns how many there were.
+func (l *large) second(sec int, down map[ident.VM]bool) int {
+	peers := l.view.Peers(at(sec))
+	for _, vm := range peers {
+		l.view.Probe(at(sec), vm, !down[vm], incAt(-900))
+	}
+	return len(peers)
+}
+
+func (l *large) count(sec int, of map[ident.VM]bool, want member.State) (n int) {
+	for vm := range of {
+		if l.view.State(vm, at(sec)) == want {
+			n++
+		}
+	}
+	return n
+}
+
+func set(names []string) map[ident.VM]bool {
+	m := map[ident.VM]bool{}
+	for _, n := range names {
+		m[ident.VM(n)] = true
+	}
+	return m
+}
+
+// Guards against probes that are too few for the verdict on a whole failure domain (journals that stay unsealed for
+// minutes), against probes without a bound, and against more than three a second after the verdict. In the second case
+// 480 VMs that were replaced in order are gone at the same time; they must not delay the verdict.
+func TestVerdictOnFailureDomain(t *testing.T) {
+	const crash = 20
+	for _, replaced := range []int{0, 480} {
+		for _, lag := range []int{0, 1, 7, 30} {
+			l := newLarge(0)
+			down, left := set(l.names[1000:1055]), set(l.names[2000:2000+replaced])
+			gone := append(append(slices.Clone(l.names[:1000]), l.names[1055:2000]...), l.names[2000+replaced:]...)
+			last, asked := crash, 0
+			var silent map[ident.VM]bool
+			for sec := range 400 {
+				if sec == crash {
+					silent = merge(down, left)
+				}
+				switch sec {
+				case crash - 1:
+					list := vms(l.names...)
+					for i := range replaced {
+						list[2000+i].State = store.Leaving
+					}
+					l.view.Platform(at(sec), list)
+				case crash + lag:
+					l.view.Platform(at(sec), vms(gone...))
+				}
+				n := l.second(sec, silent)
+				if n > member.MaxPerSecond || sec < crash && n != member.PeersPerSecond {
+					t.Fatalf("%d replaced, lag %d: %d probes at %d", replaced, lag, n, sec)
+				}
+				if sec >= crash && l.count(sec, down, member.Dead) < len(down) {
+					last = sec
+				}
+				if l.count(sec, left, member.Dead) == len(left) {
+					asked = n
+				}
+			}
+			if wrong := last + 1 - crash; wrong > lag+11 {
+				t.Errorf("%d replaced, lag %d: verdict on all after %d s", replaced, lag, wrong)
+			}
+			if asked != member.PeersPerSecond {
+				t.Errorf("%d replaced, lag %d: %d probes a second after the verdict", replaced, lag, asked)
+			}
+		}
+	}
+}
+
+func merge(a, b map[ident.VM]bool) map[ident.VM]bool {
+	m := maps.Clone(a)
+	maps.Copy(m, b)
+	return m
+}
+
+// Guards against VMs that stay suspected after a region is connected again, although only probes tell: 128 VMs that
+// stay in the list must be alive again within 10 s, and cost no more than the recovery bound meanwhile.
+func TestRegionIsConnectedAgain(t *testing.T) {
+	l := newLarge(0)
+	down := set(l.names[640:768])
+	sec := 0
+	for ; l.count(sec, down, member.Suspected) < len(down); sec++ {
+		l.view.Probe(at(sec), ident.VM(l.names[640+sec%128]), false, 0)
+	}
+	for end := sec + 60; sec < end; sec++ {
+		if n := l.second(sec, down); n > member.PeersPerSecond+member.RecoverPerSecond {
+			t.Fatalf("%d probes at %d", n, sec)
+		}
+	}
+	for range 11 {
+		l.second(sec, nil)
+		sec++
+	}
+	if n := l.count(sec, down, member.Alive); n != len(down) {
+		t.Errorf("%d of %d VMs are alive 10 s after they answer again", n, len(down))
+	}
+}
+
+// Guards against indirect probes that all go to the same member, that go to one in doubt, and that are made when no
+// verdict depends on them.
+func TestThrough(t *testing.T) {
+	used := map[ident.VM]int{}
+	for seed := range uint64(100) {
+		v := member.NewView("a", seed)
+		list := vms("a", "b", "c", "d", "e", "f", "g", "h")
+		for i := range list {
+			list[i].Control = []string{"127.0.0.1:1"}
+		}
+		v.Platform(at(0), list)
+		for sec := range 3 {
+			if _, ok := v.Through(at(sec), "b"); ok != (sec == 2) {
+				t.Fatalf("indirect probe after %d failures: %v", sec, ok)
+			}
+			v.Probe(at(sec), "b", false, 0)
+		}
+		v.Probe(at(3), "c", false, 0)
+		m, ok := v.Through(at(3), "b")
+		if !ok || m.VM == "a" || m.VM == "b" || m.VM == "c" {
+			t.Fatalf("through %q, %v", m.VM, ok)
+		}
+		inTurn := map[ident.VM]bool{}
+		for sec := 3; sec < 13; sec++ {
+			next, _ := v.Through(at(sec), "b")
+			inTurn[next.VM] = true
+		}
+		if len(inTurn) != 5 {
+			t.Fatalf("10 probes go through %v, not through each member", inTurn)
+		}
+		used[m.VM]++
+	}
+	for vm, n := range used {
+		if n > 40 {
+			t.Errorf("%s gets %d of 100 indirect probes", vm, n)
+		}
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -26,8 +26,19 @@
 	GoneAfter = 60 * time.Second
 	// ForgetAfter is how long a dead VM is kept and probed now and then, in case the list is wrong.
 	ForgetAfter = 10 * time.Minute
-	// PeersPerSecond is how many VMs are probed each second.
+	// PeersPerSecond is how many VMs are probed each second while few are in doubt.
 	PeersPerSecond = 3
+	// ExtraPerSecond bounds the further probes of VMs that wait for a verdict. A failure domain of 55 VMs is probed
+	// within 2 s, so its verdict comes 11 s after the list has changed, and the duration of one probe.
+	ExtraPerSecond = 28
+	// RecoverPerSecond bounds the further probes of VMs whose state changes only if they answer. Together with the
+	// ordinary probes, a region of 128 VMs is probed every DeadAfter.
+	RecoverPerSecond = 11
+	// MaxPerSecond is the largest number of VMs that Peers returns.
+	MaxPerSecond = PeersPerSecond + ExtraPerSecond + RecoverPerSecond
+	// extraSpacing is the shortest time between extra probes of a VM that waits for a verdict: three of them, which a
+	// verdict needs, span DeadAfter.
+	extraSpacing = DeadAfter / (SuspectAfter - 1)
 )
 
 // State is what the view says of a VM.
@@ -80,8 +91,9 @@
 	// second is the second, since the Unix epoch, that peers belongs to.
 	second int64
 	peers  []ident.VM
-	// round and doubt are the places in the ring where the round of all VMs and that of the VMs in doubt go on.
-	round, doubt uint64
+	// round, doubt, extra and recover are the places in the ring where the round of all VMs, that of the VMs in doubt
+	// and those of the further probes go on.
+	round, doubt, extra, recover uint64
 }
 
 // record is what is known of one VM.
@@ -96,9 +108,9 @@
 	// goneAt is when the list was first read without the VM, or when a VM that was never listed was first heard from.
 	// It is zero while the VM is listed.
 	goneAt time.Time
-	// heardAt is when the VM last answered; zero if never.
-	heardAt time.Time
-	// fails counts the failed probes since then; failedFrom and failedTo are the times of the first and the last.
+	// askedAt is when Peers last returned the VM, heardAt when the VM last answered; zero if never.
+	askedAt, heardAt time.Time
+	// fails counts the failed probes since heardAt; failedFrom and failedTo are the times of the first and the last.
 	fails                int
 	failedFrom, failedTo time.Time
 }
@@ -301,24 +313,48 @@
 	return now.Sub(v.listedAt), !v.listedAt.IsZero()
 }
 
-// Peers returns the VMs to probe in the second of now, at most PeersPerSecond. Calls in the same second return the
-// same VMs. VMs that are gone or failed their last probe, and are not yet dead, take up to two of the places in turn.
-// The other places go round all VMs.
+// Peers returns the VMs to probe in the second of now, at most MaxPerSecond. Calls in the same second return the same
+// VMs. VMs that are gone or failed their last probe, and are not yet dead, take up to two of the first PeersPerSecond
+// places in turn. The other places go round all VMs. Further VMs are added only while more than two are in doubt.
 func (v *View) Peers(now time.Time) []ident.VM {
 	if s := now.Unix(); s != v.second || v.peers == nil {
 		v.second = s
 		v.peers = make([]ident.VM, 0, PeersPerSecond)
-		v.choose(&v.doubt, PeersPerSecond-1, func(r *record) bool {
-			return (r.fails > 0 || !r.goneAt.IsZero()) && v.state(r, now) != Dead
+		v.choose(now, &v.doubt, PeersPerSecond-1, func(r *record) bool { return v.inDoubt(r, now) })
+		v.choose(now, &v.round, PeersPerSecond, func(*record) bool { return true })
+		v.choose(now, &v.extra, len(v.peers)+ExtraPerSecond, func(r *record) bool {
+			return v.inDoubt(r, now) && r.pending() && r.due(now)
+		})
+		v.choose(now, &v.recover, len(v.peers)+RecoverPerSecond, func(r *record) bool {
+			return v.inDoubt(r, now) && !r.pending() && now.Sub(r.askedAt) >= DeadAfter
 		})
-		v.choose(&v.round, PeersPerSecond, func(*record) bool { return true })
 	}
 	return slices.Clone(v.peers)
 }
 
+func (v *View) inDoubt(r *record, now time.Time) bool {
+	return (r.fails > 0 || !r.goneAt.IsZero()) && v.state(r, now) != Dead
+}
+
+// pending reports whether more failed probes of a VM in doubt change what others do. A VM that left in order has
+// sealed its journal, and one that is listed is suspected for as long as it doesn't answer.
+func (r *record) pending() bool {
+	return !r.leaving && (!r.goneAt.IsZero() || r.fails < SuspectAfter)
+}
+
+// due reports whether a VM that waits for a verdict was not probed for extraSpacing, or was not probed since it is gone
+// or since its failures can be long enough.
+func (r *record) due(now time.Time) bool {
+	if now.Sub(r.askedAt) >= extraSpacing || r.askedAt.Before(r.goneAt) {
+		return true
+	}
+	spans := r.failedFrom.Add(DeadAfter)
+	return r.fails > 0 && !now.Before(spans) && r.askedAt.Before(spans)
+}
+
 // choose adds the next VMs of the ring after the place from that are wanted, until there are limit peers. The place is
 // a hash and not an index, so VMs that come and go don't make the round skip others.
-func (v *View) choose(from *uint64, limit int, want func(*record) bool) {
+func (v *View) choose(now time.Time, from *uint64, limit int, want func(*record) bool) {
 	start := sort.Search(len(v.ring), func(i int) bool { return v.ring[i].order > *from })
 	for i := range v.ring {
 		if len(v.peers) == limit {
@@ -327,9 +363,30 @@
 		r := v.ring[(start+i)%len(v.ring)]
 		if r.read != 0 && want(r) && !slices.Contains(v.peers, r.member.VM) {
 			v.peers = append(v.peers, r.member.VM)
-			*from = r.order
+			*from, r.askedAt = r.order, now
+		}
+	}
+}
+
+// Through returns the member by which vm is probed again after a direct probe failed, and false if none is needed or
+// there is none. It is needed if the failure would complete or confirm a verdict. The choice differs between processes,
+// since the ring does, and between VMs and seconds: if all asked the same member, it would get the indirect probes of
+// the whole deployment.
+func (v *View) Through(now time.Time, vm ident.VM) (Member, bool) {
+	r, ok := v.byName[vm]
+	if !ok || r.fails < SuspectAfter-1 || len(v.ring) == 0 {
+		return Member{}, false
+	}
+	start := xxhash.Sum64String(string(vm)) + uint64(now.Unix())
+	for i := range uint64(len(v.ring)) {
+		o := v.ring[(start+i)%uint64(len(v.ring))]
+		if o != r && o.read != 0 && len(o.member.Control) > 0 && o.fails == 0 && v.state(o, now) == Alive {
+			m := o.member
+			m.State = Alive
+			return m, true
 		}
 	}
+	return Member{}, false
 }
 
 func later(a, b time.Time) time.Time {
--- a/node/members.go
+++ b/node/members.go
@@ -163,8 +163,8 @@
 
 func (m *Members) probePeers(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	// Probes of one second may overlap those of the next when peers do not answer.
-	g.SetLimit(4 * member.PeersPerSecond)
+	// A probe takes at most 2*probeTimeout, so the probes of one second may overlap those of the next.
+	g.SetLimit(2 * member.MaxPerSecond)
 	for {
 		now := m.clock()
 		m.mu.Lock()
@@ -184,7 +184,7 @@
 	}
 }
 
-// probe asks the entry process on vm directly, and through another VM if it does not answer.
+// probe asks the entry process on vm directly, and through another VM before a verdict if it does not answer.
 func (m *Members) probe(ctx context.Context, vm ident.VM) {
 	target, ok := m.Snapshot().Member(vm)
 	if !ok || len(target.Control) == 0 {
@@ -194,7 +194,7 @@
 	defer cancel()
 	reply, err := m.ask(ctx, target.Control[EntryDaemon], "")
 	if err != nil {
-		reply, err = m.askThrough(ctx, vm)
+		reply, err = m.askThrough(ctx, vm, err)
 	}
 	if ctx.Err() != nil && err != nil && ctx.Err() != context.DeadlineExceeded {
 		return
@@ -212,19 +212,21 @@
 	})
 }
 
-// askThrough asks one other live member to probe vm.
-func (m *Members) askThrough(ctx context.Context, vm ident.VM) (*wire.ProbeReply, error) {
-	for _, other := range m.Snapshot().Live() {
-		if other.VM == vm || other.VM == m.self.VM || other.State != member.Alive || len(other.Control) == 0 {
-			continue
-		}
-		reply, err := m.ask(ctx, other.Control[EntryDaemon], string(vm))
-		if err == nil && !reply.GetReached() {
-			return nil, context.DeadlineExceeded
-		}
-		return reply, err
+// askThrough asks one other live member to probe vm after a direct probe failed with the given error, unless no verdict
+// depends on it.
+func (m *Members) askThrough(ctx context.Context, vm ident.VM, failed error) (*wire.ProbeReply, error) {
+	now := m.clock()
+	m.mu.Lock()
+	other, ok := m.view.Through(now, vm)
+	m.mu.Unlock()
+	if !ok {
+		return nil, failed
+	}
+	reply, err := m.ask(ctx, other.Control[EntryDaemon], string(vm))
+	if err == nil && !reply.GetReached() {
+		return nil, context.DeadlineExceeded
 	}
-	return nil, context.DeadlineExceeded
+	return reply, err
 }
 
 // ProbeFor probes vm on behalf of a peer and returns the reply of vm with Reached set.
