--- a/node/control.go
+++ b/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"time"
@@ -34,6 +35,9 @@
 	if r.GetThrough() != "" && r.GetThrough() != string(b.Self.VM) {
 		return b.Members.ProbeFor(ctx, ident.VM(r.GetThrough())), nil
 	}
+	if r.GetLeaving() {
+		b.Members.Leaving(b.Clock(), ident.VM(r.GetVm()), ident.Incarnation(r.GetIncarnation()))
+	}
 	config, plan := b.Sync.Versions()
 	reply := &wire.ProbeReply{
 		Vm: string(b.Self.VM), Incarnation: uint64(b.Self.Incarnation), ConfigVersion: uint64(config),
@@ -60,6 +64,16 @@
 	return &wire.PushReply{Version: uint64(b.Sync.Current(k).Version)}, nil
 }
 
+// List implements wire.Peer.
+func (b *Base) List(context.Context, *wire.ListRequest) (*wire.ListReply, error) {
+	list := b.Members.List()
+	if len(list) == 0 {
+		return &wire.ListReply{}, nil
+	}
+	vms, err := json.Marshal(list)
+	return &wire.ListReply{Vms: vms}, ToWire(err)
+}
+
 // Report implements wire.Peer.
 func (b *Base) Report(context.Context, *wire.ReportRequest) (*wire.ReportReply, error) {
 	return nil, b.unserved("Report")
--- a/node/members.go
+++ b/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,24 +67,33 @@
 	peers  *Peers
 	clock  func() time.Time
 	logger log.Logger
+	// seeds are control addresses of other VMs.
+	seeds []string
 	// versions returns the newest versions held, to be exchanged by probes.
 	versions func() (config, plan ident.Version)
 
 	mu        sync.Mutex
 	view      *member.View
 	upstreams []store.VMInfo
+	// list is the platform's list as last read; nil if it never was.
+	list []store.VMInfo
+	// leaving holds the entry processes that have announced a planned stop. The platform's list shows it later or, for
+	// a restart, not at all.
+	leaving map[ident.VM]ident.Incarnation
 
 	snapshot atomic.Pointer[Snapshot]
 	changed  chan struct{}
 }
 
-// NewMembers returns the service for one process. The clock is normally time.Now.
-func NewMembers(self Self, lister Lister, peers *Peers, clock func() time.Time, logger log.Logger) *Members {
+// NewMembers returns the service for one process. The clock is normally time.Now. Seeds are control addresses of other
+// VMs, which are asked for the list if the platform's cannot be read at the start.
+func NewMembers(self Self, lister Lister, peers *Peers, clock func() time.Time, logger log.Logger,
+	seeds []string) *Members {
 	m := &Members{
-		self: self, lister: lister, peers: peers, clock: clock, logger: logger,
+		self: self, lister: lister, peers: peers, clock: clock, logger: logger, seeds: seeds,
 		versions: func() (ident.Version, ident.Version) { return 0, 0 },
 		view:     member.NewView(self.VM, uint64(self.Incarnation)),
-		changed:  make(chan struct{}, 1),
+		leaving:  map[ident.VM]ident.Incarnation{}, changed: make(chan struct{}, 1),
 	}
 	m.snapshot.Store(&Snapshot{})
 	return m
@@ -117,6 +127,44 @@
 	m.probed(now, vm, true, inc)
 }
 
+// Leaving records that the entry process inc of vm has begun a planned stop.
+func (m *Members) Leaving(now time.Time, vm ident.VM, inc ident.Incarnation) {
+	m.mu.Lock()
+	known := m.leaving[vm] >= inc
+	if !known {
+		m.leaving[vm] = inc
+	}
+	m.mu.Unlock()
+	if !known {
+		level.Info(m.logger).Log("event", "member-leaving", "member", vm)
+		m.refresh(now)
+	}
+}
+
+// announcers bounds the concurrent calls of Announce.
+const announcers = 32
+
+// Announce tells every live VM that this entry process leaves.
+func (m *Members) Announce(ctx context.Context) {
+	m.Leaving(m.clock(), m.self.VM, m.self.Incarnation)
+	var g errgroup.Group
+	g.SetLimit(announcers)
+	for _, mem := range m.Snapshot().Live() {
+		for _, addr := range mem.Control {
+			g.Go(func() error {
+				call, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				// A VM that is missed learns it from a probe or the platform's list.
+				_, _ = m.peers.At(addr).Probe(call, &wire.ProbeRequest{
+					Vm: string(m.self.VM), Incarnation: uint64(m.self.Incarnation), Leaving: true,
+				})
+				return nil
+			})
+		}
+	}
+	_ = g.Wait()
+}
+
 // Run reads the list and probes peers until ctx ends.
 func (m *Members) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -129,8 +177,11 @@
 	failing := false
 	for {
 		list, err := m.lister.VMs(ctx)
-		if err == nil {
+		switch {
+		case err == nil:
 			m.listed(m.clock(), list)
+		case len(m.List()) == 0:
+			m.askSeeds(ctx)
 		}
 		if failed := err != nil; failed != failing {
 			failing = failed
@@ -142,6 +193,30 @@
 	}
 }
 
+// List returns the platform's list as last read, or nil.
+func (m *Members) List() []store.VMInfo {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list
+}
+
+// askSeeds takes over the list of another VM. It is used by a process that starts while the platform's list cannot be
+// read.
+func (m *Members) askSeeds(ctx context.Context) {
+	for _, addr := range m.seeds {
+		call, cancel := context.WithTimeout(ctx, probeTimeout)
+		reply, err := m.peers.At(addr).List(call, &wire.ListRequest{})
+		cancel()
+		var list []store.VMInfo
+		if err != nil || json.Unmarshal(reply.GetVms(), &list) != nil || len(list) == 0 {
+			continue
+		}
+		level.Warn(m.logger).Log("event", "vm-list-from-peer", "seed", addr, "vms", len(list))
+		m.listed(m.clock(), list)
+		return
+	}
+}
+
 // listInterval grows with the number of VMs. Each VM has two processes that read the list.
 func (m *Members) listInterval() time.Duration {
 	n := len(m.Snapshot().Members)
@@ -150,6 +225,7 @@
 
 func (m *Members) listed(now time.Time, list []store.VMInfo) {
 	m.mu.Lock()
+	m.list = list
 	m.view.Platform(now, list)
 	m.upstreams = m.upstreams[:0:0]
 	for _, vm := range list {
@@ -199,7 +275,11 @@
 	if ctx.Err() != nil && err != nil && ctx.Err() != context.DeadlineExceeded {
 		return
 	}
-	m.probed(m.clock(), vm, err == nil, ident.Incarnation(reply.GetIncarnation()))
+	inc := ident.Incarnation(reply.GetIncarnation())
+	if reply.GetLeaving() {
+		m.Leaving(m.clock(), vm, inc)
+	}
+	m.probed(m.clock(), vm, err == nil, inc)
 }
 
 func (m *Members) ask(ctx context.Context, addr, through string) (*wire.ProbeReply, error) {
@@ -259,6 +339,12 @@
 func (m *Members) refresh(now time.Time) {
 	m.mu.Lock()
 	s := &Snapshot{At: now, Members: m.view.All(now), Upstreams: m.upstreams}
+	for i, mem := range s.Members {
+		inc, ok := m.leaving[mem.VM]
+		if ok && inc >= mem.Incarnation && (mem.State == member.Alive || mem.State == member.Suspected) {
+			s.Members[i].State = member.Leaving
+		}
+	}
 	m.mu.Unlock()
 	s.byVM = make(map[ident.VM]int, len(s.Members))
 	for i, mem := range s.Members {
