steer, entry: only relays of their failure domain are candidates for the lease

Cause: at 3,200 VMs every steer process that challenges the lease reads its row every 3.3 s, about 960 reads a second. Ruled out: a longer interval between reads (a takeover would take longer than the lease's 10 s). Change: a process steps the lease only if it is one of the two relays of its failure domain among the live members; entries ask the relays of their own and of one other domain who holds it. Conclusion: reads of the lease row are bounded by the number of failure domains, about 35 a second.

--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -15,6 +15,7 @@
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/lists"
 	"github.com/currantpier/currantpier/lookup"
+	"github.com/currantpier/currantpier/member"
 	"github.com/currantpier/currantpier/node"
 	"github.com/currantpier/currantpier/plan"
 	"github.com/currantpier/currantpier/relay"
@@ -438,15 +439,10 @@
 	_, _ = r.d.peers.At(m.Control[node.SteerDaemon]).Report(ctx, req)
 }
 
-// holder asks the steer daemon of this VM, or of others, who holds the lease.
+// holder asks the candidates for the lease near this VM who holds it; the other steer daemons don't read the lease.
 func (r *reporter) holder(ctx context.Context) ident.VM {
 	s := r.d.members.Snapshot()
-	asked := []ident.VM{r.d.self.VM}
-	for _, m := range s.Live() {
-		if m.VM != r.d.self.VM && len(asked) < maxAsked {
-			asked = append(asked, m.VM)
-		}
-	}
+	asked := candidates(r.d.self, s.Live())
 	for _, vm := range asked {
 		m, ok := s.Member(vm)
 		if !ok || len(m.Control) <= int(node.SteerDaemon) {
@@ -462,6 +458,27 @@
 	return ""
 }
 
+// candidates lists steer daemons that know the holder of the lease, at most maxAsked: the relays of the failure domain of
+// self, and then those of the domain of the next VM of another domain, by name. Different domains ask different others.
+func candidates(self node.Self, live []member.Member) []ident.VM {
+	peers := make([]relay.Peer, len(live))
+	next := 0
+	for i, m := range live {
+		peers[i] = relay.Peer{VM: m.VM, Place: m.Place}
+		if m.VM <= self.VM {
+			next = i + 1
+		}
+	}
+	vms := relay.Relays(peers, self.Place.Domain)
+	for i := range peers {
+		if p := peers[(next+i)%len(peers)]; p.Place.Domain != self.Place.Domain {
+			vms = append(vms, relay.Relays(peers, p.Place.Domain)...)
+			break
+		}
+	}
+	return vms[:min(len(vms), maxAsked)]
+}
+
 // blockLoader reads the table of client blocks from the object store.
 type blockLoader struct{ d *Daemon }
 
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -88,11 +88,28 @@
 	}
 }
 
-// round steps the lease if that is due, and publishes a plan if this process holds it.
+// candidate reports whether vm may take the lease: it is live and reads the store for its failure domain. If every
+// process were a candidate, their reads of the lease row would grow with the number of VMs, to 960 a second for 3,200.
+// A process without a list of the members is no candidate.
+func candidate(vm ident.VM, live []member.Member) bool {
+	peers := make([]relay.Peer, len(live))
+	var domain ident.Domain
+	known := false
+	for i, m := range live {
+		peers[i] = relay.Peer{VM: m.VM, Place: m.Place}
+		if m.VM == vm {
+			domain, known = m.Place.Domain, true
+		}
+	}
+	return known && slices.Contains(relay.Relays(peers, domain), vm)
+}
+
+// round steps the lease if that is due and this process is a candidate, and publishes a plan if it holds the lease. A
+// holder that is no candidate any more lets the lease expire.
 func (p *planner) round(ctx context.Context) {
 	now := p.d.clock()
 	_, before := p.keeper.Held(now)
-	if !now.Before(p.next) {
+	if !now.Before(p.next) && candidate(p.d.self.VM, p.d.members.Snapshot().Live()) {
 		next, err := p.keeper.Step(ctx)
 		if err != nil {
 			level.Debug(p.d.logger).Log("event", "lease-step", "err", err)
