--- a/drain/drain.go
+++ b/drain/drain.go
@@ -88,7 +88,7 @@
 		s.phase = HandingOver
 	}
 	switch {
-	case s.phase == HandingOver && handedOver:
+	case s.phase == HandingOver && handedOver && inFlight == 0:
 		s.phase = Exit
 	case !now.Before(s.signalled.Add(s.limit)):
 		s.phase, s.cut = Exit, true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -50,6 +50,7 @@
 	orders  *orders.Service
 	client  *send.Client
 	front   *front.Front
+	watcher *watcher
 
 	// blocks is nil until a table was read.
 	blocks    atomic.Pointer[lookup.Table]
@@ -118,9 +119,10 @@
 	peer := &peer{Base: node.Base{
 		Self: d.self, Members: d.members, Sync: d.sync, Clock: d.clock, Leaving: d.isLeaving,
 	}, d: d}
+	d.watcher = &watcher{d: d}
 	services := []kernel.Service{
 		d.members, d.sync, d.sched, d.orders, d.front,
-		&applier{d}, &watcher{d: d}, &borrower{d}, &reporter{d},
+		&applier{d}, d.watcher, &borrower{d}, &reporter{d},
 		&blockLoader{d},
 		node.NewControl(control, peer, d.kernel, d.metrics, d.clock, d.front.NotReady),
 	}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -147,6 +148,9 @@
 		a.d.front.SetNotReady("no configuration was accepted yet")
 	case a.d.sync.Current(relay.Plan).Version == 0:
 		a.d.front.SetNotReady("no traffic plan was published yet")
+	case !a.d.watcher.polled.Load():
+		// A leaving target would get new work from a process that has not asked it.
+		a.d.front.SetNotReady("the targets were not polled yet")
 	default:
 		a.d.front.SetNotReady("")
 	}
@@ -158,6 +162,8 @@
 	mu sync.Mutex
 	// failing holds the targets whose endpoints do not answer.
 	failing map[ident.Target]bool
+	// polled is set after the first round in which a plan was known.
+	polled atomic.Bool
 }
 
 // watchPeriod is how often each target is polled. With the call itself it keeps the time from a drain notice to the
@@ -193,6 +199,9 @@
 			})
 		}
 		_ = g.Wait()
+		if w.d.sync.Current(relay.Plan).Version != 0 {
+			w.polled.Store(true)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/front/front.go
+++ b/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/currantpier/currantpier/lookup"
 	"github.com/currantpier/currantpier/member"
 	"github.com/currantpier/currantpier/node"
+	"github.com/currantpier/currantpier/once"
 	"github.com/currantpier/currantpier/orders"
 	"github.com/currantpier/currantpier/retry"
 	"github.com/currantpier/currantpier/sched"
@@ -337,7 +338,7 @@
 	start := f.clock()
 	c, err := f.parse(r, rest, start)
 	if err != nil {
-		f.refuse(r, err)
+		f.refuseOrder(r, c, err)
 		return
 	}
 	if c.kind == retry.Order {
@@ -443,6 +444,18 @@
 	Detail string      `json:"detail"`
 }
 
+// refuseOrder refuses a request that was not admitted. An order of this process is refused for good: "not run" must stay
+// true when a delayed duplicate of the request arrives after the reason is gone.
+func (f *Front) refuseOrder(r *fasthttp.RequestCtx, c call, err error) {
+	if c.kind == retry.Order {
+		if d := f.orders.Find(c.id); d.Do != once.DoForward && !f.orders.Abort(c.id) {
+			f.recorded(r, c, f.orders.Find(c.id))
+			return
+		}
+	}
+	f.refuse(r, err)
+}
+
 func (f *Front) refuse(r *fasthttp.RequestCtx, err error) {
 	k := kinds.Of(err)
 	a := k.Answer()
--- /dev/null
+++ b/model/shipped_test.go
@@ -0,0 +1,144 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/lease"
+	"github.com/currantpier/currantpier/shift"
+)
+
+// at returns the time of a tick of 1 s.
+func at(tick int) time.Time { return time.Unix(1_800_000_000+int64(tick), 0) }
+
+// shippedLease makes lease.State a Leaser, with the rules of lease.Keeper for the results of writes.
+type shippedLease struct {
+	me int
+	s  lease.State
+}
+
+func newShippedLease(me int) Leaser {
+	return &shippedLease{me, lease.State{
+		Self: vm(me), Incarnation: 1, Length: time.Second, Margin: 100 * time.Millisecond,
+	}}
+}
+
+func vm(me int) ident.VM { return ident.VM(rune('a' + me)) }
+
+func (l *shippedLease) row(r LeaseRow) lease.Row {
+	if r.Version == 0 {
+		return lease.Row{}
+	}
+	return lease.Row{
+		Version: ident.Version(r.Version), Holder: vm(r.Holder), Incarnation: 1, Term: ident.Term(r.Term),
+		LengthMs: l.s.Length.Milliseconds(),
+	}
+}
+
+func (l *shippedLease) Decide(r LeaseRow, now int) (LeaseRow, bool) {
+	a := lease.Decide(l.s, l.row(r), at(now))
+	l.s = a.State
+	if a.Do == lease.Wait {
+		return LeaseRow{}, false
+	}
+	return LeaseRow{Version: int(a.Op.If), Holder: l.me, Term: int(a.Row.Term)}, true
+}
+
+func (l *shippedLease) Confirmed(r LeaseRow, sent int) {
+	l.s = lease.Confirmed(l.s, l.row(r), at(sent))
+}
+
+func (l *shippedLease) Unresolved(r LeaseRow, sent int) {
+	row := l.row(LeaseRow{Version: 1, Holder: r.Holder, Term: r.Term})
+	l.s = lease.Unresolved(l.s, row, at(sent))
+}
+
+func (l *shippedLease) Conflict() {
+	if l.s.PendingTerm == 0 {
+		l.s.Version, l.s.Until = 0, time.Time{}
+	}
+}
+
+func (l *shippedLease) Fence(now int) (int, int, bool) {
+	term, held := l.s.Held(at(now))
+	return int(l.s.Version), int(term), held
+}
+
+func (l *shippedLease) Copy() Leaser {
+	c := *l
+	return &c
+}
+
+func (l *shippedLease) AppendState(b []byte, _ int) []byte {
+	s := l.s
+	for _, t := range []time.Time{s.Until, s.PendingSince, s.WatchedSince} {
+		b = append(b, byte(t.Sub(at(0))/(100*time.Millisecond)), flag(t.IsZero()))
+	}
+	return append(b, byte(s.Version), byte(s.Term), byte(s.PendingTerm), byte(s.Watched))
+}
+
+// shippedCap moves one tenth of the traffic a step, one step a second.
+var shippedCap = shift.Cap{PerStep: unit, PerMinute: 60 * unit}
+
+const unit = ident.Whole / 10
+
+func weights(w int) []shift.Weight {
+	return []shift.Weight{{Region: "r", Share: ident.Whole - ident.PPM(w)*unit}, {Region: "s", Share: ident.PPM(w) * unit}}
+}
+
+// weight returns the share of region s in units, rounded up so that no movement is hidden.
+func weight(ws []shift.Weight) int {
+	for _, w := range ws {
+		if w.Region == "s" {
+			return int((w.Share + unit - 1) / unit)
+		}
+	}
+	return 0
+}
+
+// shippedShift makes shift.Next a Shifter.
+type shippedShift struct{}
+
+func (shippedShift) Next(cur, goal, now int) int {
+	head := []shift.Headroom{{Region: "r", Slots: 1000, At: at(now), Local: true},
+		{Region: "s", Slots: 1000, At: at(now), Link: 1000, LinkAt: at(now)}}
+	m := shift.Measured{Slots: 10, Mbps: 10, At: at(now)}
+	step, _ := shift.Next(shift.Rules{Cap: shippedCap}, shift.State{Weights: weights(cur)}, weights(goal), head, m, at(now))
+	return weight(step.State.Weights)
+}
+
+// shippedFollower makes shift.Follower a Follower.
+type shippedFollower struct{ f shift.Follower }
+
+func (f *shippedFollower) Set(version, weight int) bool {
+	return f.f.Set(ident.Version(version), weights(weight))
+}
+
+func (f *shippedFollower) Weight(now int) int { return weight(f.f.Weights(at(now))) }
+
+func (f *shippedFollower) Copy() Follower {
+	c := *f
+	return &c
+}
+
+func (f *shippedFollower) AppendState(b []byte, _ int) []byte { return fmt.Appendf(b, "%v", f.f) }
+
+// Guards against the same faults as TestLease in packages lease and shift.
+func TestShippedLease(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct{ entries, faults int }{{1, 1}, {2, 0}} {
+		t.Run(fmt.Sprint(tt.entries, " entries, ", tt.faults, " faults"), func(t *testing.T) {
+			t.Parallel()
+			f := &shippedFollower{*shift.NewFollower(shippedCap)}
+			b := leaseBounds(tt.entries, tt.faults)
+			b.Ticks = 2
+			r := Check(NewLeaseSpec(b, newShippedLease, shippedShift{}, f))
+			t.Log(r)
+			if r.Violation != nil || !r.Complete || len(r.Missed) > 0 {
+				t.Error("want a complete search without violation that reaches every goal")
+			}
+		})
+	}
+}
--- a/node/members.go
+++ b/node/members.go
@@ -72,6 +72,9 @@
 	// versions returns the newest versions held, to be exchanged by probes.
 	versions func() (config, plan ident.Version)
 
+	// hint is told of the versions that a peer holds.
+	hint func(vm ident.VM, config, plan ident.Version)
+
 	mu        sync.Mutex
 	view      *member.View
 	upstreams []store.VMInfo
@@ -92,6 +95,7 @@
 	m := &Members{
 		self: self, lister: lister, peers: peers, clock: clock, logger: logger, seeds: seeds,
 		versions: func() (ident.Version, ident.Version) { return 0, 0 },
+		hint:     func(ident.VM, ident.Version, ident.Version) {},
 		view:     member.NewView(self.VM, uint64(self.Incarnation)),
 		leaving:  map[ident.VM]ident.Incarnation{}, changed: make(chan struct{}, 1),
 	}
@@ -276,6 +280,9 @@
 		return
 	}
 	inc := ident.Incarnation(reply.GetIncarnation())
+	if err == nil {
+		m.hint(vm, ident.Version(reply.GetConfigVersion()), ident.Version(reply.GetPlanVersion()))
+	}
 	if reply.GetLeaving() {
 		m.Leaving(m.clock(), vm, inc)
 	}
--- a/node/sync.go
+++ b/node/sync.go
@@ -66,7 +66,7 @@
 		self: self, rows: rows, members: members, peers: peers, clock: clock, logger: logger, check: check,
 		node: relay.NewNode(clock(), opts), newer: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
-	members.versions = s.Versions
+	members.versions, members.hint = s.Versions, s.hint
 	return s
 }
 
@@ -97,6 +97,39 @@
 	return s.node.Ready()
 }
 
+// hint handles the versions that a peer holds.
+func (s *Sync) hint(vm ident.VM, config, plan ident.Version) {
+	s.mu.Lock()
+	s.node.Hint(vm, relay.Config, config)
+	s.node.Hint(vm, relay.Plan, plan)
+	s.mu.Unlock()
+	s.poke()
+}
+
+// Secure waits until another VM holds the document, one of another failure domain if there is one, and reports whether
+// it does. A document that only this process holds is lost to all while the store is down if this process ends.
+func (s *Sync) Secure(ctx context.Context, doc relay.Document) bool {
+	var far, near []ident.VM
+	for _, m := range s.members.Snapshot().Live() {
+		switch {
+		case m.VM == s.self.VM:
+		case m.Place.Domain != s.self.Place.Domain:
+			far = append(far, m.VM)
+		default:
+			near = append(near, m.VM)
+		}
+	}
+	for _, vm := range append(far, near...) {
+		if ctx.Err() != nil {
+			return false
+		}
+		if s.pushTo(ctx, relay.Action{Op: relay.Push, Kind: doc.Kind, To: vm, Doc: doc}).OK {
+			return true
+		}
+	}
+	return false
+}
+
 // Accept puts a document in force that this process has written to the store, and passes it on.
 func (s *Sync) Accept(doc relay.Document) {
 	s.update(doc, func(now time.Time) bool { return s.node.Accept(now, doc) })
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -24,6 +24,10 @@
 	maxSuccessors = 256
 	// storeTimeout bounds one journal call. A slower store is handled as down.
 	storeTimeout = 2 * time.Second
+	// takeoverTimeout bounds the reading of a whole journal; a request that comes later goes on where it stopped.
+	takeoverTimeout = 5 * time.Second
+	// maxDetails bounds the descriptions of orders in progress and of unknown ones.
+	maxDetails = 100_000
 )
 
 // Service keeps the record of one entry process. Its methods are safe for concurrent use.
@@ -149,6 +153,9 @@
 // wake must be called with mu held.
 func (s *Service) wake(events []once.Event) {
 	for _, e := range events {
+		if e.State == once.Aborted {
+			delete(s.details, e.ID)
+		}
 		s.wakeOne(e.ID, e.State)
 	}
 }
@@ -173,7 +180,7 @@
 func (s *Service) Begin(ctx context.Context, id ident.RequestID, deadline time.Time, d Detail) once.Decision {
 	s.mu.Lock()
 	dec := s.owner.Begin(s.clock(), id, deadline)
-	if dec.Do == once.DoJournal || dec.Do == once.DoSend {
+	if (dec.Do == once.DoJournal || dec.Do == once.DoSend) && len(s.details) < maxDetails {
 		s.details[id] = d
 	}
 	if dec.Do == once.DoJournal {
@@ -342,6 +349,8 @@
 // Successor answers for an order whose owner process has ended: it seals and reads that process's journal. An error
 // means that the store did not answer.
 func (s *Service) Successor(ctx context.Context, id ident.RequestID, t ident.Ticket) (once.Decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
+	defer cancel()
 	dec, err := s.successors.verdict(ctx, s.clock(), id, t)
 	if err != nil || dec.Do != once.DoReply || dec.Row == 0 {
 		return dec, err
--- a/steer/apply.go
+++ b/steer/apply.go
@@ -20,6 +20,8 @@
 	// applyTries bounds how often a write with a lost answer is resolved and tried again.
 	applyTries = 3
 	applyPause = 200 * time.Millisecond
+	// secureTimeout bounds the wait for another VM to hold an accepted configuration.
+	secureTimeout = 2 * time.Second
 )
 
 // peer answers the messages of other daemons and of operators.
@@ -58,7 +60,7 @@
 		_, err = d.store.Txn(ctx, []store.Op{{Key: node.ConfigKey, Value: body, If: expected}})
 		switch kinds.Of(err) {
 		case kinds.Answered:
-			return d.accepted(r, c.Version, body), nil
+			return d.accepted(ctx, r, c.Version, body), nil
 		case kinds.StoreDown:
 			return nil, err
 		}
@@ -66,7 +68,7 @@
 		switch {
 		case rerr == nil && row.Version == c.Version && bytes.Equal(row.Value, body):
 			// Either an earlier write of this call with a lost answer, or an operator who proposed the very same change.
-			return d.accepted(r, c.Version, body), nil
+			return d.accepted(ctx, r, c.Version, body), nil
 		case rerr == nil && row.Version != expected:
 			return &wire.ApplyReply{Version: uint64(row.Version), Current: row.Value}, nil
 		}
@@ -81,8 +83,14 @@
 	}
 }
 
-func (d *Daemon) accepted(r *wire.ApplyRequest, v ident.Version, body []byte) *wire.ApplyReply {
-	d.sync.Accept(relay.Document{Kind: relay.Config, Version: v, Body: body})
-	level.Info(d.logger).Log("event", "config-accepted", "version", v, "operator", r.GetOperator())
+// accepted puts the configuration in force. The operator is told only after another VM holds it, so that an accepted
+// configuration survives the end of this process during an outage of the store.
+func (d *Daemon) accepted(ctx context.Context, r *wire.ApplyRequest, v ident.Version, body []byte) *wire.ApplyReply {
+	doc := relay.Document{Kind: relay.Config, Version: v, Body: body}
+	d.sync.Accept(doc)
+	ctx, cancel := context.WithTimeout(ctx, secureTimeout)
+	defer cancel()
+	secured := d.sync.Secure(ctx, doc)
+	level.Info(d.logger).Log("event", "config-accepted", "version", v, "operator", r.GetOperator(), "secured", secured)
 	return &wire.ApplyReply{Accepted: true, Version: uint64(v)}
 }
