entry, cmds, procs: plans are decoded once; move shows what the cap allows; test ports off the ephemeral range

Cause: (1) the applier and the target watcher decoded the plan once a second each, 18 ms a time at 540 sites (docs/CAPACITY.md). (2) A move started without an estimate. Change: the decoded plan is kept, and nothing is set again without a change; move prints the fewest steps and the least time under the cap; tests choose ports below the range of outgoing connections, each once.

--- a/cmds/operate.go
+++ b/cmds/operate.go
@@ -19,6 +19,7 @@
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/lists"
 	"github.com/currantpier/currantpier/node"
+	"github.com/currantpier/currantpier/steer"
 	"github.com/currantpier/currantpier/wire"
 )
 
@@ -264,9 +265,31 @@
 	if err != nil {
 		return err
 	}
+	if !c.JSON {
+		c.estimate()
+	}
 	return c.propose(ctx, change{old: old, new: next, expected: old.Version, dryRun: c.DryRun})
 }
 
+// estimate prints the fewest steps and the least time that the cap allows. Headroom, links and stale measurements can
+// only make a move slower.
+func (c *moveCommand) estimate() {
+	var d struct {
+		Planner steer.PlannerDump `json:"planner"`
+	}
+	share, err := parsePercent(c.Share)
+	body, gerr := get(c.Steer, "/dump?service=planner")
+	if err != nil || gerr != nil || json.Unmarshal(body, &d) != nil || d.Planner.Cap.PerStep <= 0 {
+		return
+	}
+	limit := d.Planner.Cap
+	steps := (share + limit.PerStep - 1) / limit.PerStep
+	// Two steps are at least 60 s x PerStep / PerMinute apart, see package shift.
+	wait := time.Duration(float64(steps-1) * float64(limit.PerStep) / float64(limit.PerMinute) * float64(time.Minute))
+	fmt.Fprintf(c.s.out, "the cap allows this in %d steps and at the earliest after %s; headroom and links can make it "+
+		"slower\n", steps, wait.Round(time.Second))
+}
+
 func (c *moveCommand) with(old lists.Config) (lists.Config, error) {
 	share, err := parsePercent(c.Share)
 	if err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,7 +53,9 @@
 	watcher *watcher
 
 	// blocks is nil until a table was read.
-	blocks    atomic.Pointer[lookup.Table]
+	blocks atomic.Pointer[lookup.Table]
+	// plan is the traffic plan in force; nil until one came.
+	plan      atomic.Pointer[plan.Traffic]
 	documents chan relay.Document
 	stop      chan struct{}
 	// leaving is closed when a planned stop begins.
@@ -122,7 +124,7 @@
 	d.watcher = &watcher{d: d}
 	services := []kernel.Service{
 		d.members, d.sync, d.sched, d.orders, d.front,
-		&applier{d}, d.watcher, &borrower{d}, &reporter{d},
+		&applier{d: d}, d.watcher, &borrower{d}, &reporter{d},
 		&blockLoader{d},
 		node.NewControl(control, peer, d.kernel, d.metrics, d.clock, d.front.NotReady),
 	}
--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -26,7 +26,13 @@
 )
 
 // applier puts documents and changes of the members in force.
-type applier struct{ d *Daemon }
+type applier struct {
+	d *Daemon
+	// configApplied, liveApplied and planLive are what the scheduler was given last, so that nothing is decoded or set
+	// again without a change.
+	configApplied         ident.Version
+	liveApplied, planLive int
+}
 
 // Name implements kernel.Service.
 func (a *applier) Name() string { return "applier" }
@@ -104,7 +110,8 @@
 const rereadTimeout = 3 * time.Second
 
 func (a *applier) config(ctx context.Context, doc relay.Document) {
-	if doc.Version == 0 {
+	live := a.d.liveEntries()
+	if doc.Version == 0 || doc.Version == a.configApplied && live == a.liveApplied {
 		return
 	}
 	c, err := lists.Decode(doc.Body)
@@ -114,7 +121,9 @@
 	}
 	c.Version = doc.Version
 	a.d.front.SetConfig(&c)
-	a.d.sched.SetConfig(ctx, &c, a.d.liveEntries())
+	if a.d.sched.SetConfig(ctx, &c, live) {
+		a.configApplied, a.liveApplied = doc.Version, live
+	}
 }
 
 func (a *applier) plan(ctx context.Context, doc relay.Document, confirmed bool) {
@@ -122,11 +131,20 @@
 	if doc.Version == 0 || !a.d.sync.Ready() {
 		return
 	}
-	t, err := decodePlan(doc)
-	if err != nil {
-		level.Error(a.d.logger).Log("event", "bad-document", "kind", "plan", "version", doc.Version, "err", err)
+	t := a.d.plan.Load()
+	if t != nil && t.Version == doc.Version && !confirmed && a.d.liveEntries() == a.planLive {
 		return
 	}
+	if t == nil || t.Version != doc.Version {
+		decoded, err := decodePlan(doc)
+		if err != nil {
+			level.Error(a.d.logger).Log("event", "bad-document", "kind", "plan", "version", doc.Version, "err", err)
+			return
+		}
+		t = decoded
+		a.d.plan.Store(t)
+	}
+	a.planLive = a.d.liveEntries()
 	for _, tg := range t.Targets {
 		// The connections of a target are divided evenly; each entry may also open a fresh one per order.
 		a.d.client.SetConnections(tg.Address, int(tg.Connections)/a.d.liveEntries())
@@ -190,6 +208,7 @@
 	t := time.NewTicker(watchPeriod)
 	defer t.Stop()
 	for {
+		known := w.d.plan.Load() != nil
 		g, gctx := errgroup.WithContext(ctx)
 		g.SetLimit(16)
 		for _, tg := range w.targets() {
@@ -199,7 +218,7 @@
 			})
 		}
 		_ = g.Wait()
-		if w.d.sync.Current(relay.Plan).Version != 0 {
+		if known {
 			w.polled.Store(true)
 		}
 		select {
@@ -211,12 +230,8 @@
 }
 
 func (w *watcher) targets() []plan.Target {
-	doc := w.d.sync.Current(relay.Plan)
-	if doc.Version == 0 {
-		return nil
-	}
-	t, err := decodePlan(doc)
-	if err != nil {
+	t := w.d.plan.Load()
+	if t == nil {
 		return nil
 	}
 	mine := map[ident.Target]bool{}
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -274,15 +275,30 @@
 	s.vms = append(s.vms, v)
 }
 
-// freePort returns a loopback address that nothing listens on.
+// nextPort is below the range from which systems take the ports of outgoing connections, since one of those could take a
+// port between its choice and the start of the daemon.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 12000
+	portRange = 15000
+)
+
+// freePort returns a loopback address that nothing listens on. Each address is returned once.
 func freePort(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portRange {
+		port := firstPort + (os.Getpid()*37+int(nextPort.Add(1)))%portRange
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		return addr
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (s *system) ready(v vm) bool {
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -370,6 +370,7 @@
 
 // PlannerDump is the state of the planner in a dump.
 type PlannerDump struct {
+	Cap       shift.Cap          `json:"cap"`
 	Held      bool               `json:"lease-held"`
 	Holder    ident.VM           `json:"lease-holder"`
 	Term      ident.Term         `json:"term"`
@@ -387,7 +388,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := PlannerDump{
-		Held: held, Holder: vm, Term: term, Routes: p.reason.Routes, Demand: p.input.Demand, Entries: p.input.Entries,
+		Cap: p.rules().Cap, Held: held, Holder: vm, Term: term, Routes: p.reason.Routes, Demand: p.input.Demand, Entries: p.input.Entries,
 		Links: p.input.Links, ReportAge: map[ident.VM]int64{},
 	}
 	for vm, r := range p.reports {
