--- a/local/bench_test.go
+++ b/local/bench_test.go
@@ -99,25 +99,10 @@
 
 // BenchmarkLookup measures lookups through the HTTP interface; client and entry share the processors of -cpu.
 func BenchmarkLookup(b *testing.B) {
-	ctx, cancel := context.WithCancel(context.Background())
-	c, err := New(oneVM(0), 0, log.NewNopLogger())
-	if err != nil {
-		b.Fatal(err)
-	}
-	done := make(chan error, 1)
-	go func() { done <- c.Run(ctx) }()
-	defer func() {
-		cancel()
-		<-done
-	}()
-	if err := c.AcceptInitial(ctx); err != nil {
-		b.Fatal(err)
-	}
+	c := startOne(b, 0)
 	url := "http://" + c.Addresses[0].Callers + "/v1/lookup?service=workshop&client=192.0.2.1"
 	client := &http.Client{}
-	for deadline := time.Now().Add(30 * time.Second); request(client, url) != nil && time.Now().Before(deadline); {
-		time.Sleep(10 * time.Millisecond)
-	}
+	await(b, func() bool { return request(client, url) == nil })
 	for _, workers := range []int{1, 4, 16} {
 		b.Run(strconv.Itoa(workers), func(b *testing.B) {
 			n := max(b.N, 100*workers)
@@ -128,7 +113,21 @@
 	}
 }
 
-func forward(b *testing.B, service time.Duration, workers int) {
+// await polls until cond holds; a cluster that starts gives no other signal.
+func await(b *testing.B, cond func() bool) {
+	b.Helper()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for deadline := time.Now().Add(time.Minute); !cond(); <-tick.C {
+		if time.Now().After(deadline) {
+			b.Fatal("the cluster does not serve")
+		}
+	}
+}
+
+// startOne runs a deployment of one VM until the end of the benchmark.
+func startOne(b *testing.B, service time.Duration) *Cluster {
+	b.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c, err := New(oneVM(service), 0, log.NewNopLogger())
 	if err != nil {
@@ -136,32 +135,33 @@
 	}
 	done := make(chan error, 1)
 	go func() { done <- c.Run(ctx) }()
-	defer func() {
+	b.Cleanup(func() {
 		cancel()
 		<-done
-	}()
+	})
 	if err := c.AcceptInitial(ctx); err != nil {
 		b.Fatal(err)
 	}
-	direct := "http://" + c.Platform.VMs()[len(c.Platform.VMs())-1].Address
+	e, _ := c.Entry(c.Addresses[0].VM)
+	await(b, func() bool { return e.NotReady() == "" })
+	return c
+}
+
+func forward(b *testing.B, service time.Duration, workers int) {
+	c := startOne(b, service)
+	var direct string
 	for _, vm := range c.Platform.VMs() {
 		if vm.Service != "" {
-			direct = "http://" + vm.Address
+			direct = "http://" + vm.Address + "/x"
 		}
 	}
-	through := "http://" + c.Addresses[0].Callers + "/v1/request/workshop"
-	e, _ := c.Entry(c.Addresses[0].VM)
-	for e.NotReady() != "" {
-		time.Sleep(10 * time.Millisecond)
-	}
+	through := "http://" + c.Addresses[0].Callers + "/v1/request/workshop/x"
 	client := &http.Client{}
-	for deadline := time.Now().Add(30 * time.Second); request(client, through+"/x") != nil && time.Now().Before(deadline); {
-		time.Sleep(10 * time.Millisecond)
-	}
+	await(b, func() bool { return request(client, through) == nil })
 	n := max(b.N, 400*workers)
 	b.ResetTimer()
-	dh, dt := run(b, direct+"/x", workers, n)
-	eh, et := run(b, through+"/x", workers, n)
+	dh, dt := run(b, direct, workers, n)
+	eh, et := run(b, through, workers, n)
 	b.ReportMetric(float64(dh.ValueAtQuantile(50)), "direct-p50-µs")
 	b.ReportMetric(float64(eh.ValueAtQuantile(50)), "entry-p50-µs")
 	b.ReportMetric(float64(eh.ValueAtQuantile(50))/float64(dh.ValueAtQuantile(50)), "p50-ratio")
