--- /dev/null
+++ b/cmds/cmds_test.go
@@ -0,0 +1,79 @@
+package cmds
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Guards against a wrong argument or file that gets a vague message or an exit code that scripts cannot tell apart.
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		p := filepath.Join(dir, name)
+		if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	settings := file("bad.ini", "[vm]\nname = riga 1\ncolour = red\n")
+	customers := file("customers.csv", "customer,plan\nshop-1,trade\nshop-1,trade\n")
+	uses := file("uses.csv", "plan,service,rate,weight,orders\ntrade,desk,0,10,yes\n")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := ln.Addr().String()
+	ln.Close()
+
+	tests := []struct {
+		args []string
+		code int
+		want []string
+	}{
+		{[]string{"--help"}, ExitOK, []string{"Available commands", "unknown"}},
+		{[]string{"apply", "--help"}, ExitOK, []string{"--dry-run", "--expect"}},
+		{[]string{"fly"}, ExitUsage, []string{"fly"}},
+		{[]string{"drain"}, ExitUsage, []string{"--steer"}},
+		{[]string{"drain", "--steer", closed, "target"}, ExitUsage, []string{"NAME"}},
+		{[]string{"check"}, ExitUsage, []string{"nothing to check"}},
+		{[]string{"check", "--settings", settings}, ExitUsage, []string{"line 2", "[vm]", "name", "colour"}},
+		{[]string{"check", "--customers", customers}, ExitUsage, []string{"go together"}},
+		{[]string{"check", "--customers", customers, "--uses", uses}, ExitUsage,
+			[]string{"row 3", "shop-1", "uses.csv row 2", "rate"}},
+		{[]string{"entry", "--settings", settings}, ExitUsage, []string{"colour"}},
+		{[]string{"entry", "--settings", filepath.Join(dir, "none.ini")}, ExitFailed, []string{"none.ini"}},
+		{[]string{"status", "--steer", closed}, ExitUnreachable, []string{"refused"}},
+		{[]string{"drain", "--steer", closed, "target", "t1"}, ExitUnreachable, []string{"refused"}},
+		{[]string{"dump", "--control", closed}, ExitUnreachable, []string{"refused"}},
+		{[]string{"stand-in", "cloud"}, ExitUsage, []string{"neither platform nor upstream"}},
+	}
+	for _, tt := range tests {
+		var out bytes.Buffer
+		code := Main(tt.args, &out, &out)
+		if code != tt.code {
+			t.Errorf("%v: exit %d, want %d: %s", tt.args, code, tt.code, out.String())
+		}
+		for _, w := range tt.want {
+			if !strings.Contains(out.String(), w) {
+				t.Errorf("%v: output lacks %q: %s", tt.args, w, out.String())
+			}
+		}
+	}
+}
+
+func TestParsePercent(t *testing.T) {
+	for s, want := range map[string]int32{"20%": 200_000, "100%": 1_000_000, "0.5%": 5_000} {
+		if got, err := parsePercent(s); err != nil || int32(got) != want {
+			t.Errorf("parsePercent(%q) = %d, %v; want %d", s, got, err, want)
+		}
+	}
+	for _, s := range []string{"", "20", "0%", "-1%", "101%", "NaN%", "x%"} {
+		if _, err := parsePercent(s); err == nil {
+			t.Errorf("parsePercent(%q) is accepted", s)
+		}
+	}
+}
--- a/cmds/daemon.go
+++ b/cmds/daemon.go
@@ -133,6 +133,7 @@
 	if err != nil {
 		return err
 	}
+	fmt.Fprintf(c.s.out, "starting %d entry VMs and %d targets\n", len(cluster.Addresses), len(cluster.Upstreams))
 	done := make(chan error, 1)
 	go func() { done <- cluster.Run(ctx) }()
 	if err := cluster.AcceptInitial(ctx); err != nil {
@@ -158,12 +159,13 @@
   TICKET=$(curl -s 'http://%s/v1/lookup?service=workshop' | sed 's/.*"ticket":"\([^"]*\)".*/\1/')
   curl -si -X POST -H 'Currantpier-Customer: bench-1' -H 'Currantpier-Kind: order' \
     -H "Currantpier-Request-Id: $TICKET.frame-1" http://%s/v1/request/workshop/frames
-  currantpier status --steer %s
-  currantpier dump --control %s
+  go run ./cmd/currantpier status --steer %s
+  go run ./cmd/currantpier drain --steer %s target workshop-riga-a-1
+  go run ./cmd/currantpier dump --control %s
 
 Repeat the order through another VM, for example %s: it answers the same and runs once. End with Ctrl-C.
-`, len(cluster.Addresses), len(cluster.Upstreams), a.Callers, a.Callers, a.Callers, a.Callers, a.Steer, a.Control,
-		b.Callers)
+`, len(cluster.Addresses), len(cluster.Upstreams), a.Callers, a.Callers, a.Callers, a.Callers, a.Steer, a.Steer,
+		a.Control, b.Callers)
 }
 
 const readyPoll = 50 * time.Millisecond
