--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -300,7 +300,7 @@
 
 // Dump implements kernel.Service.
 func (b *borrower) Dump(time.Time) any {
-	return map[string]int{"wishes-waiting": len(b.d.sched.Wishes()), "returns-waiting": len(b.d.sched.Returns())}
+	return map[string]int{"loan-requests-waiting": len(b.d.sched.LoanRequests()), "returns-waiting": len(b.d.sched.Returns())}
 }
 
 // Run asks and returns until ctx ends.
@@ -313,7 +313,7 @@
 		case <-ctx.Done():
 			_ = g.Wait()
 			return ctx.Err()
-		case w := <-b.d.sched.Wishes():
+		case w := <-b.d.sched.LoanRequests():
 			id++
 			loan := share.Loan{
 				ID: id, Borrower: b.d.self.VM, Incarnation: b.d.self.Incarnation, Deadline: w.Until,
@@ -332,7 +332,7 @@
 }
 
 // borrow asks peers, those of this region first.
-func (b *borrower) borrow(ctx context.Context, w sched.LoanWish, loan share.Loan) {
+func (b *borrower) borrow(ctx context.Context, w sched.LoanRequest, loan share.Loan) {
 	for _, m := range b.lenders(int(loan.ID)) {
 		call, cancel := context.WithTimeout(ctx, borrowTimeout)
 		reply, err := b.d.peers.At(m.control).Borrow(call, &wire.BorrowRequest{
--- a/front/front.go
+++ b/front/front.go
@@ -142,7 +142,7 @@
 		outcomes: map[kinds.Kind]metrics.Counter{},
 		latency:  metrics.GetOrRegisterTimer("request-latency", p.Metrics),
 		retries:  metrics.GetOrRegisterCounter("retries", p.Metrics),
-		hops:     metrics.GetOrRegisterCounter("orders-passed-to-owner", p.Metrics),
+		hops:     metrics.GetOrRegisterCounter("orders-forwarded", p.Metrics),
 	}
 	for _, k := range kinds.All() {
 		f.outcomes[k] = metrics.GetOrRegisterCounter("outcome-"+k.String(), p.Metrics)
--- a/front/run.go
+++ b/front/run.go
@@ -167,7 +167,7 @@
 
 func (f *Front) runOrder(r *fasthttp.RequestCtx, c call) {
 	ticket, _ := c.id.Parse()
-	if f.elsewhere(r, c, ticket) {
+	if f.answerForOwner(r, c, ticket) {
 		return
 	}
 	d := f.orders.Begin(f.ctx, c.id, c.deadline, orders.Detail{
@@ -256,9 +256,9 @@
 	}
 }
 
-// elsewhere handles an order of another process: it is passed on to a live owner, and answered from the journal of an
+// answerForOwner handles an order of another process: it is passed on to a live owner, and answered from the journal of an
 // owner that has ended. It reports false if this process owns the id.
-func (f *Front) elsewhere(r *fasthttp.RequestCtx, c call, t ident.Ticket) bool {
+func (f *Front) answerForOwner(r *fasthttp.RequestCtx, c call, t ident.Ticket) bool {
 	if d := f.orders.Find(c.id); d.Do != once.DoForward {
 		return false
 	}
@@ -266,16 +266,16 @@
 		if c.hop {
 			f.refuse(r, kinds.Errorf(kinds.OutcomeUnknown, "the order was passed on to a process that does not own it"))
 		} else {
-			f.passOn(r, c, t)
+			f.forwardToOwner(r, c, t)
 		}
 		return true
 	}
-	f.succeed(r, c, t)
+	f.answerFromJournal(r, c, t)
 	return true
 }
 
-// succeed answers from the journal of an owner that has ended.
-func (f *Front) succeed(r *fasthttp.RequestCtx, c call, t ident.Ticket) {
+// answerFromJournal answers from the journal of an owner that has ended.
+func (f *Front) answerFromJournal(r *fasthttp.RequestCtx, c call, t ident.Ticket) {
 	d, err := f.orders.Successor(f.ctx, c.id, t)
 	if err != nil {
 		f.refuse(r, kinds.Wrap(kinds.OutcomeUnknown, err, "the journal of the ended owner could not be read"))
@@ -284,8 +284,8 @@
 	f.recorded(r, c, d)
 }
 
-// passOn carries an order to the process that owns it and brings its answer back.
-func (f *Front) passOn(r *fasthttp.RequestCtx, c call, t ident.Ticket) {
+// forwardToOwner carries an order to the process that owns it and brings its answer back.
+func (f *Front) forwardToOwner(r *fasthttp.RequestCtx, c call, t ident.Ticket) {
 	f.hops.Inc(1)
 	m, ok := f.members.Snapshot().Member(t.Owner)
 	if !ok {
@@ -299,10 +299,10 @@
 	left := c.deadline.Sub(f.clock())
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(max(left-hopMargin, time.Millisecond).Milliseconds(), 10))
 	req.Header.Set(HeaderHop, "1")
-	if res := f.client.PassOn(m.Address, req, &r.Response, c.deadline); !res {
+	if res := f.client.Forward(m.Address, req, &r.Response, c.deadline); !res {
 		r.Response.Reset()
 		if f.orders.Ended(f.ctx, t) {
-			f.succeed(r, c, t)
+			f.answerFromJournal(r, c, t)
 			return
 		}
 		f.refuse(r, kinds.Errorf(kinds.OutcomeUnknown, "the owner %s of the order did not answer", t.Owner))
@@ -321,7 +321,7 @@
 		return
 	}
 	c := call{id: id, deadline: f.clock().Add(defaultDeadline), hop: len(r.Request.Header.Peek(HeaderHop)) > 0}
-	if f.elsewhere(r, c, t) {
+	if f.answerForOwner(r, c, t) {
 		return
 	}
 	d := f.orders.Find(id)
--- a/sched/control.go
+++ b/sched/control.go
@@ -216,29 +216,29 @@
 	s.state.picker.Report(o.Target, o.Load, o.AsOf)
 }
 
-// wish asks the borrower task for a slot if more requests wait than loans are asked for. A full ring is counted; the
+// requestLoan asks the borrower task for a slot if more requests wait than loans are asked for. A full ring is counted; the
 // next beat asks again.
-func (s *Scheduler) wish(now time.Time, site Site) {
+func (s *Scheduler) requestLoan(now time.Time, site Site) {
 	if s.state.live < 2 || s.state.wanted[site] >= s.state.queues[site].Len() {
 		return
 	}
 	select {
-	case s.wishes <- LoanWish{site, now.Add(share.MaxLoan - time.Second)}:
+	case s.loanRequests <- LoanRequest{site, now.Add(share.MaxLoan - time.Second)}:
 		s.state.wanted[site]++
-		s.wishStat.Sent()
+		s.loanStats.Sent()
 	default:
-		s.wishStat.Full()
+		s.loanStats.Full()
 	}
 }
 
-// Lent hands in a loan that a peer gave for a wish.
+// Lent hands in a loan that a peer gave for a loan request.
 func (s *Scheduler) Lent(ctx context.Context, site Site, l share.Loan) {
 	if !s.post(ctx, &lent{site, l}) {
 		s.giveBackLoan(l)
 	}
 }
 
-// NotLent says that no peer gave a loan for a wish.
+// NotLent says that no peer gave a loan for a loan request.
 func (s *Scheduler) NotLent(ctx context.Context, site Site) {
 	s.post(ctx, &lent{site: site})
 }
@@ -288,7 +288,7 @@
 	select {
 	case s.returns <- l:
 	default:
-		s.wishStat.Full()
+		s.loanStats.Full()
 	}
 }
 
@@ -434,7 +434,7 @@
 func (m *status) apply(s *Scheduler, now time.Time) {
 	st := Status{
 		Plan: s.state.holder.Version(), Acked: s.state.holder.Acked(), Void: s.state.holder.Void(now),
-		Live: s.state.live, Uses: s.state.holder.Uses(now, nil), Ring: s.stats.Counts(), Loans: s.wishStat.Counts(),
+		Live: s.state.live, Uses: s.state.holder.Uses(now, nil), Ring: s.stats.Counts(), Loans: s.loanStats.Counts(),
 	}
 	if s.state.config != nil {
 		st.Config = s.state.config.Version
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -66,8 +66,8 @@
 	Region  ident.Region  `json:"region"`
 }
 
-// LoanWish asks the borrower task to find a slot at a peer.
-type LoanWish struct {
+// LoanRequest asks the borrower task to find a slot at a peer.
+type LoanRequest struct {
 	Site Site
 	// Until is the deadline to ask for. It is after the deadline of every waiting request.
 	Until time.Time
@@ -84,12 +84,12 @@
 	// queueLength is how many requests of one customer may wait for a site.
 	queueLength int
 
-	messages chan message
-	stats    ring.Stats
-	wishes   chan LoanWish
-	wishStat ring.Stats
-	returns  chan share.Loan
-	paused   chan struct{}
+	messages     chan message
+	stats        ring.Stats
+	loanRequests chan LoanRequest
+	loanStats    ring.Stats
+	returns      chan share.Loan
+	paused       chan struct{}
 
 	state state
 	admitted,
@@ -116,7 +116,7 @@
 	// leaving says which targets leave by the plan, noted which ones have announced it to this entry.
 	leaving, noted map[ident.Target]bool
 	usage          map[ident.Target]*usage
-	// wanted counts the loan wishes per site that no reply has come to yet.
+	// wanted counts the loan requests per site that no reply has come to yet.
 	wanted map[Site]int
 	// links meters the traffic of this entry to each other region.
 	links map[ident.Region]*shift.Link
@@ -227,7 +227,7 @@
 	s := &Scheduler{
 		self: self, place: place, clock: clock, capacity: map[ident.Region]ident.Mbps{}, queueLength: 64,
 		cap:      shift.Cap{PerStep: ident.Whole / 20, PerMinute: ident.Whole / 5},
-		messages: make(chan message, ringSize), wishes: make(chan LoanWish, 64), returns: make(chan share.Loan, 1024),
+		messages: make(chan message, ringSize), loanRequests: make(chan LoanRequest, 64), returns: make(chan share.Loan, 1024),
 		paused: make(chan struct{}, 1),
 		state: state{
 			picker: route.New(src), holder: share.NewHolder(self), queues: map[Site]*queue{},
@@ -254,8 +254,8 @@
 // Name implements kernel.Service.
 func (s *Scheduler) Name() string { return "scheduler" }
 
-// Wishes delivers requests for loans. The borrower task answers each with Lent or NotLent.
-func (s *Scheduler) Wishes() <-chan LoanWish { return s.wishes }
+// LoanRequests delivers requests for loans. The borrower task answers each with Lent or NotLent.
+func (s *Scheduler) LoanRequests() <-chan LoanRequest { return s.loanRequests }
 
 // Returns delivers borrowed slots that must be given back to their lenders.
 func (s *Scheduler) Returns() <-chan share.Loan { return s.returns }
@@ -362,7 +362,7 @@
 	}
 	ref, free := s.choose(now, o.site, q, o.exclude())
 	if o.Admitted {
-		o.further(s, q, ref, free)
+		o.startRetry(s, q, ref, free)
 		return
 	}
 	s.state.nextID++
@@ -378,7 +378,7 @@
 		s.queued.Inc(1)
 		s.state.waiting[o.id] = o
 		s.serve(now, o.site)
-		s.wish(now, o.site)
+		s.requestLoan(now, o.site)
 	default:
 		q.refuse(d.Kind)
 		o.refuse(d.Kind)
@@ -405,9 +405,9 @@
 	return o.Exclude
 }
 
-// further starts another attempt of a request that was admitted before. It does not wait: the first attempt has used up
+// startRetry starts another attempt of a request that was admitted before. It does not wait: the first attempt has used up
 // a part of the deadline already.
-func (o *offer) further(s *Scheduler, q *queue, ref route.TargetRef, free bool) {
+func (o *offer) startRetry(s *Scheduler, q *queue, ref route.TargetRef, free bool) {
 	if !free {
 		q.refuse(kinds.Overloaded)
 		o.refuse(kinds.Overloaded)
@@ -512,7 +512,7 @@
 		q.waiting += q.Len()
 		s.expire(now, q)
 		s.serve(now, site)
-		s.wish(now, site)
+		s.requestLoan(now, site)
 	}
 }
 
--- a/send/send.go
+++ b/send/send.go
@@ -210,8 +210,8 @@
 	t.usual += (latency - t.usual) / 8
 }
 
-// PassOn carries a caller's order to the entry at addr, on a new connection. It reports false if no whole answer came.
-func (c *Client) PassOn(addr string, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) bool {
+// Forward carries a caller's order to the entry at addr, on a new connection. It reports false if no whole answer came.
+func (c *Client) Forward(addr string, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) bool {
 	req.SetConnectionClose()
 	err := c.target(addr).fresh.DoDeadline(req, resp, deadline)
 	resp.Header.Del("Connection")
