--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -6,8 +6,6 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/currantpier/currantpier/config"
@@ -89,13 +87,6 @@
 	return ExitFailed
 }
 
-// logger writes logfmt to standard error, from the given level on.
-func logger(w io.Writer, lvl config.Level) log.Logger {
-	l := log.NewLogfmtLogger(log.NewSyncWriter(w))
-	l = log.With(l, "ts", log.DefaultTimestampUTC)
-	return level.NewFilter(l, level.Allow(level.ParseDefault(string(lvl), level.InfoValue())))
-}
-
 // Exit runs the program with the arguments of the process and ends it.
 func Exit() {
 	os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -7,6 +7,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/go-kit/log"
 )
 
 // Guards against a wrong argument or file that gets a vague message or an exit code that scripts cannot tell apart.
@@ -65,6 +68,29 @@
 	}
 }
 
+// Guards against a fault that hits every request and fills the log, and against lines that are dropped without a word.
+func TestLogLimit(t *testing.T) {
+	var out bytes.Buffer
+	now := time.Unix(0, 0)
+	l := &limitedLogger{next: log.NewLogfmtLogger(&out), clock: func() time.Time { return now }, events: map[any]*eventCount{}}
+	for range eventsPerPeriod + 7 {
+		_ = l.Log("level", "warn", "event", "order-unknown")
+	}
+	_ = l.Log("event", "stop")
+	if n := strings.Count(out.String(), "order-unknown"); n != eventsPerPeriod {
+		t.Errorf("%d lines of one event, want %d", n, eventsPerPeriod)
+	}
+	if !strings.Contains(out.String(), "event=stop") {
+		t.Error("another event is dropped too")
+	}
+	out.Reset()
+	now = now.Add(limitPeriod)
+	_ = l.Log("event", "order-unknown")
+	if !strings.Contains(out.String(), "dropped-before=7") {
+		t.Errorf("the next period says %q, want the number of dropped lines", out.String())
+	}
+}
+
 func TestParsePercent(t *testing.T) {
 	for s, want := range map[string]int32{"20%": 200_000, "100%": 1_000_000, "0.5%": 5_000} {
 		if got, err := parsePercent(s); err != nil || int32(got) != want {
