--- a/entry/tasks.go
+++ b/entry/tasks.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantpier/currantpier/front"
@@ -422,6 +423,7 @@
 	defer t.Stop()
 	for {
 		if st, ok := r.d.sched.Status(ctx, true); ok {
+			r.measure(r.d.clock(), st)
 			r.report(ctx, st)
 		}
 		select {
@@ -432,6 +434,31 @@
 	}
 }
 
+// measure sets the gauges of the metrics page that describe a state and not an event.
+func (r *reporter) measure(now time.Time, st sched.Status) {
+	gauge := func(name string, v float64) { metrics.GetOrRegisterGaugeFloat64(name, r.d.metrics).Update(v) }
+	var granted, inUse, lent, borrowed float64
+	for _, u := range st.Uses {
+		granted += float64(u.Granted)
+		inUse += float64(u.InUse)
+		lent += float64(u.Lent)
+		borrowed += float64(u.Borrowed)
+	}
+	gauge("slots-granted", granted)
+	gauge("slots-in-use", inUse)
+	gauge("slots-lent", lent)
+	gauge("slots-borrowed", borrowed)
+	gauge("config-version", float64(st.Config))
+	gauge("plan-version", float64(st.Plan))
+	gauge("scheduler-ring-full", float64(st.Ring.Full))
+	if t := r.d.plan.Load(); t != nil {
+		gauge("plan-age-ms", float64(now.Sub(t.MadeAt).Milliseconds()))
+	}
+	for _, l := range st.Links {
+		gauge("link-mbit-per-second-"+string(l.To), l.Mbps)
+	}
+}
+
 func (r *reporter) report(ctx context.Context, st sched.Status) {
 	ctx, cancel := context.WithTimeout(ctx, reportPeriod)
 	defer cancel()
--- a/procs/path_test.go
+++ b/procs/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -242,17 +243,20 @@
 			t.Errorf("dump of an unknown service: exit %d, %s", code, out)
 		}
 	}
-	resp, err := http.Get("http://" + v.Control + "/metrics")
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		t.Errorf("metrics: status %d", resp.StatusCode)
+	for _, name := range []string{"requests-admitted", "plan-age-ms", "slots-granted", "orders-unknown"} {
+		s.await("the metrics page has "+name, func() bool {
+			resp, err := admin.Get("http://" + v.Control + "/metrics")
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			return err == nil && strings.Contains(string(body), name)
+		})
 	}
 	v.entry.signal(syscall.SIGUSR1)
 	s.await("the signal writes a dump", func() bool { return strings.Contains(v.entry.log.String(), `"scheduler"`) })
-	resp, err = http.Get("http://" + v.Callers + "/nothing")
+	resp, err := http.Get("http://" + v.Callers + "/nothing")
 	if err != nil {
 		t.Fatal(err)
 	}
