route: a target without slots at this entry is no reason to wait for it

After a moment of high latency the only target with grants was avoided as slow, since a target without grants at this entry counted as a faster one that is merely busy. In the same way a failed target got no trial from queued requests. Ruled out: a cut by the planned stop (no request was in progress when it ended). Change: only targets that this entry may use at all count as up and as brisk. Tests: TestTrial and TestSlowTarget stood for "busy" with a limit of 0, which in an entry means "no grant". They now occupy the only slot of the target; what they demand is unchanged. TestAllSlow has both new cases. Before: TestAllSlow fails in three cases.

--- a/route/route.go
+++ b/route/route.go
@@ -424,7 +424,7 @@
 	extra float64
 	best  *target
 	cost  float64
-	// up says that a target of the region has not failed; due is one that has and can be tried.
+	// up says that a target of the region that this entry has slots of has not failed; due is one that has and can be tried.
 	up  bool
 	due *target
 	// avoided is a slow target that can take a request. It is chosen only if no target that is up is brisk: not slow.
@@ -446,12 +446,12 @@
 			i = 0
 		}
 		if t.plain {
-			s.up = true
+			s.up = s.up || t.limit > 0
 		} else if !s.special(t) {
 			continue
 		}
 		slow := t.latency > s.slow
-		s.brisk = s.brisk || !slow
+		s.brisk = s.brisk || !slow && t.limit > 0
 		if t.inFlight >= t.limit {
 			continue
 		}
@@ -475,7 +475,7 @@
 	case t.Leaving || t.announced:
 		return false
 	case t.health != down:
-		s.up = true
+		s.up = s.up || t.limit > 0
 		return s.p.open(t, s.now)
 	case !s.p.open(t, s.now):
 		return false
