platform: first whole path on the users' platform, one process per VM

Cause: the product's daemons spoke only their own interface; the users' platform keeps configuration and the target registry in its store and has its own names. Before: nothing ran on the platform.

--- /dev/null
+++ b/edge/state.go
@@ -0,0 +1,260 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/trace"
+)
+
+const (
+	// tick is how often times are looked at: targets that stop being cold or whose entry has vanished, VMs that failed.
+	tick = 200 * time.Millisecond
+	// sweepEvery is how often unused connections are closed.
+	sweepEvery = time.Second
+	// readingsSize is the number of readings of the store that wait to be applied.
+	readingsSize = 8
+)
+
+// topic is a table of the store that the node follows.
+type topic uint8
+
+const (
+	operatorTopic topic = iota
+	registryTopic
+)
+
+// String returns the name of the table's content.
+func (t topic) String() string { return [...]string{"operator", "registry"}[t] }
+
+// reading is the result of one call to the store.
+type reading struct {
+	at    time.Time
+	topic topic
+	rows  feed.Rows
+	err   error
+}
+
+// state owns what the store said and publishes it to the carrier. All changes pass through its one goroutine.
+type state struct {
+	cfg      Config
+	stopping func() bool
+	readings chan reading
+	// behind asks for a full reading of the operators' table.
+	behind chan struct{}
+
+	view *fleet.View
+	// operator is the version of the newest change of the operators.
+	operator ident.Version
+	lost     [2]bool
+	vms      int
+	// summary is for dumps.
+	summary atomic.Pointer[Summary]
+}
+
+// Summary is the dump of what the store said.
+type Summary struct {
+	Version   ident.Version  `json:"version"`
+	Evacuated []ident.Domain `json:"evacuated"`
+	Targets   map[string]int `json:"targets"`
+	Outage    bool           `json:"store-outage"`
+}
+
+func newState(cfg Config, stopping func() bool) *state {
+	s := &state{
+		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsSize), behind: make(chan struct{}, 1),
+		view: fleet.NewView(),
+	}
+	s.summary.Store(&Summary{})
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *state) Name() string { return "state" }
+
+// Dump implements kernel.Service.
+func (s *state) Dump(time.Time) any { return s.summary.Load() }
+
+// Run implements kernel.Service.
+func (s *state) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	swept := s.cfg.Clock()
+	for {
+		select {
+		case r := <-s.readings:
+			if s.apply(r) {
+				s.publish(r.at)
+			}
+		case <-ticker.C:
+			now := s.cfg.Clock()
+			if s.view.Tick(now) {
+				s.publish(now)
+			}
+			s.tellPeers(now)
+			if now.Sub(swept) >= sweepEvery {
+				swept = now
+				s.cfg.Carrier.Sweep(now)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// publish hands the present state to the carrier.
+func (s *state) publish(now time.Time) {
+	snap := s.view.Snapshot(now)
+	s.cfg.Carrier.Update(snap)
+	s.tellPeers(now)
+	sum := &Summary{Version: s.view.Version(), Evacuated: s.view.Evacuated(), Targets: map[string]int{}, Outage: s.view.Outage()}
+	for svc, list := range snap.Targets {
+		sum.Targets[string(svc)] = len(list)
+	}
+	s.summary.Store(sum)
+}
+
+// tellPeers exchanges with the peers' view: what this VM knows, and which VMs are alive.
+func (s *state) tellPeers(now time.Time) {
+	snap := s.cfg.Carrier.Snapshot()
+	stopping := s.stopping()
+	ready := snap.Config != nil && snap.RegistryRead && !stopping
+	var vms []ident.VM
+	behind := false
+	s.cfg.Peers.With(func(v *peers.View) {
+		v.SetState(ready, stopping, s.operator)
+		vms = v.Sharing(now)
+		behind = v.Behind()
+	})
+	if len(vms) != s.vms {
+		s.cfg.Log.Add(now, trace.Members, "sharing", len(vms), "before", s.vms)
+		s.vms = len(vms)
+	}
+	s.cfg.Carrier.SetVMs(vms)
+	if behind {
+		select {
+		case s.behind <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// apply takes a reading and reports whether anything changed.
+func (s *state) apply(r reading) bool {
+	s.contact(r)
+	if r.err != nil || r.rows.Compacted {
+		return false
+	}
+	if r.topic == operatorTopic {
+		return s.applyOperator(r)
+	}
+	return s.applyRegistry(r)
+}
+
+// contact logs when a table is lost and regained.
+func (s *state) contact(r reading) {
+	ok := r.err == nil
+	if r.topic == registryTopic {
+		s.view.Contact(r.at, ok)
+	}
+	if ok == !s.lost[r.topic] {
+		return
+	}
+	s.lost[r.topic] = !ok
+	if ok {
+		s.cfg.Log.Add(r.at, trace.Regained, "dependency", "store", "table", r.topic)
+		return
+	}
+	s.cfg.Log.Add(r.at, trace.Lost, "dependency", "store", "table", r.topic, "err", r.err)
+}
+
+func (s *state) applyOperator(r reading) bool {
+	changed := false
+	present := map[ident.Domain]bool{}
+	for _, row := range r.rows.Rows {
+		s.operator = max(s.operator, row.Version)
+		c, err := s.cfg.Decoder.Change(row)
+		if err != nil {
+			s.cfg.Log.Add(r.at, trace.Fault, "row", row.Key, "version", row.Version, "err", err)
+			continue
+		}
+		if c == nil {
+			continue
+		}
+		if c.Config == nil {
+			present[c.Domain] = !c.Ended
+		}
+		changed = s.change(r.at, c) || changed
+	}
+	if r.rows.Whole {
+		for _, d := range s.view.Evacuated() {
+			if !present[d] {
+				changed = s.change(r.at, &fleet.Change{Domain: d, Ended: true}) || changed
+			}
+		}
+		s.cfg.Peers.With(func(v *peers.View) { v.CaughtUp(r.rows.Version) })
+	}
+	return changed
+}
+
+func (s *state) change(now time.Time, c *fleet.Change) bool {
+	if c.Config != nil {
+		if !s.view.SetConfig(c.Config) {
+			return false
+		}
+		s.cfg.Log.Add(now, trace.Config, "version", c.Config.Version, "routes", len(c.Config.Routes))
+		return true
+	}
+	if !s.view.Evacuate(now, c.Domain, !c.Ended) {
+		return false
+	}
+	s.cfg.Log.Add(now, trace.Evacuation, "failure-domain", c.Domain, "on", !c.Ended)
+	return true
+}
+
+func (s *state) applyRegistry(r reading) bool {
+	if r.rows.Whole {
+		entries := make([]fleet.Entry, 0, len(r.rows.Rows))
+		for _, row := range r.rows.Rows {
+			if e, ok := s.entry(r.at, row); ok {
+				entries = append(entries, e)
+			}
+		}
+		s.view.Replace(r.at, entries)
+		s.cfg.Log.Add(r.at, trace.Targets, "reading", "whole", "entries", len(entries))
+		return true
+	}
+	changed := false
+	for _, row := range r.rows.Rows {
+		if row.Removed {
+			changed = s.view.Remove(r.at, ident.Target(row.Key)) || changed
+			s.cfg.Log.Add(r.at, trace.Targets, "target", row.Key, "state", "removed")
+			continue
+		}
+		e, ok := s.entry(r.at, row)
+		if !ok {
+			changed = s.view.Remove(r.at, ident.Target(row.Key)) || changed
+			continue
+		}
+		if s.view.Put(r.at, e) {
+			changed = true
+			s.cfg.Log.Add(r.at, trace.Targets, "target", e.ID, "service", e.Service, "ready", e.Ready, "warmup-left", e.WarmupLeft,
+				"sequence", e.Sequence)
+		}
+	}
+	return changed
+}
+
+func (s *state) entry(now time.Time, row feed.Row) (fleet.Entry, bool) {
+	e, err := s.cfg.Decoder.Entry(row)
+	if err != nil {
+		s.cfg.Log.Add(now, trace.BadEntry, "key", row.Key, "err", err)
+		return e, false
+	}
+	return e, true
+}
--- /dev/null
+++ b/peers/peers.go
@@ -0,0 +1,307 @@
+// Package peers keeps track of which VMs are alive. Each VM counts heartbeats and sends the counts that it knows to a few
+// others (gossip); a VM whose count has not grown for a while has failed. View has no I/O and no clock of its own; Run
+// moves its messages over UDP.
+package peers
+
+import (
+	"math/bits"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+)
+
+const (
+	// Interval is the time between two heartbeats of a VM.
+	Interval = 300 * time.Millisecond
+	// fanout is the number of VMs that each heartbeat is sent to.
+	fanout = 3
+	// digestMost bounds the counts in one message, so that it fits into one datagram.
+	digestMost = 30
+	// failBase and failStep give the time without a heartbeat after which a VM has failed: news needs a number of rounds
+	// that grows with the logarithm of the number of VMs.
+	failBase = 1500 * time.Millisecond
+	failStep = 250 * time.Millisecond
+	// forgetAfter is how long a failed VM is remembered.
+	forgetAfter = 60 * time.Second
+	// introduceFor is how long the address of a VM that was met recently is passed on.
+	introduceFor = 2 * time.Second
+	// startTrust is how long after the start of this process VMs that the store lists share the bounds of targets before
+	// they were heard from.
+	startTrust = 6 * time.Second
+)
+
+// Info is what a VM says of itself.
+type Info struct {
+	VM ident.VM `json:"vm"`
+	// Peer is host:port for messages between VMs, Caller host:port for callers.
+	Peer        string            `json:"peer"`
+	Caller      string            `json:"caller"`
+	Place       ident.Place       `json:"place"`
+	Incarnation ident.Incarnation `json:"incarnation"`
+}
+
+// Beat is the newest heartbeat of one VM that the sender of a message knows.
+type Beat struct {
+	VM          ident.VM          `json:"v"`
+	Incarnation ident.Incarnation `json:"i"`
+	Count       uint64            `json:"c"`
+	// Ready says that the VM takes callers, Leaving that it is about to stop.
+	Ready   bool `json:"r,omitempty"`
+	Leaving bool `json:"l,omitempty"`
+}
+
+// Message is what VMs send each other.
+type Message struct {
+	From Info `json:"from"`
+	// Hello asks the receiver for everything that it knows.
+	Hello bool   `json:"hello,omitempty"`
+	Beats []Beat `json:"beats"`
+	// Infos introduce VMs that the receiver may not know.
+	Infos []Info `json:"infos,omitempty"`
+	// Operator is the version of the newest change of the operators that the sender has seen.
+	Operator ident.Version `json:"operator"`
+}
+
+// Packet is a message and where it goes.
+type Packet struct {
+	To      string
+	Message Message
+}
+
+// member is what is known of one VM.
+type member struct {
+	Info
+	beat Beat
+	// heard is when the count last grew; zero if never. met is when the VM became known.
+	heard, met time.Time
+}
+
+// View is one VM's knowledge of the others. It is not safe for concurrent use.
+type View struct {
+	self    Info
+	started time.Time
+	beat    Beat
+	members map[ident.VM]*member
+	rnd     *rand.Rand
+	// seeds are addresses to greet while no other VM is known.
+	seeds []string
+	// operator is the newest version that this VM has seen, heardOperator the newest that a peer has seen.
+	operator, heardOperator ident.Version
+}
+
+// NewView returns a view that knows only its own VM.
+func NewView(now time.Time, self Info, seeds []string, src rand.Source) *View {
+	return &View{
+		self: self, started: now, seeds: seeds, members: map[ident.VM]*member{}, rnd: rand.New(src),
+		beat: Beat{VM: self.VM, Incarnation: self.Incarnation},
+	}
+}
+
+// SetState records whether this VM takes callers, is about to stop, and which operators' change it has seen.
+func (v *View) SetState(ready, leaving bool, operator ident.Version) {
+	v.beat.Ready, v.beat.Leaving = ready, leaving
+	v.operator = max(v.operator, operator)
+}
+
+// Behind reports whether a peer has seen a newer change of the operators than this VM.
+func (v *View) Behind() bool { return v.heardOperator > v.operator }
+
+// Listed takes the VMs that the store lists.
+func (v *View) Listed(now time.Time, infos []Info) {
+	for _, i := range infos {
+		v.meet(now, i)
+	}
+}
+
+// CaughtUp records that this VM has read everything up to a version of the store. A full reading does not show what was
+// removed, so that the version of a removal is known only from peers.
+func (v *View) CaughtUp(version ident.Version) {
+	if v.heardOperator <= version {
+		v.operator = max(v.operator, v.heardOperator)
+	}
+}
+
+func (v *View) meet(now time.Time, i Info) {
+	if i.VM == v.self.VM || i.VM == "" || i.Peer == "" {
+		return
+	}
+	m := v.members[i.VM]
+	if m == nil {
+		v.members[i.VM] = &member{Info: i, met: now}
+		return
+	}
+	if i.Incarnation > m.Incarnation {
+		m.Info = i
+		m.met = now
+	}
+}
+
+// Receive takes a message and returns the reply, if there is one.
+func (v *View) Receive(now time.Time, msg Message) []Packet {
+	if msg.From.VM == v.self.VM {
+		return nil
+	}
+	v.meet(now, msg.From)
+	for _, i := range msg.Infos {
+		v.meet(now, i)
+	}
+	for _, b := range msg.Beats {
+		v.hear(now, b)
+	}
+	v.heardOperator = max(v.heardOperator, msg.Operator)
+	if !msg.Hello {
+		return nil
+	}
+	return []Packet{{To: msg.From.Peer, Message: v.message(now, true)}}
+}
+
+func (v *View) hear(now time.Time, b Beat) {
+	m := v.members[b.VM]
+	if m == nil {
+		return
+	}
+	if b.Incarnation < m.beat.Incarnation || b.Incarnation == m.beat.Incarnation && b.Count <= m.beat.Count {
+		return
+	}
+	m.beat = b
+	m.heard = now
+}
+
+// Tick counts a heartbeat and returns the messages to send. It is called every Interval.
+func (v *View) Tick(now time.Time) []Packet {
+	v.beat.Count++
+	v.forget(now)
+	targets := v.targets(now)
+	packets := make([]Packet, 0, len(targets)+len(v.seeds))
+	msg := v.message(now, false)
+	msg.Hello = !v.anyHeard()
+	for _, to := range targets {
+		packets = append(packets, Packet{To: to, Message: msg})
+	}
+	if msg.Hello {
+		for _, to := range v.seeds {
+			if to != v.self.Peer && !slices.Contains(targets, to) {
+				packets = append(packets, Packet{To: to, Message: msg})
+			}
+		}
+	}
+	return packets
+}
+
+// Farewell returns messages that tell every known VM the present state at once.
+func (v *View) Farewell(now time.Time) []Packet {
+	v.beat.Count++
+	msg := v.message(now, false)
+	var packets []Packet
+	for _, m := range v.sorted() {
+		packets = append(packets, Packet{To: m.Peer, Message: msg})
+	}
+	return packets
+}
+
+func (v *View) anyHeard() bool {
+	for _, m := range v.members {
+		if !m.heard.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *View) forget(now time.Time) {
+	for vm, m := range v.members {
+		last := m.heard
+		if last.IsZero() {
+			last = m.met
+		}
+		if now.Sub(last) > forgetAfter {
+			delete(v.members, vm)
+		}
+	}
+}
+
+// targets chooses the addresses for one heartbeat: some VMs that are alive, and one that is not, in case it came back.
+func (v *View) targets(now time.Time) []string {
+	var alive, other []string
+	for _, m := range v.sorted() {
+		if v.alive(now, m) {
+			alive = append(alive, m.Peer)
+		} else {
+			other = append(other, m.Peer)
+		}
+	}
+	v.rnd.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	v.rnd.Shuffle(len(other), func(i, j int) { other[i], other[j] = other[j], other[i] })
+	chosen := alive[:min(fanout, len(alive))]
+	room := 1
+	if len(alive) == 0 {
+		room = fanout
+	}
+	return append(chosen, other[:min(room, len(other))]...)
+}
+
+// message returns what this VM knows. All includes the addresses of every VM.
+func (v *View) message(now time.Time, all bool) Message {
+	msg := Message{From: v.self, Beats: []Beat{v.beat}, Operator: v.operator}
+	members := v.sorted()
+	// The newest heartbeats are the news that others most likely lack.
+	slices.SortStableFunc(members, func(a, b *member) int { return b.heard.Compare(a.heard) })
+	for i, m := range members {
+		if i < digestMost && !m.heard.IsZero() {
+			msg.Beats = append(msg.Beats, m.beat)
+		}
+		if all && i < digestMost || now.Sub(m.met) < introduceFor && len(msg.Infos) < digestMost/3 {
+			msg.Infos = append(msg.Infos, m.Info)
+		}
+	}
+	return msg
+}
+
+// sorted returns the members by name, so that a seeded source gives the same choices.
+func (v *View) sorted() []*member {
+	list := make([]*member, 0, len(v.members))
+	for _, m := range v.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	return list
+}
+
+// failAfter is the time without a heartbeat after which a VM has failed.
+func (v *View) failAfter() time.Duration {
+	return failBase + failStep*time.Duration(bits.Len(uint(len(v.members))))
+}
+
+func (v *View) alive(now time.Time, m *member) bool {
+	return !m.heard.IsZero() && now.Sub(m.heard) < v.failAfter() && !m.beat.Leaving
+}
+
+// Ready returns the VMs that take callers, this one included, sorted by name.
+func (v *View) Ready(now time.Time) []Info {
+	var list []Info
+	if v.beat.Ready && !v.beat.Leaving {
+		list = append(list, v.self)
+	}
+	for _, m := range v.sorted() {
+		if v.alive(now, m) && m.beat.Ready {
+			list = append(list, m.Info)
+		}
+	}
+	return list
+}
+
+// Sharing returns the VMs that may send requests to the same targets, this one included. It errs on the side of too
+// many: after a start, VMs that only the store lists count as well.
+func (v *View) Sharing(now time.Time) []ident.VM {
+	list := []ident.VM{v.self.VM}
+	for _, m := range v.sorted() {
+		heard := !m.heard.IsZero() && now.Sub(m.heard) < 2*v.failAfter()
+		if heard || m.heard.IsZero() && now.Sub(v.started) < startTrust {
+			list = append(list, m.VM)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/peers/run.go
@@ -0,0 +1,136 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// datagramMost is the largest datagram that is read.
+const datagramMost = 16 << 10
+
+// Service sends and receives the messages of a View over UDP.
+type Service struct {
+	clock func() time.Time
+	conn  net.PacketConn
+
+	mu   sync.Mutex
+	view *View
+	// bad counts datagrams that could not be read or sent.
+	bad uint64
+}
+
+// NewService returns a service for a view that uses conn.
+func NewService(view *View, conn net.PacketConn, clock func() time.Time) *Service {
+	return &Service{view: view, conn: conn, clock: clock}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return "peers" }
+
+// With calls f with the view.
+func (s *Service) With(f func(v *View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.view)
+}
+
+// Run implements kernel.Service.
+func (s *Service) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
+	defer stop()
+	g.Go(func() error { return s.receive(ctx) })
+	g.Go(func() error { return s.beat(ctx) })
+	return g.Wait()
+}
+
+func (s *Service) beat(ctx context.Context) error {
+	t := time.NewTicker(Interval)
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		packets := s.view.Tick(s.clock())
+		s.mu.Unlock()
+		s.send(packets)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (s *Service) receive(ctx context.Context) error {
+	buf := make([]byte, datagramMost)
+	for {
+		n, _, err := s.conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		var msg Message
+		if err != nil || json.Unmarshal(buf[:n], &msg) != nil {
+			s.countBad()
+			continue
+		}
+		s.mu.Lock()
+		reply := s.view.Receive(s.clock(), msg)
+		s.mu.Unlock()
+		s.send(reply)
+	}
+}
+
+func (s *Service) countBad() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bad++
+}
+
+// Farewell tells every known VM the present state at once.
+func (s *Service) Farewell() {
+	s.mu.Lock()
+	packets := s.view.Farewell(s.clock())
+	s.mu.Unlock()
+	s.send(packets)
+}
+
+func (s *Service) send(packets []Packet) {
+	for _, p := range packets {
+		b, err := json.Marshal(p.Message)
+		if err != nil {
+			s.countBad()
+			continue
+		}
+		addr, err := net.ResolveUDPAddr("udp", p.To)
+		if err != nil {
+			s.countBad()
+			continue
+		}
+		// A datagram that is lost is made up for by the next one.
+		if _, err := s.conn.WriteTo(b, addr); err != nil {
+			s.countBad()
+		}
+	}
+}
+
+// State is the dump of a Service.
+type State struct {
+	Ready []Info `json:"ready"`
+	Known int    `json:"known"`
+	Bad   uint64 `json:"bad-datagrams"`
+}
+
+// Dump implements kernel.Service.
+func (s *Service) Dump(now time.Time) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return State{Ready: s.view.Ready(now), Known: len(s.view.members), Bad: s.bad}
+}
--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,382 @@
+// Package pick chooses the target of a request. Requests for the same object go to the same few targets on every VM,
+// since a target answers faster for objects that it has handled recently. Every VM computes the same order of targets
+// for an object (rendezvous hashing); how far down that order a request goes depends on the load that the targets have
+// reported in their answers. The package has no I/O, no goroutines and no clock of its own.
+package pick
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+)
+
+const (
+	// loadMemory is the time constant with which the load that other VMs cause at a target is forgotten after a report.
+	loadMemory = 800 * time.Millisecond
+	// firstRegionTrip and firstDomainTrip are the round trips that are assumed until some were measured.
+	firstRegionTrip = 60 * time.Millisecond
+	firstDomainTrip = 3 * time.Millisecond
+	// regionPenalty and domainPenalty weigh the price of bytes between places, as time.
+	regionPenalty = 40 * time.Millisecond
+	domainPenalty = 3 * time.Millisecond
+	// firstWork is the time of a request at a target that is assumed until some were measured.
+	firstWork = 200 * time.Millisecond
+	// workMemory is the weight of a new sample in the mean time of a route's requests.
+	workMemory = 0.05
+	// coldShare is how much of the difference between an unknown and a known object is added for the other requests that
+	// a longer one delays.
+	coldShare = 1.0
+	// suspectFor is how long a target that failed to connect or broke a connection gets no requests; it doubles with each
+	// further failure up to suspectMost.
+	suspectFor  = 500 * time.Millisecond
+	suspectMost = 4 * time.Second
+	// failMemory is the weight of a new outcome in a target's failure rate, failPenalty the time that a failure rate of 1
+	// adds to its cost.
+	failMemory  = 0.1
+	failPenalty = 3 * time.Second
+	// slowMemory is the weight of a new sample in a target's speed.
+	slowMemory = 0.1
+	// knownFor is how long an object counts as known to a target after its last request from this VM.
+	knownFor = 10 * time.Second
+	// holders is the number of targets of a region that an object is spread over at most while they have room.
+	holders = 4
+)
+
+// Object is the hash of what a request is about. Zero stands for a request without an object.
+type Object uint64
+
+// NewObject returns the object with the given key on a route.
+func NewObject(route fleet.RouteName, key []byte) Object {
+	if len(key) == 0 {
+		return 0
+	}
+	h := xxhash.New()
+	// Writes to a hash do not fail.
+	_, _ = h.WriteString(string(route))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write(key)
+	return Object(h.Sum64() | 1)
+}
+
+// target is what this VM knows of one target.
+type target struct {
+	fleet.Target
+	hash uint64
+	// sent is the number of requests of this VM in progress there.
+	sent int
+	// others is the load that other VMs caused there at the time of the last report.
+	others   float64
+	reported time.Time
+	// failures counts failures to connect or broken connections in a row; until suspect it gets no requests.
+	failures int
+	suspect  time.Time
+	// failRate is the mean share of requests that failed there, 0 to 1.
+	failRate float64
+	// slow is the mean time of its requests relative to those of its route elsewhere, 1 for an ordinary target.
+	slow float64
+	// gone says that another target answered at its address.
+	gone bool
+	// known holds when this VM last sent a request for an object there.
+	known map[Object]time.Time
+	cold  coldGate
+}
+
+// pool is the targets of one service, sorted by id.
+type pool struct {
+	targets []*target
+}
+
+// work is the mean time of a route's requests at a target, without waiting.
+type work struct {
+	// known and unknown are the means for objects that the target has handled recently and for others.
+	known, unknown time.Duration
+}
+
+// Picker chooses targets for one VM. It is not safe for concurrent use.
+type Picker struct {
+	self   ident.VM
+	place  ident.Place
+	byID   map[ident.Target]*target
+	pools  map[ident.Service]*pool
+	work   map[fleet.RouteName]*work
+	trips  map[ident.Region]time.Duration
+	specs  map[ident.Service]fleet.Service
+	splits map[fleet.RouteName]*split
+	// vms are the VMs that share the rates of cold targets, this one included.
+	vms []ident.VM
+}
+
+// New returns a picker for a VM at the given place, without targets.
+func New(self ident.VM, place ident.Place) *Picker {
+	return &Picker{
+		self: self, place: place,
+		byID:   map[ident.Target]*target{},
+		pools:  map[ident.Service]*pool{},
+		work:   map[fleet.RouteName]*work{},
+		trips:  map[ident.Region]time.Duration{},
+		splits: map[fleet.RouteName]*split{},
+		vms:    []ident.VM{self},
+	}
+}
+
+// SetVMs tells which VMs send requests to the same targets.
+func (p *Picker) SetVMs(vms []ident.VM) {
+	p.vms = append(p.vms[:0], vms...)
+	if !slices.Contains(p.vms, p.self) {
+		p.vms = append(p.vms, p.self)
+	}
+}
+
+// SetTargets takes the targets and services of a snapshot and keeps what was learned about those that stay.
+func (p *Picker) SetTargets(s *fleet.Snapshot) {
+	if s.Config != nil {
+		p.specs = s.Config.Services
+	}
+	byID := make(map[ident.Target]*target, len(p.byID))
+	p.pools = make(map[ident.Service]*pool, len(s.Targets))
+	for svc, list := range s.Targets {
+		pl := &pool{targets: make([]*target, 0, len(list))}
+		for _, ft := range list {
+			t := p.byID[ft.ID]
+			if t == nil || t.Born != ft.Born || t.Address != ft.Address {
+				t = &target{hash: xxhash.Sum64String(string(ft.ID)), slow: 1, known: map[Object]time.Time{}}
+			}
+			t.Target = ft
+			byID[ft.ID] = t
+			pl.targets = append(pl.targets, t)
+		}
+		slices.SortFunc(pl.targets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+		p.pools[svc] = pl
+	}
+	p.byID = byID
+}
+
+// Ask describes a request that needs a target.
+type Ask struct {
+	Route   *fleet.Route
+	Service ident.Service
+	Object  Object
+	// Deadline is when the answer must be there.
+	Deadline time.Time
+	// Tried are targets that the request must not be sent to again.
+	Tried []ident.Target
+}
+
+// Choice is the target of a request.
+type Choice struct {
+	Target fleet.Target
+	// Known says that the target has probably handled the object recently.
+	Known bool
+	// Expected is the estimated time until the answer.
+	Expected time.Duration
+	// Load is the number of requests at the target, as far as is known.
+	Load float64
+}
+
+// Reason says why there is no choice.
+type Reason uint8
+
+// The reasons.
+const (
+	// Chosen: there is a choice.
+	Chosen Reason = iota
+	// NoTarget: the service has no target that may be used.
+	NoTarget
+	// ColdOnly: all targets that are left are cold, and this VM has used up its share of their rates.
+	ColdOnly
+	// TooLate: no target is expected to answer before the deadline.
+	TooLate
+)
+
+// String returns the reason in kebab case.
+func (r Reason) String() string {
+	return [...]string{"chosen", "no-target", "cold-only", "too-late"}[r]
+}
+
+// candidate is a target with the cost of sending a request there.
+type candidate struct {
+	t        *target
+	score    uint64
+	rank     int
+	known    bool
+	expected time.Duration
+	cost     time.Duration
+}
+
+// Choose returns the target with the least cost. The caller must call Started for it.
+func (p *Picker) Choose(now time.Time, a Ask) (Choice, Reason) {
+	pl := p.pools[a.Service]
+	if pl == nil || len(pl.targets) == 0 {
+		return Choice{}, NoTarget
+	}
+	list, reason := p.candidates(now, pl, a)
+	if len(list) == 0 {
+		return Choice{}, reason
+	}
+	left := a.Deadline.Sub(now)
+	best := -1
+	for i := range list {
+		c := &list[i]
+		p.estimate(now, a, c)
+		if c.expected < left && (best < 0 || c.cost < list[best].cost) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Choice{}, TooLate
+	}
+	c := &list[best]
+	return Choice{Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now)}, Chosen
+}
+
+// candidates returns the targets that the request may be sent to, with their rank within their region.
+func (p *Picker) candidates(now time.Time, pl *pool, a Ask) ([]candidate, Reason) {
+	list := make([]candidate, 0, len(pl.targets))
+	reason := NoTarget
+	for _, t := range pl.targets {
+		if t.gone || now.Before(t.suspect) || !a.Route.Allows(t.Place.Region) || slices.Contains(a.Tried, t.ID) {
+			continue
+		}
+		if now.Before(t.ColdUntil) && !p.mayWarm(now, t) {
+			reason = ColdOnly
+			continue
+		}
+		list = append(list, candidate{t: t, score: mix(uint64(a.Object) ^ t.hash)})
+	}
+	p.rank(list, a.Object)
+	return list, reason
+}
+
+// rank numbers the candidates of each region in the order of the object's hash. The own region's come first.
+func (p *Picker) rank(list []candidate, object Object) {
+	if object == 0 {
+		for i := range list {
+			list[i].rank = math.MaxInt
+		}
+		return
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if d := p.distance(a.t) - p.distance(b.t); d != 0 {
+			return d
+		}
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(string(a.t.ID), string(b.t.ID))
+	})
+	rank := 0
+	for i := range list {
+		if i > 0 && p.distance(list[i].t) != p.distance(list[i-1].t) {
+			rank = 0
+		}
+		list[i].rank = rank
+		rank++
+	}
+}
+
+// distance is 0 for targets in the own region and 1 for others.
+func (p *Picker) distance(t *target) int {
+	if t.Place.Region == p.place.Region {
+		return 0
+	}
+	return 1
+}
+
+// estimate fills in how long the request would take at the candidate and what it costs.
+func (p *Picker) estimate(now time.Time, a Ask, c *candidate) {
+	w := p.workOf(a.Route)
+	_, seen := c.t.known[a.Object]
+	c.known = a.Object != 0 && (c.rank == 0 || seen && now.Sub(c.t.known[a.Object]) < knownFor)
+	need := w.unknown
+	if c.known {
+		need = w.known
+	}
+	if now.Before(c.t.ColdUntil) {
+		need = 2 * w.unknown
+	}
+	mean := (w.known + w.unknown) / 2
+	wait := time.Duration(c.t.queue(now) * float64(mean) / float64(max(c.t.Slots, 1)))
+	c.expected = p.trip(c.t) + scale(need+wait, c.t.slow)
+	c.cost = c.expected + p.penalty(c.t)
+	if !c.known {
+		c.cost += scale(w.unknown-w.known, coldShare)
+	}
+	if a.Object != 0 && !c.known && c.rank >= holders {
+		c.cost += scale(w.unknown-w.known, coldShare)
+	}
+}
+
+func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
+
+// penalty is the cost of a target beyond its expected time.
+func (p *Picker) penalty(t *target) time.Duration {
+	cost := scale(failPenalty, max(t.failRate-0.05, 0))
+	switch p.place.To(t.Place) {
+	case ident.OtherRegion:
+		cost += regionPenalty
+	case ident.SameRegion:
+		cost += domainPenalty
+	}
+	return cost
+}
+
+// trip is the round trip to a target.
+func (p *Picker) trip(t *target) time.Duration {
+	switch p.place.To(t.Place) {
+	case ident.OtherRegion:
+		if d, ok := p.trips[t.Place.Region]; ok {
+			return d
+		}
+		return firstRegionTrip
+	case ident.SameRegion:
+		return firstDomainTrip
+	}
+	return 0
+}
+
+// Trip records the time that a new connection to a region took.
+func (p *Picker) Trip(r ident.Region, d time.Duration) {
+	if old, ok := p.trips[r]; ok {
+		d = min(old+(d-old)/8, d)
+	}
+	p.trips[r] = d
+}
+
+// load is the number of requests at the target that this VM knows of.
+func (t *target) load(now time.Time) float64 {
+	fade := math.Exp(-float64(now.Sub(t.reported)) / float64(loadMemory))
+	return float64(t.sent) + t.others*fade
+}
+
+// queue is the number of requests that a further one would wait for.
+func (t *target) queue(now time.Time) float64 {
+	return max(0, t.load(now)+1-float64(t.Slots))
+}
+
+func (p *Picker) workOf(r *fleet.Route) *work {
+	w := p.work[r.Name]
+	if w == nil {
+		first := max(r.Aim, firstWork)
+		w = &work{known: first / 3, unknown: first}
+		p.work[r.Name] = w
+	}
+	return w
+}
+
+// mix spreads the bits of x. It is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
