--- a/edge/state.go
+++ b/edge/state.go
@@ -159,8 +159,8 @@
 // contact logs when a table is lost and regained.
 func (s *state) contact(r reading) {
 	ok := r.err == nil
-	if r.topic == registryTopic {
-		s.view.Contact(r.at, ok)
+	if r.topic == registryTopic && !ok {
+		s.view.Failed()
 	}
 	if ok == !s.lost[r.topic] {
 		return
@@ -218,36 +218,24 @@
 }
 
 func (s *state) applyRegistry(r reading) bool {
-	if r.rows.Whole {
-		entries := make([]fleet.Entry, 0, len(r.rows.Rows))
-		for _, row := range r.rows.Rows {
-			if e, ok := s.entry(r.at, row); ok {
-				entries = append(entries, e)
-			}
-		}
-		s.view.Replace(r.at, entries)
-		s.cfg.Log.Add(r.at, trace.Targets, "reading", "whole", "entries", len(entries))
-		return true
-	}
-	changed := false
+	in := fleet.Reading{Whole: r.rows.Whole}
 	for _, row := range r.rows.Rows {
 		if row.Removed {
-			changed = s.view.Remove(r.at, ident.Target(row.Key)) || changed
-			s.cfg.Log.Add(r.at, trace.Targets, "target", row.Key, "state", "removed")
+			in.Removed = append(in.Removed, ident.Target(row.Key))
 			continue
 		}
 		e, ok := s.entry(r.at, row)
 		if !ok {
-			changed = s.view.Remove(r.at, ident.Target(row.Key)) || changed
+			in.Removed = append(in.Removed, ident.Target(row.Key))
 			continue
 		}
-		if s.view.Put(r.at, e) {
-			changed = true
-			s.cfg.Log.Add(r.at, trace.Targets, "target", e.ID, "service", e.Service, "ready", e.Ready, "warmup-left", e.WarmupLeft,
-				"sequence", e.Sequence)
-		}
+		in.Entries = append(in.Entries, e)
 	}
-	return changed
+	changed := s.view.Apply(r.at, in)
+	for _, id := range changed {
+		s.cfg.Log.Add(r.at, trace.Targets, s.view.Describe(r.at, id)...)
+	}
+	return len(changed) > 0 || r.rows.Whole
 }
 
 func (s *state) entry(now time.Time, row feed.Row) (fleet.Entry, bool) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -41,7 +41,7 @@
 const (
 	// firstBackoff and mostBackoff bound the pause after calls that failed.
 	firstBackoff = 150 * time.Millisecond
-	mostBackoff  = time.Second
+	mostBackoff  = 600 * time.Millisecond
 )
 
 // Step is what a Follower does next.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -6,9 +6,21 @@
 	"github.com/currantpier/currantpier/ident"
 )
 
-// RegistryGrace is how long entries that vanished during an outage of the store are kept after its return. Living
-// targets are registered again within about two seconds.
-const RegistryGrace = 2300 * time.Millisecond
+const (
+	// RegistryGrace is how long targets whose entries lapsed during an outage of the store are kept after its return.
+	// Living targets are registered again within about two seconds.
+	RegistryGrace = 2100 * time.Millisecond
+	// memory is how long a removed entry is remembered, so that a heartbeat written before its removal does not bring it
+	// back.
+	memory = 60 * time.Second
+	// restartAfter is how long a target without a start time must have been silent before a lower sequence is taken for a
+	// restart instead of a late heartbeat.
+	restartAfter = 5 * time.Second
+	// heartbeatLag is how old a heartbeat can be when it is read.
+	heartbeatLag = 2500 * time.Millisecond
+	// coldNoise is the difference between two statements of the end of the warm-up that is no news.
+	coldNoise = 300 * time.Millisecond
+)
 
 // Target is a registered target that may be used.
 type Target struct {
@@ -32,30 +44,41 @@
 // record is the state of one registered target.
 type record struct {
 	Entry
+	// seen is when the entry was last written, as far as this VM knows.
+	seen      time.Time
 	coldUntil time.Time
+	// doubtful is until when a heartbeat may be older than the end of an evacuation, so that it does not end the warm-up.
+	doubtful time.Time
 	// vanished is when the entry was found missing; zero while it is there.
 	vanished time.Time
+	// keepUntil is until when the target is used although its entry is missing.
+	keepUntil time.Time
 	// left says that this start of the target has announced that it is leaving, which it can't take back.
 	left bool
 }
 
+// usable reports whether the target may get new requests as far as its entry is concerned.
+func (r *record) usable(now time.Time) bool {
+	return !r.left && (r.vanished.IsZero() || now.Before(r.keepUntil))
+}
+
 // View merges what is read from the store. Configurations only go forward. It is not safe for concurrent use.
 type View struct {
 	config    *Config
 	evacuated map[ident.Domain]bool
 	records   map[ident.Target]*record
 	read      bool
-	// outage says that the last call to the store failed; back is when it answered again after an outage.
-	outage bool
-	back   time.Time
+	// outage says that the last call to the store failed, resumed that the next reading is the first one after that.
+	outage, resumed bool
+	// graceUntil is until when entries may be missing only because the store was away.
+	graceUntil time.Time
+	// next is when the state next changes by time alone; zero if it doesn't.
+	next time.Time
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{
-		evacuated: map[ident.Domain]bool{},
-		records:   map[ident.Target]*record{},
-	}
+	return &View{evacuated: map[ident.Domain]bool{}, records: map[ident.Target]*record{}}
 }
 
 // SetConfig takes a configuration if it is newer than the present one and reports whether it did.
@@ -89,6 +112,7 @@
 	for _, r := range v.records {
 		if r.Place.Domain == d {
 			r.coldUntil = now.Add(v.warmup(r.Service))
+			r.doubtful = now.Add(heartbeatLag)
 		}
 	}
 	return true
@@ -110,99 +134,183 @@
 	return v.config.Services[svc].Warmup
 }
 
-// Put takes an entry that was read from the registry. It reports whether targets changed.
-func (v *View) Put(now time.Time, e Entry) bool {
+// Reading is what one call returned of the registry.
+type Reading struct {
+	Entries []Entry
+	Removed []ident.Target
+	// Whole says that Entries is the whole registry.
+	Whole bool
+}
+
+// Failed records that a call to the registry failed.
+func (v *View) Failed() {
+	v.outage = true
+	v.resumed = true
+}
+
+// Outage reports whether the last call to the registry failed.
+func (v *View) Outage() bool { return v.outage }
+
+// Apply takes a reading of the registry and returns the targets for which something changed that matters.
+func (v *View) Apply(now time.Time, r Reading) []ident.Target {
+	v.outage = false
+	if v.resumed {
+		v.resume(now, r)
+	}
+	v.read = true
+	var changed []ident.Target
+	present := make(map[ident.Target]bool, len(r.Entries))
+	for _, e := range r.Entries {
+		present[e.ID] = true
+		if v.put(now, e) {
+			changed = append(changed, e.ID)
+		}
+	}
+	removed := r.Removed
+	if r.Whole {
+		for id := range v.records {
+			if !present[id] {
+				removed = append(removed, id)
+			}
+		}
+	}
+	for _, id := range removed {
+		if v.remove(now, id) {
+			changed = append(changed, id)
+		}
+	}
+	return changed
+}
+
+// resume decides at the first reading after failed calls whether the store itself was away. If it was, targets could not
+// write either, and most entries are as old as before the outage. If only this VM was cut off, the targets' heartbeats
+// went on, and a missing entry means that its target is gone.
+func (v *View) resume(now time.Time, r Reading) {
+	v.resumed = false
+	known, fresh := 0, 0
+	for _, rec := range v.records {
+		if rec.vanished.IsZero() {
+			known++
+		}
+	}
+	for _, e := range r.Entries {
+		if rec := v.records[e.ID]; rec == nil || rec.Entry.older(&e) {
+			fresh++
+		}
+	}
+	if 2*fresh < known {
+		v.graceUntil = now.Add(RegistryGrace)
+	}
+}
+
+// put takes an entry and reports whether it is a change that matters.
+func (v *View) put(now time.Time, e Entry) bool {
 	r := v.records[e.ID]
 	if r == nil {
-		r = &record{}
-		v.records[e.ID] = r
-		r.Entry, r.coldUntil, r.left = e, coldUntil(now, e), !e.Ready
+		v.records[e.ID] = &record{Entry: e, seen: now, coldUntil: coldUntil(now, &e), left: !e.Ready}
 		return true
 	}
-	if e.older(&r.Entry) {
+	if !r.supersededBy(now, &e) {
 		return false
 	}
-	restarted := e.Born != r.Born
+	restarted := e.Born != r.Born || e.Sequence < r.Sequence
 	changed := restarted || !r.vanished.IsZero() || e.Ready != r.Ready || e.Address != r.Address || e.Slots != r.Slots ||
-		e.Service != r.Service
+		e.Service != r.Service || e.Place != r.Place
 	r.vanished = time.Time{}
 	r.left = !e.Ready || r.left && !restarted
-	until := coldUntil(now, e)
+	until := coldUntil(now, &e)
+	if now.Before(r.doubtful) && until.Before(r.coldUntil) {
+		until = r.coldUntil
+	}
 	if moved := until.Sub(r.coldUntil); moved > coldNoise || moved < -coldNoise {
 		r.coldUntil = until
 		changed = true
 	}
-	r.Entry = e
+	r.Entry, r.seen = e, now
 	return changed
 }
 
-// coldNoise is the difference between two statements of the end of the warm-up that is no news.
-const coldNoise = 300 * time.Millisecond
+// supersededBy reports whether e was written after the entry of the record. A removed entry comes back only with a
+// heartbeat that is newer than its last one.
+func (r *record) supersededBy(now time.Time, e *Entry) bool {
+	switch {
+	case r.Entry.older(e):
+		return true
+	case r.Born == 0 && e.Born == 0 && e.Sequence < r.Sequence:
+		return now.Sub(r.seen) > restartAfter
+	}
+	return r.vanished.IsZero() && r.Born == e.Born && r.Sequence == e.Sequence
+}
 
 // coldUntil is the latest moment at which the target is still cold, as its entry tells.
-func coldUntil(now time.Time, e Entry) time.Time {
+func coldUntil(now time.Time, e *Entry) time.Time {
 	if e.WarmupLeft <= 0 {
 		return time.Time{}
 	}
 	return now.Add(e.WarmupLeft)
 }
 
-// Remove takes note that an entry is missing from the registry. Right after an outage of the store the target is kept
-// for RegistryGrace, since its entry may have lapsed only because the store was away.
-func (v *View) Remove(now time.Time, id ident.Target) bool {
+// remove takes note that an entry is missing and reports whether that is news.
+func (v *View) remove(now time.Time, id ident.Target) bool {
 	r := v.records[id]
 	if r == nil || !r.vanished.IsZero() {
 		return false
 	}
 	r.vanished = now
+	r.keepUntil = v.graceUntil
+	if now.Before(r.keepUntil) {
+		v.wake(r.keepUntil)
+	}
+	v.wake(now.Add(memory))
 	return true
 }
 
-// Replace takes a full reading of the registry.
-func (v *View) Replace(now time.Time, entries []Entry) {
-	v.read = true
-	present := make(map[ident.Target]bool, len(entries))
-	for _, e := range entries {
-		present[e.ID] = true
-		v.Put(now, e)
-	}
-	for id := range v.records {
-		if !present[id] {
-			v.Remove(now, id)
-		}
+// wake asks for a change by time at t.
+func (v *View) wake(t time.Time) {
+	if v.next.IsZero() || t.Before(v.next) {
+		v.next = t
 	}
 }
 
-// Contact records whether a call to the store was answered.
-func (v *View) Contact(now time.Time, ok bool) {
-	if ok && v.outage {
-		v.back = now
+// Describe returns the state of a target as keys and values for a log line.
+func (v *View) Describe(now time.Time, id ident.Target) []any {
+	r := v.records[id]
+	if r == nil {
+		return []any{"target", id, "state", "unknown"}
 	}
-	v.outage = !ok
-}
-
-// Outage reports whether the last call to the store failed.
-func (v *View) Outage() bool { return v.outage }
-
-// graced reports whether a vanished target is still used because the store was away.
-func (v *View) graced(now time.Time, r *record) bool {
-	return !v.back.IsZero() && now.Before(v.back.Add(RegistryGrace))
+	state := "leaving"
+	switch {
+	case !r.vanished.IsZero() && now.Before(r.keepUntil):
+		state = "missing"
+	case !r.vanished.IsZero():
+		state = "removed"
+	case r.usable(now):
+		state = "ready"
+	}
+	return []any{"target", id, "service", r.Service, "state", state, "sequence", r.Sequence, "warmup-left", r.WarmupLeft}
 }
 
-// Tick forgets entries whose absence is final. It reports whether targets changed and should be called several times a
-// second.
+// Tick reports whether targets ceased to be usable by time alone. It should be called several times a second.
 func (v *View) Tick(now time.Time) bool {
-	changed := false
+	if v.next.IsZero() || now.Before(v.next) {
+		return false
+	}
+	v.next = time.Time{}
 	for id, r := range v.records {
-		if !r.vanished.IsZero() && !v.graced(now, r) {
+		switch {
+		case r.vanished.IsZero():
+		case now.Sub(r.vanished) >= memory:
 			delete(v.records, id)
-			changed = true
+		case now.Before(r.keepUntil):
+			v.wake(r.keepUntil)
+		default:
+			v.wake(r.vanished.Add(memory))
 		}
 	}
-	return changed
+	return true
 }
 
-// Snapshot returns the present state. A vanished target is part of it only while it is kept for RegistryGrace.
+// Snapshot returns the present state.
 func (v *View) Snapshot(now time.Time) *Snapshot {
 	s := &Snapshot{
 		Config:       v.config,
@@ -214,10 +322,9 @@
 		s.Evacuated[d] = true
 	}
 	for _, r := range v.records {
-		if r.left || v.evacuated[r.Place.Domain] || !r.vanished.IsZero() && !v.graced(now, r) {
-			continue
+		if r.usable(now) && !v.evacuated[r.Place.Domain] {
+			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil})
 		}
-		s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil})
 	}
 	return s
 }
--- /dev/null
+++ b/fleet/view_test.go
@@ -0,0 +1,212 @@
+package fleet
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/currantpier/currantpier/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func entry(id string, seq uint64) Entry {
+	return Entry{ID: ident.Target(id), Service: "s", Address: id + ":1", Place: ident.Place{Region: "r", Domain: "d"},
+		Slots: 4, Ready: true, Sequence: seq, Born: 7}
+}
+
+func entries(n int, seq uint64) []Entry {
+	var list []Entry
+	for i := range n {
+		list = append(list, entry("t"+strconv.Itoa(i), seq))
+	}
+	return list
+}
+
+func usable(v *View, now time.Time) map[ident.Target]bool {
+	got := map[ident.Target]bool{}
+	for _, list := range v.Snapshot(now).Targets {
+		for _, t := range list {
+			got[t.ID] = true
+		}
+	}
+	return got
+}
+
+// Each case guards against one way in which a target that is leaving or gone gets new requests, or one that lives gets
+// none.
+func TestRegistry(t *testing.T) {
+	leaving := entry("t0", 5)
+	leaving.Ready = false
+	restarted := entry("t0", 1)
+	restarted.Born = 8
+	type step struct {
+		at      float64
+		failed  bool
+		reading Reading
+	}
+	tests := []struct {
+		name  string
+		steps []step
+		at    float64
+		want  bool // whether t0 is usable
+	}{
+		{"registered", []step{{0, false, Reading{Whole: true, Entries: entries(3, 1)}}}, 0, true},
+		{"draining", []step{
+			{0, false, Reading{Whole: true, Entries: entries(3, 1)}},
+			{1, false, Reading{Entries: []Entry{leaving}}},
+		}, 1, false},
+		{"ready heartbeat written before draining arrives late", []step{
+			{0, false, Reading{Whole: true, Entries: entries(3, 1)}},
+			{1, false, Reading{Entries: []Entry{leaving}}},
+			{2, false, Reading{Entries: []Entry{entry("t0", 4)}}},
+		}, 2, false},
+		{"ready heartbeat of the same start after draining", []step{
+			{0, false, Reading{Entries: []Entry{leaving}}},
+			{1, false, Reading{Entries: []Entry{entry("t0", 9)}}},
+		}, 1, false},
+		{"restarted after draining", []step{
+			{0, false, Reading{Entries: []Entry{leaving}}},
+			{1, false, Reading{Entries: []Entry{restarted}}},
+		}, 1, true},
+		{"removed", []step{
+			{0, false, Reading{Whole: true, Entries: entries(3, 1)}},
+			{1, false, Reading{Removed: []ident.Target{"t0"}}},
+		}, 1, false},
+		{"removed, then a heartbeat that was written before", []step{
+			{0, false, Reading{Whole: true, Entries: entries(3, 2)}},
+			{1, false, Reading{Removed: []ident.Target{"t0"}}},
+			{2, false, Reading{Entries: []Entry{entry("t0", 2)}}},
+		}, 2, false},
+		{"missing from a full reading", []step{
+			{0, false, Reading{Whole: true, Entries: entries(3, 1)}},
+			{1, false, Reading{Whole: true, Entries: entries(3, 2)[1:]}},
+		}, 1, false},
+		{"lapsed while the store was away, just after its return", []step{
+			{0, false, Reading{Whole: true, Entries: entries(10, 1)}},
+			{1, true, Reading{}},
+			{9, false, Reading{Removed: []ident.Target{"t0"}}},
+		}, 10.9, true},
+		{"lapsed while the store was away and not back in time", []step{
+			{0, false, Reading{Whole: true, Entries: entries(10, 1)}},
+			{1, true, Reading{}},
+			{9, false, Reading{Removed: []ident.Target{"t0"}}},
+		}, 11.2, false},
+		{"lapsed while the store was away, then back", []step{
+			{0, false, Reading{Whole: true, Entries: entries(10, 1)}},
+			{1, true, Reading{}},
+			{9, false, Reading{Removed: []ident.Target{"t0"}}},
+			{10, false, Reading{Entries: []Entry{entry("t0", 2)}}},
+		}, 20, true},
+		// The bench: scale-2 of sag-pier, seed 623848220258. A VM that had been cut off for 12 s sent requests to a target
+		// that had left meanwhile.
+		{"removed while only this VM was cut off", []step{
+			{0, false, Reading{Whole: true, Entries: entries(10, 1)}},
+			{1, true, Reading{}},
+			{13, false, Reading{Entries: entries(10, 8)[1:], Removed: []ident.Target{"t0"}}},
+		}, 13, false},
+		{"failure domain evacuated", []step{{0, false, Reading{Entries: []Entry{func() Entry {
+			e := entry("t0", 1)
+			e.Place.Domain = "evacuated"
+			return e
+		}()}}}}, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := NewView()
+			v.Evacuate(start, "evacuated", true)
+			for _, s := range tt.steps {
+				if s.failed {
+					v.Failed()
+					continue
+				}
+				v.Apply(at(s.at), s.reading)
+			}
+			v.Tick(at(tt.at))
+			if got := usable(v, at(tt.at))["t0"]; got != tt.want {
+				t.Errorf("t0 usable = %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a target whose end of grace nobody notices: Tick must report it, since a snapshot is made only then.
+func TestGraceEndsByTick(t *testing.T) {
+	v := NewView()
+	v.Apply(start, Reading{Whole: true, Entries: entries(10, 1)})
+	v.Failed()
+	v.Apply(at(9), Reading{Removed: []ident.Target{"t0"}})
+	if v.Tick(at(9.5)) {
+		t.Error("Tick reports a change within the grace")
+	}
+	if !v.Tick(at(9).Add(RegistryGrace)) {
+		t.Error("Tick does not report the end of the grace")
+	}
+}
+
+// Guards against requests to cold targets that count as warm after an evacuation, because a heartbeat from before its
+// end says so.
+func TestEvacuationEndsCold(t *testing.T) {
+	v := NewView()
+	cfg := &Config{Version: 1, Services: map[ident.Service]Service{"s": {Warmup: 3 * time.Second}}}
+	v.SetConfig(cfg)
+	v.Apply(start, Reading{Entries: entries(1, 1)})
+	v.Evacuate(start, "d", true)
+	if len(usable(v, start)) != 0 {
+		t.Fatal("a target of an evacuated failure domain is usable")
+	}
+	v.Evacuate(at(5), "d", false)
+	v.Apply(at(6), Reading{Entries: entries(1, 2)})
+	cold := func(now time.Time) bool { return now.Before(v.Snapshot(now).Targets["s"][0].ColdUntil) }
+	if !cold(at(6)) {
+		t.Error("an old heartbeat ended the warm-up")
+	}
+	v.Apply(at(7.6), Reading{Entries: entries(1, 3)})
+	if cold(at(7.6)) {
+		t.Error("a new heartbeat did not end the warm-up")
+	}
+}
+
+// Guards against a configuration that reverts when an old row is read again.
+func TestConfigOnlyGoesForward(t *testing.T) {
+	v := NewView()
+	for _, s := range []struct {
+		version ident.Version
+		taken   bool
+	}{{3, true}, {2, false}, {3, false}, {7, true}, {5, false}} {
+		if got := v.SetConfig(&Config{Version: s.version}); got != s.taken {
+			t.Errorf("version %d taken = %v, want %v", s.version, got, s.taken)
+		}
+	}
+	if v.Version() != 7 {
+		t.Errorf("version %d, want 7", v.Version())
+	}
+}
+
+// Guards against a request that is carried by a shorter prefix's route, or refused although a route is there.
+func TestFind(t *testing.T) {
+	c := &Config{Routes: []Route{
+		{Name: "a", Host: "x.example", Prefix: "/a/"},
+		{Name: "ab", Host: "x.example", Prefix: "/a/b/"},
+		{Name: "root", Host: "y.example", Prefix: "/"},
+	}}
+	c.Index()
+	got := map[string]RouteName{}
+	for _, in := range []string{"x.example /a/", "x.example /a/b/c", "x.example /a/bc", "x.example /a", "X.Example:80 /a/b/",
+		"x.example /c/", "y.example /c", "z.example /a/", "x.example /a/b"} {
+		host, path, _ := strings.Cut(in, " ")
+		if r := c.Find(host, path); r != nil {
+			got[in] = r.Name
+		}
+	}
+	want := map[string]RouteName{"x.example /a/": "a", "x.example /a/b/c": "ab", "x.example /a/bc": "a",
+		"X.Example:80 /a/b/": "ab", "y.example /c": "root", "x.example /a/b": "a"}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
