--- a/pick/learn.go
+++ b/pick/learn.go
@@ -49,9 +49,6 @@
 		return
 	}
 	t.sent++
-	if pl := p.pools[t.Service]; pl != nil {
-		pl.spread.count(now, t.Place.Region)
-	}
 	if now.Before(t.ColdUntil) {
 		t.cold.take(now)
 	}
@@ -89,7 +86,6 @@
 	if o.Load != nil {
 		t.others = max(0, float64(o.Load.Running+o.Load.Waiting-t.sent))
 		t.reported = now
-		t.use = float64(o.Load.Running+o.Load.Waiting) / float64(max(t.Slots, 1))
 	}
 	switch o.Result {
 	case Served:
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -5,7 +5,6 @@
 package pick
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -74,8 +73,6 @@
 	// others is the load that other VMs caused there at the time of the last report.
 	others   float64
 	reported time.Time
-	// use is the running and waiting requests per slot in the last report.
-	use float64
 	// failures counts failures to connect or broken connections in a row; until suspect it gets no requests.
 	failures int
 	suspect  time.Time
@@ -93,34 +90,6 @@
 // pool is the targets of one service, sorted by id.
 type pool struct {
 	targets []*target
-	spread  *spread
-	// used is when the regions' use was last computed.
-	used time.Time
-}
-
-// useEvery is how often the use of a service's regions is computed.
-const useEvery = 100 * time.Millisecond
-
-// measure computes the use of each region from the targets' reports.
-func (pl *pool) measure(now time.Time) {
-	if now.Sub(pl.used) < useEvery {
-		return
-	}
-	pl.used = now
-	for i := range pl.spread.shares {
-		x := &pl.spread.shares[i]
-		n, sum := 0, 0.0
-		for _, t := range pl.targets {
-			if t.Place.Region == x.region && now.Sub(t.reported) < useFor {
-				n++
-				sum += t.use
-			}
-		}
-		x.use = unknownUse
-		if n > 0 {
-			x.use = sum / float64(n)
-		}
-	}
 }
 
 // work is the mean time of a route's requests at a target, without waiting.
@@ -165,19 +134,14 @@
 }
 
 // SetTargets takes the targets and services of a snapshot and keeps what was learned about those that stay.
-func (p *Picker) SetTargets(now time.Time, s *fleet.Snapshot) {
+func (p *Picker) SetTargets(s *fleet.Snapshot) {
 	if s.Config != nil {
 		p.specs = s.Config.Services
 	}
 	byID := make(map[ident.Target]*target, len(p.byID))
-	pools := p.pools
 	p.pools = make(map[ident.Service]*pool, len(s.Targets))
 	for svc, list := range s.Targets {
-		pl := &pool{targets: make([]*target, 0, len(list)), spread: &spread{own: p.place.Region}}
-		if old := pools[svc]; old != nil {
-			pl.spread = old.spread
-		}
-		slots := map[ident.Region]float64{}
+		pl := &pool{targets: make([]*target, 0, len(list))}
 		for _, ft := range list {
 			t := p.byID[ft.ID]
 			if t == nil || t.Born != ft.Born || t.Address != ft.Address {
@@ -186,9 +150,7 @@
 			t.Target = ft
 			byID[ft.ID] = t
 			pl.targets = append(pl.targets, t)
-			slots[t.Place.Region] += float64(t.Slots)
 		}
-		pl.spread.setSlots(now, slots)
 		slices.SortFunc(pl.targets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 		p.pools[svc] = pl
 	}
@@ -257,32 +219,19 @@
 	if len(list) == 0 {
 		return Choice{}, reason
 	}
-	pl.measure(now)
-	home := pl.spread.home(a.Object)
 	left := a.Deadline.Sub(now)
-	var best, closed *candidate
+	best := -1
 	for i := range list {
 		c := &list[i]
-		p.estimate(now, a, home, c)
-		if c.expected >= left {
-			continue
+		p.estimate(now, a, c)
+		if c.expected < left && (best < 0 || c.cost < list[best].cost) {
+			best = i
 		}
-		// A region above its share gets the request only if no other can serve it.
-		least := &best
-		if !pl.spread.open(c.t.Place.Region) {
-			least = &closed
-		}
-		if *least == nil || c.cost < (*least).cost {
-			*least = c
-		}
-	}
-	c := best
-	if c == nil {
-		c = closed
 	}
-	if c == nil {
+	if best < 0 {
 		return Choice{}, TooLate
 	}
+	c := &list[best]
 	return Choice{Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now)}, Chosen
 }
 
@@ -304,7 +253,7 @@
 	return list, reason
 }
 
-// rank numbers the candidates of each region in the order of the object's hash.
+// rank numbers the candidates of each region in the order of the object's hash. The own region's come first.
 func (p *Picker) rank(list []candidate, object Object) {
 	if object == 0 {
 		for i := range list {
@@ -313,24 +262,40 @@
 		return
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
+		if d := p.distance(a.t) - p.distance(b.t); d != 0 {
+			return d
+		}
 		if a.score != b.score {
-			return cmp.Compare(b.score, a.score)
+			if a.score > b.score {
+				return -1
+			}
+			return 1
 		}
 		return strings.Compare(string(a.t.ID), string(b.t.ID))
 	})
-	next := make(map[ident.Region]int, 4)
+	rank := 0
 	for i := range list {
-		r := list[i].t.Place.Region
-		list[i].rank = next[r]
-		next[r]++
+		if i > 0 && p.distance(list[i].t) != p.distance(list[i-1].t) {
+			rank = 0
+		}
+		list[i].rank = rank
+		rank++
+	}
+}
+
+// distance is 0 for targets in the own region and 1 for others.
+func (p *Picker) distance(t *target) int {
+	if t.Place.Region == p.place.Region {
+		return 0
 	}
+	return 1
 }
 
 // estimate fills in how long the request would take at the candidate and what it costs.
-func (p *Picker) estimate(now time.Time, a Ask, home ident.Region, c *candidate) {
+func (p *Picker) estimate(now time.Time, a Ask, c *candidate) {
 	w := p.workOf(a.Route)
 	_, seen := c.t.known[a.Object]
-	c.known = a.Object != 0 && (c.rank == 0 && c.t.Place.Region == home || seen && now.Sub(c.t.known[a.Object]) < knownFor)
+	c.known = a.Object != 0 && (c.rank == 0 || seen && now.Sub(c.t.known[a.Object]) < knownFor)
 	need := w.unknown
 	if c.known {
 		need = w.known
