pick: shares of regions follow the cheapest choice at a bounded rate

Change: each VM plans the share of each region, which follows the region of the cheapest target by at most 0.045 a second (0.5 while targets fail); a region above its share gets a request only if no other can serve it.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -104,10 +104,10 @@
 }
 
 // Update takes a new snapshot of configuration and targets.
-func (c *Carrier) Update(s *fleet.Snapshot) {
+func (c *Carrier) Update(now time.Time, s *fleet.Snapshot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.picker.SetTargets(s)
+	c.picker.SetTargets(now, s)
 	c.snapshot.Store(s)
 }
 
--- a/edge/state.go
+++ b/edge/state.go
@@ -110,7 +110,7 @@
 // publish hands the present state to the carrier.
 func (s *state) publish(now time.Time) {
 	snap := s.view.Snapshot(now)
-	s.cfg.Carrier.Update(snap)
+	s.cfg.Carrier.Update(now, snap)
 	s.tellPeers(now)
 	sum := &Summary{Version: s.view.Version(), Evacuated: s.view.Evacuated(), Targets: map[string]int{}, Outage: s.view.Outage()}
 	for svc, list := range snap.Targets {
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -49,6 +49,7 @@
 		return
 	}
 	t.sent++
+	p.pools[t.Service].spread.count(now, c.wished, t.Place.Region)
 	if now.Before(t.ColdUntil) {
 		t.cold.take(now)
 	}
@@ -104,14 +105,17 @@
 		delete(t.known, a.Object)
 	case Moved:
 		t.gone = true
+		p.pools[t.Service].spread.failed(now)
 	case Broken:
 		t.failed(1)
 		t.hold(now)
+		p.pools[t.Service].spread.failed(now)
 	case Silent:
 		t.failed(1)
 		t.failures++
 		if t.failures > 1 {
 			t.hold(now)
+			p.pools[t.Service].spread.failed(now)
 		}
 	case Cancelled:
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -90,6 +90,7 @@
 // pool is the targets of one service, sorted by id.
 type pool struct {
 	targets []*target
+	spread  *spread
 }
 
 // work is the mean time of a route's requests at a target, without waiting.
@@ -134,14 +135,19 @@
 }
 
 // SetTargets takes the targets and services of a snapshot and keeps what was learned about those that stay.
-func (p *Picker) SetTargets(s *fleet.Snapshot) {
+func (p *Picker) SetTargets(now time.Time, s *fleet.Snapshot) {
 	if s.Config != nil {
 		p.specs = s.Config.Services
 	}
 	byID := make(map[ident.Target]*target, len(p.byID))
+	pools := p.pools
 	p.pools = make(map[ident.Service]*pool, len(s.Targets))
 	for svc, list := range s.Targets {
-		pl := &pool{targets: make([]*target, 0, len(list))}
+		pl := &pool{targets: make([]*target, 0, len(list)), spread: &spread{}}
+		if old := pools[svc]; old != nil {
+			pl.spread = old.spread
+		}
+		slots := map[ident.Region]float64{}
 		for _, ft := range list {
 			t := p.byID[ft.ID]
 			if t == nil || t.Born != ft.Born || t.Address != ft.Address {
@@ -150,7 +156,9 @@
 			t.Target = ft
 			byID[ft.ID] = t
 			pl.targets = append(pl.targets, t)
+			slots[t.Place.Region] += float64(t.Slots)
 		}
+		pl.spread.setSlots(now, p.place.Region, slots)
 		slices.SortFunc(pl.targets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 		p.pools[svc] = pl
 	}
@@ -177,6 +185,8 @@
 	Expected time.Duration
 	// Load is the number of requests at the target, as far as is known.
 	Load float64
+	// wished is the region that the costs alone would have chosen.
+	wished ident.Region
 }
 
 // Reason says why there is no choice.
@@ -220,19 +230,29 @@
 		return Choice{}, reason
 	}
 	left := a.Deadline.Sub(now)
-	best := -1
+	// Wished is the cheapest candidate, chosen the cheapest in a region that may get more.
+	var wished, chosen *candidate
 	for i := range list {
 		c := &list[i]
 		p.estimate(now, a, c)
-		if c.expected < left && (best < 0 || c.cost < list[best].cost) {
-			best = i
+		if c.expected >= left {
+			continue
+		}
+		if wished == nil || c.cost < wished.cost {
+			wished = c
+		}
+		if (chosen == nil || c.cost < chosen.cost) && pl.spread.open(c.t.Place.Region) {
+			chosen = c
 		}
 	}
-	if best < 0 {
+	if wished == nil {
 		return Choice{}, TooLate
 	}
-	c := &list[best]
-	return Choice{Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now)}, Chosen
+	if chosen == nil {
+		chosen = wished
+	}
+	c := chosen
+	return Choice{Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now), wished: wished.t.Place.Region}, Chosen
 }
 
 // candidates returns the targets that the request may be sent to, with their rank within their region.
--- /dev/null
+++ b/pick/region.go
@@ -0,0 +1,150 @@
+package pick
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+)
+
+const (
+	// shiftRate is how fast the planned share of a region may change, per second. The platform allows 0.15 within 2 s over
+	// all VMs; the rest is for the noise of the requests.
+	shiftRate = 0.045
+	// shiftRateFault is the rate while targets fail or leave, when waiting costs more than moving.
+	shiftRateFault = 0.5
+	// faultFor is how long a target that failed or went away counts as a reason to move fast.
+	faultFor = 4 * time.Second
+	// shareSlack is how far the measured share of a region may lie above its planned one.
+	shareSlack = 0.03
+	// shareMemory is the time constant of the measured shares and of the wishes.
+	shareMemory = time.Second
+	// shareEvent bounds the weight of one request in a measured share.
+	shareEvent = 0.1
+)
+
+// regionShare is one region's part of a service's requests at this VM. Each field sums to 1 over the regions.
+type regionShare struct {
+	region ident.Region
+	// planned follows wished slowly.
+	planned float64
+	// wished is what the costs of targets alone would give, got what was sent.
+	wished, got float64
+}
+
+// spread bounds how fast the requests of one service move between regions. The costs of targets can change at once for
+// all requests, for example while caches warm up; a sudden move would hit links and cold caches elsewhere.
+type spread struct {
+	// shares are sorted by region.
+	shares []regionShare
+	at     time.Time
+	// fault is until when shares may change fast.
+	fault time.Time
+}
+
+// setSlots takes the slots of the service in each region. The first time it plans all requests for the own region if that
+// has its part of the slots, and otherwise as many as it has.
+func (s *spread) setSlots(now time.Time, own ident.Region, slots map[ident.Region]float64) {
+	first := len(s.shares) == 0
+	if s.update(slots) && !first {
+		s.failed(now)
+	}
+	if first {
+		s.plan(own, slots)
+	}
+	s.normalize()
+}
+
+// update adds and removes regions and reports whether one was removed.
+func (s *spread) update(slots map[ident.Region]float64) (removed bool) {
+	n := len(s.shares)
+	s.shares = slices.DeleteFunc(s.shares, func(x regionShare) bool { return slots[x.region] == 0 })
+	removed = len(s.shares) < n
+	for r := range slots {
+		if s.of(r) == nil {
+			s.shares = append(s.shares, regionShare{region: r})
+		}
+	}
+	slices.SortFunc(s.shares, func(a, b regionShare) int { return strings.Compare(string(a.region), string(b.region)) })
+	return removed
+}
+
+func (s *spread) plan(own ident.Region, slots map[ident.Region]float64) {
+	total := 0.0
+	for _, n := range slots {
+		total += n
+	}
+	local := min(1, slots[own]*float64(len(slots))/max(total, 1))
+	for i := range s.shares {
+		x := &s.shares[i]
+		x.planned = local
+		if x.region != own {
+			x.planned = (1 - local) * slots[x.region] / max(total-slots[own], 1)
+		}
+		x.wished, x.got = x.planned, x.planned
+	}
+}
+
+// normalize makes the planned shares sum to 1 after regions came or went.
+func (s *spread) normalize() {
+	sum := 0.0
+	for _, x := range s.shares {
+		sum += x.planned
+	}
+	for i := range s.shares {
+		if sum > 0 {
+			s.shares[i].planned /= sum
+		} else {
+			s.shares[i].planned = 1 / float64(len(s.shares))
+		}
+	}
+}
+
+func (s *spread) of(r ident.Region) *regionShare {
+	for i := range s.shares {
+		if s.shares[i].region == r {
+			return &s.shares[i]
+		}
+	}
+	return nil
+}
+
+// failed lets shares change fast for a while.
+func (s *spread) failed(now time.Time) { s.fault = now.Add(faultFor) }
+
+// open reports whether a region may get one more request.
+func (s *spread) open(r ident.Region) bool {
+	x := s.of(r)
+	return x == nil || x.got < x.planned+shareSlack
+}
+
+// count records the region that the costs alone would have chosen and the one that the request goes to, and moves the
+// planned shares with the time that has passed.
+func (s *spread) count(now time.Time, wished, to ident.Region) {
+	dt := max(now.Sub(s.at), 0)
+	if s.at.IsZero() {
+		dt = 0
+	}
+	s.at = now
+	weight := min(shareEvent, dt.Seconds()/shareMemory.Seconds())
+	rate := shiftRate
+	if now.Before(s.fault) {
+		rate = shiftRateFault
+	}
+	step := rate * min(dt, time.Second).Seconds()
+	for i := range s.shares {
+		x := &s.shares[i]
+		x.wished += weight * (indicator(x.region == wished) - x.wished)
+		x.got += weight * (indicator(x.region == to) - x.got)
+		x.planned += max(-step, min(step, x.wished-x.planned))
+	}
+	s.normalize()
+}
+
+func indicator(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
