pick: shares of regions are planned anew until the first request, and are free while targets fail

Cause: targets register one after the other, so the first plan saw one region only (a log of the shares showed 1.0 for a region whose neighbour registered a second later); at 0.055 a second it took 20 s to mend.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -241,7 +241,7 @@
 		if wished == nil || c.cost < wished.cost {
 			wished = c
 		}
-		if (chosen == nil || c.cost < chosen.cost) && pl.spread.open(c.t.Place.Region) {
+		if (chosen == nil || c.cost < chosen.cost) && pl.spread.open(now, c.t.Place.Region) {
 			chosen = c
 		}
 	}
--- a/pick/region.go
+++ b/pick/region.go
@@ -11,13 +11,12 @@
 const (
 	// shiftRate is how fast the planned share of a region may change, per second. The platform allows 0.15 within 2 s over
 	// all VMs; the rest is for the noise of the requests.
-	shiftRate = 0.045
-	// shiftRateFault is the rate while targets fail or leave, when waiting costs more than moving.
-	shiftRateFault = 0.5
-	// faultFor is how long a target that failed or went away counts as a reason to move fast.
+	shiftRate = 0.055
+	// faultFor is how long after a target failed or went away shares may change at once: waiting costs more than moving
+	// then.
 	faultFor = 4 * time.Second
 	// shareSlack is how far the measured share of a region may lie above its planned one.
-	shareSlack = 0.03
+	shareSlack = 0.05
 	// shareMemory is the time constant of the measured shares and of the wishes.
 	shareMemory = time.Second
 	// shareEvent bounds the weight of one request in a measured share.
@@ -39,19 +38,20 @@
 	// shares are sorted by region.
 	shares []regionShare
 	at     time.Time
-	// fault is until when shares may change fast.
+	// fault is until when shares may change at once.
 	fault time.Time
 }
 
-// setSlots takes the slots of the service in each region. The first time it plans all requests for the own region if that
-// has its part of the slots, and otherwise as many as it has.
+// setSlots takes the slots of the service in each region. Until the first request it plans anew, since targets register
+// one after the other at the start of a deployment: all requests for the own region if that has its part of the slots,
+// and otherwise as many as it has.
 func (s *spread) setSlots(now time.Time, own ident.Region, slots map[ident.Region]float64) {
-	first := len(s.shares) == 0
-	if s.update(slots) && !first {
-		s.failed(now)
-	}
-	if first {
+	removed := s.update(slots)
+	switch {
+	case s.at.IsZero():
 		s.plan(own, slots)
+	case removed:
+		s.failed(now)
 	}
 	s.normalize()
 }
@@ -110,13 +110,13 @@
 	return nil
 }
 
-// failed lets shares change fast for a while.
+// failed lets shares change at once for a while.
 func (s *spread) failed(now time.Time) { s.fault = now.Add(faultFor) }
 
 // open reports whether a region may get one more request.
-func (s *spread) open(r ident.Region) bool {
+func (s *spread) open(now time.Time, r ident.Region) bool {
 	x := s.of(r)
-	return x == nil || x.got < x.planned+shareSlack
+	return x == nil || now.Before(s.fault) || x.got < x.planned+shareSlack
 }
 
 // count records the region that the costs alone would have chosen and the one that the request goes to, and moves the
@@ -128,11 +128,10 @@
 	}
 	s.at = now
 	weight := min(shareEvent, dt.Seconds()/shareMemory.Seconds())
-	rate := shiftRate
+	step := shiftRate * min(dt, time.Second).Seconds()
 	if now.Before(s.fault) {
-		rate = shiftRateFault
+		step = 1
 	}
-	step := rate * min(dt, time.Second).Seconds()
 	for i := range s.shares {
 		x := &s.shares[i]
 		x.wished += weight * (indicator(x.region == wished) - x.wished)
