fleet: rows of the registry apply in their order; grace if a third of the entries is missing after failed calls

(2) an entry's sequence reaches the feed only when something else changes, so sequences cannot tell the store's outage from this VM's. Conclusion: the order of a feed is part of its content.

--- a/edge/state.go
+++ b/edge/state.go
@@ -53,6 +53,8 @@
 	operator ident.Version
 	lost     [2]bool
 	vms      int
+	// usable is the number of targets in the last snapshot.
+	usable int
 	// summary is for dumps.
 	summary atomic.Pointer[Summary]
 }
@@ -113,8 +115,14 @@
 	s.cfg.Carrier.Update(now, snap)
 	s.tellPeers(now)
 	sum := &Summary{Version: s.view.Version(), Evacuated: s.view.Evacuated(), Targets: map[string]int{}, Outage: s.view.Outage()}
+	usable := 0
 	for svc, list := range snap.Targets {
 		sum.Targets[string(svc)] = len(list)
+		usable += len(list)
+	}
+	if usable != s.usable {
+		s.cfg.Log.Add(now, trace.Registry, "usable", usable, "before", s.usable, "store-outage", sum.Outage)
+		s.usable = usable
 	}
 	s.summary.Store(sum)
 }
@@ -220,16 +228,13 @@
 func (s *state) applyRegistry(r reading) bool {
 	in := fleet.Reading{Whole: r.rows.Whole}
 	for _, row := range r.rows.Rows {
-		if row.Removed {
-			in.Removed = append(in.Removed, ident.Target(row.Key))
-			continue
-		}
-		e, ok := s.entry(r.at, row)
-		if !ok {
-			in.Removed = append(in.Removed, ident.Target(row.Key))
-			continue
+		out := fleet.Row{Entry: fleet.Entry{ID: ident.Target(row.Key)}, Removed: true}
+		if !row.Removed {
+			if e, ok := s.entry(r.at, row); ok {
+				out = fleet.Row{Entry: e}
+			}
 		}
-		in.Entries = append(in.Entries, e)
+		in.Rows = append(in.Rows, out)
 	}
 	changed := s.view.Apply(r.at, in)
 	for _, id := range changed {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -18,6 +18,8 @@
 	restartAfter = 5 * time.Second
 	// heartbeatLag is how old a heartbeat can be when it is read.
 	heartbeatLag = 2500 * time.Millisecond
+	// lapsePart is the part of all entries that must be missing after failed calls to count as lapsed.
+	lapsePart = 0.3
 	// coldNoise is the difference between two statements of the end of the warm-up that is no news.
 	coldNoise = 300 * time.Millisecond
 )
@@ -134,14 +136,33 @@
 	return v.config.Services[svc].Warmup
 }
 
+// Row is one row of the registry: an entry, or the removal of the one with its id.
+type Row struct {
+	Entry
+	Removed bool
+}
+
 // Reading is what one call returned of the registry.
 type Reading struct {
-	Entries []Entry
-	Removed []ident.Target
-	// Whole says that Entries is the whole registry.
+	// Rows are in the order in which they were written; an entry can be removed and written again in one reading.
+	Rows []Row
+	// Whole says that Rows is the whole registry.
 	Whole bool
 }
 
+// last returns the final row of each id and the ids in order of first appearance.
+func (r *Reading) last() (rows map[ident.Target]*Row, order []ident.Target) {
+	rows = make(map[ident.Target]*Row, len(r.Rows))
+	for i := range r.Rows {
+		id := r.Rows[i].ID
+		if rows[id] == nil {
+			order = append(order, id)
+		}
+		rows[id] = &r.Rows[i]
+	}
+	return rows, order
+}
+
 // Failed records that a call to the registry failed.
 func (v *View) Failed() {
 	v.outage = true
@@ -154,26 +175,27 @@
 // Apply takes a reading of the registry and returns the targets for which something changed that matters.
 func (v *View) Apply(now time.Time, r Reading) []ident.Target {
 	v.outage = false
-	if v.resumed {
-		v.resume(now, r)
-	}
 	v.read = true
-	var changed []ident.Target
-	present := make(map[ident.Target]bool, len(r.Entries))
-	for _, e := range r.Entries {
-		present[e.ID] = true
-		if v.put(now, e) {
-			changed = append(changed, e.ID)
+	rows, order := r.last()
+	var changed, removed []ident.Target
+	for _, id := range order {
+		if rows[id].Removed {
+			removed = append(removed, id)
+		} else if v.put(now, rows[id].Entry) {
+			changed = append(changed, id)
 		}
 	}
-	removed := r.Removed
 	if r.Whole {
 		for id := range v.records {
-			if !present[id] {
+			if rows[id] == nil {
 				removed = append(removed, id)
 			}
 		}
 	}
+	if v.resumed {
+		v.resumed = false
+		v.resume(now, removed)
+	}
 	for _, id := range removed {
 		if v.remove(now, id) {
 			changed = append(changed, id)
@@ -182,23 +204,22 @@
 	return changed
 }
 
-// resume decides at the first reading after failed calls whether the store itself was away. If it was, targets could not
-// write either, and most entries are as old as before the outage. If only this VM was cut off, the targets' heartbeats
-// went on, and a missing entry means that its target is gone.
-func (v *View) resume(now time.Time, r Reading) {
-	v.resumed = false
-	known, fresh := 0, 0
-	for _, rec := range v.records {
-		if rec.vanished.IsZero() {
+// resume decides at the first reading after failed calls whether the store itself was away: then targets could not write
+// and a large part of all entries has lapsed at once. If only this VM was cut off, the few entries that are missing
+// belong to targets that are gone.
+func (v *View) resume(now time.Time, removed []ident.Target) {
+	known, gone := 0, 0
+	for _, r := range v.records {
+		if r.vanished.IsZero() {
 			known++
 		}
 	}
-	for _, e := range r.Entries {
-		if rec := v.records[e.ID]; rec == nil || rec.Entry.older(&e) {
-			fresh++
+	for _, id := range removed {
+		if r := v.records[id]; r != nil && r.vanished.IsZero() {
+			gone++
 		}
 	}
-	if 2*fresh < known {
+	if float64(gone) >= lapsePart*float64(known) {
 		v.graceUntil = now.Add(RegistryGrace)
 	}
 }
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -26,6 +26,7 @@
 	Config     Event = "config"
 	Evacuation Event = "evacuation"
 	Targets    Event = "targets"
+	Registry   Event = "registry"
 	Members    Event = "members"
 	BadEntry   Event = "bad-entry"
 	Refused    Event = "refused"
