pick: an unknown object at a target costs eight times its extra work

Ruled out: too little capacity (the load after the restart is the same), the processors (0.01 cores). Conclusion: waiting at a target that knows the object beats a free one that does not, by far more than the request's own time, since it keeps the fleet warm.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -31,7 +31,7 @@
 	workMemory = 0.05
 	// coldShare is how much of the difference between an unknown and a known object is added for the other requests that
 	// a longer one delays.
-	coldShare = 1.0
+	coldShare = 8.0
 	// suspectFor is how long a target that failed to connect or broke a connection gets no requests; it doubles with each
 	// further failure up to suspectMost.
 	suspectFor  = 500 * time.Millisecond
