pick: objects count as known for 3 s, two holders, waiting counted with known objects, load remembered for 1.5 s

Cause: an object counted as known to every target that this VM had used in 10 s, longer than a target remembers it under load; waiting counted with the mean of known and unknown objects was overestimated, so that requests moved too early. Conclusion: staying with few targets and forgetting soon keeps caches warm.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -18,7 +18,7 @@
 
 const (
 	// loadMemory is the time constant with which the load that other VMs cause at a target is forgotten after a report.
-	loadMemory = 800 * time.Millisecond
+	loadMemory = 1500 * time.Millisecond
 	// firstRegionTrip and firstDomainTrip are the round trips that are assumed until some were measured.
 	firstRegionTrip = 60 * time.Millisecond
 	firstDomainTrip = 3 * time.Millisecond
@@ -43,9 +43,9 @@
 	// slowMemory is the weight of a new sample in a target's speed.
 	slowMemory = 0.1
 	// knownFor is how long an object counts as known to a target after its last request from this VM.
-	knownFor = 10 * time.Second
+	knownFor = 3 * time.Second
 	// holders is the number of targets of a region that an object is spread over at most while they have room.
-	holders = 4
+	holders = 2
 )
 
 // Object is the hash of what a request is about. Zero stands for a request without an object.
@@ -323,7 +323,7 @@
 	if now.Before(c.t.ColdUntil) {
 		need = 2 * w.unknown
 	}
-	mean := (w.known + w.unknown) / 2
+	mean := w.known
 	wait := time.Duration(c.t.queue(now) * float64(mean) / float64(max(c.t.Slots, 1)))
 	c.expected = p.trip(c.t) + scale(need+wait, c.t.slow)
 	c.cost = c.expected + p.penalty(c.t)
