feed, peers, edge: VMs of a region share the readings of the registry

Ruled out: longer pauses (a leaving target must be left within 2.5 s). Change: the first VM of a region, by the hash of its name, reads and tells the others what has changed, with the versions in between; who hears nothing for 350 ms and more, by rank, or misses something, reads itself. Conclusion: one reader a region is enough as long as its silence is noticed within a pause.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -56,12 +56,14 @@
 	Operator feed.Table
 	Registry feed.Table
 	// OperatorFollower and RegistryFollower decide the calls to the two tables.
-	OperatorFollower, RegistryFollower *feed.Follower
-	Directory                          Directory
-	Decoder                            Decoder
-	Log                                *trace.Log
-	Clock                              func() time.Time
-	Times                              Times
+	OperatorFollower, RegistryFollower *feed.Shared
+	// News is what other VMs have read of the registry.
+	News      <-chan peers.News
+	Directory Directory
+	Decoder   Decoder
+	Log       *trace.Log
+	Clock     func() time.Time
+	Times     Times
 }
 
 // Node is the daemon of one VM.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/inlet"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/trace"
@@ -15,7 +16,7 @@
 	// announceRetry is the pause after a failed call to the list of VMs.
 	announceRetry = 700 * time.Millisecond
 	// listEvery is how often the list of VMs is read again, for VMs that gossip has not reached.
-	listEvery = 20 * time.Second
+	listEvery = time.Minute
 	// withdrawFor bounds the removal from the list at a planned stop.
 	withdrawFor = 1500 * time.Millisecond
 )
@@ -24,7 +25,7 @@
 type follow struct {
 	name     string
 	table    feed.Table
-	follower *feed.Follower
+	follower *feed.Shared
 	topic    topic
 	n        *Node
 	refresh  chan struct{}
@@ -38,9 +39,9 @@
 
 // Run implements kernel.Service.
 func (f *follow) Run(ctx context.Context) error {
-	sink := func(now time.Time, rows feed.Rows, err error) {
+	sink := func(now time.Time, after ident.Version, rows feed.Rows, err error) {
 		select {
-		case f.n.state.readings <- reading{at: now, topic: f.topic, rows: rows, err: err}:
+		case f.n.state.readings <- reading{at: now, topic: f.topic, after: after, rows: rows, err: err}:
 		case <-ctx.Done():
 		}
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -36,6 +36,8 @@
 type reading struct {
 	at    time.Time
 	topic topic
+	// after is the version that the rows follow.
+	after ident.Version
 	rows  feed.Rows
 	err   error
 }
@@ -48,7 +50,8 @@
 	// behind asks for a full reading of the operators' table.
 	behind chan struct{}
 
-	view *fleet.View
+	view   *fleet.View
+	shared shared
 	// operator is the version of the newest change of the operators.
 	operator ident.Version
 	lost     [2]bool
@@ -93,6 +96,11 @@
 			if s.apply(r) {
 				s.publish(r.at)
 			}
+		case n := <-s.cfg.News:
+			now := s.cfg.Clock()
+			if s.hear(now, n) {
+				s.publish(now)
+			}
 		case <-ticker.C:
 			now := s.cfg.Clock()
 			if s.view.Tick(now) {
@@ -133,22 +141,30 @@
 	stopping := s.stopping()
 	ready := snap.Config != nil && snap.RegistryRead && !stopping
 	var vms []ident.VM
+	var group []peers.Info
 	behind := false
 	s.cfg.Peers.With(func(v *peers.View) {
 		v.SetState(ready, stopping, s.operator)
 		vms = v.Sharing(now)
 		behind = v.Behind()
+		group = v.Group(now)
 	})
+	s.setRank(group)
 	if len(vms) != s.vms {
 		s.cfg.Log.Add(now, trace.Members, "sharing", len(vms), "before", s.vms)
 		s.vms = len(vms)
 	}
 	s.cfg.Carrier.SetVMs(vms)
 	if behind {
-		select {
-		case s.behind <- struct{}{}:
-		default:
-		}
+		s.askRefresh()
+	}
+}
+
+// askRefresh asks for a full reading of the operators' table.
+func (s *state) askRefresh() {
+	select {
+	case s.behind <- struct{}{}:
+	default:
 	}
 }
 
@@ -174,6 +190,10 @@
 		return
 	}
 	s.lost[r.topic] = !ok
+	if ok && r.topic == registryTopic {
+		// A call that waits for the operators' changes may hang since before the outage.
+		s.askRefresh()
+	}
 	if ok {
 		s.cfg.Log.Add(r.at, trace.Regained, "dependency", "store", "table", r.topic)
 		return
@@ -237,10 +257,15 @@
 		in.Rows = append(in.Rows, out)
 	}
 	changed := s.view.Apply(r.at, in)
+	s.logTargets(r.at, changed)
+	s.tell(r)
+	return len(changed) > 0 || r.rows.Whole
+}
+
+func (s *state) logTargets(now time.Time, changed []ident.Target) {
 	for _, id := range changed {
-		s.cfg.Log.Add(r.at, trace.Targets, s.view.Describe(r.at, id)...)
+		s.cfg.Log.Add(now, trace.Targets, s.view.Describe(now, id)...)
 	}
-	return len(changed) > 0 || r.rows.Whole
 }
 
 func (s *state) entry(now time.Time, row feed.Row) (fleet.Entry, bool) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand"
+	"sync"
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
@@ -54,8 +55,20 @@
 	Wait  time.Duration
 }
 
-// Follower decides the calls for one table. It is not safe for concurrent use.
+const (
+	// patience and patienceRank are how much longer than a pause a VM waits for a peer's news before it reads the table
+	// itself. VMs of higher rank wait longer, so that one of them takes over.
+	patience     = 350 * time.Millisecond
+	patienceRank = 150 * time.Millisecond
+	rankMost     = 4
+)
+
+// Follower decides the calls for one table. The VMs of a group can share the calls: the one of rank zero reads the table
+// and tells the others what has changed; they read only when they hear nothing or have missed something. It is not safe
+// for concurrent use.
 type Follower struct {
+	// rank is the place of this VM among those that share calls.
+	rank int
 	// pause is the time between two calls for changes, wait how long the store holds a call without changes.
 	pause, wait time.Duration
 	rnd         *rand.Rand
@@ -76,6 +89,42 @@
 	return Step{At: f.next, Full: f.full, After: f.version, Wait: f.wait}
 }
 
+// SetRank sets the place of this VM among those that share calls; zero reads the table.
+func (f *Follower) SetRank(n int) { f.rank = min(n, rankMost) }
+
+// Version returns the version up to which the table is known; zero before the first reading.
+func (f *Follower) Version() ident.Version {
+	if f.full {
+		return 0
+	}
+	return f.version
+}
+
+// Heard takes a peer's news of the changes after one version up to another. It reports whether they continue what is
+// known; otherwise the table is read soon.
+func (f *Follower) Heard(now time.Time, after, version ident.Version) bool {
+	if f.full || version < f.version {
+		return false
+	}
+	if after > f.version {
+		// The random part spreads the calls of all VMs that have missed the same news.
+		f.next = now.Add(time.Duration(f.rnd.Int63n(int64(patienceRank))))
+		return false
+	}
+	f.version = version
+	f.failures = 0
+	f.next = now.Add(f.interval())
+	return true
+}
+
+// interval is the time from one reading or piece of news to the next reading.
+func (f *Follower) interval() time.Duration {
+	if f.rank == 0 {
+		return f.pause
+	}
+	return f.pause + patience + time.Duration(f.rank)*patienceRank
+}
+
 // Refresh asks for a full reading at once, or after the present pause if calls are failing.
 func (f *Follower) Refresh(now time.Time) {
 	f.full = true
@@ -99,64 +148,90 @@
 	default:
 		f.full = false
 		f.version = rows.Version
-		f.next = begun.Add(f.pause)
+		f.next = begun.Add(f.interval())
 	}
 	f.failures = 0
 }
 
-// Sink takes what was read. It is called from one goroutine.
-type Sink func(now time.Time, rows Rows, err error)
+// Shared is a follower that several goroutines use.
+type Shared struct {
+	mu sync.Mutex
+	f  *Follower
+}
+
+// Share returns a follower for several goroutines.
+func Share(f *Follower) *Shared { return &Shared{f: f} }
+
+// With calls g with the follower.
+func (s *Shared) With(g func(f *Follower)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g(s.f)
+}
+
+// Sink takes what was read after a version of the table. It is called from one goroutine.
+type Sink func(now time.Time, after ident.Version, rows Rows, err error)
+
+// recheck is how often the time of the next call is looked at while waiting for it, since news moves it.
+const recheck = 50 * time.Millisecond
 
 // Run follows a table until ctx ends. A value on refresh asks for a full reading, also while a call waits for changes.
-func Run(ctx context.Context, t Table, f *Follower, sink Sink, refresh <-chan struct{}, clock func() time.Time) error {
+func Run(ctx context.Context, t Table, f *Shared, sink Sink, refresh <-chan struct{}, clock func() time.Time) error {
 	for ctx.Err() == nil {
-		step := f.Next()
-		if !sleep(ctx, step.At.Sub(clock()), refresh) {
-			f.Refresh(clock())
+		var step Step
+		f.With(func(f *Follower) { step = f.Next() })
+		if d := step.At.Sub(clock()); d > 0 {
+			if !sleep(ctx, min(d, recheck), refresh) {
+				f.With(func(f *Follower) { f.Refresh(clock()) })
+			}
 			continue
 		}
-		callCtx, cancel := context.WithCancel(ctx)
-		done := make(chan struct{})
-		refreshed := false
-		go func() {
-			defer close(done)
-			select {
-			case <-refresh:
-				refreshed = true
-				cancel()
-			case <-callCtx.Done():
-			}
-		}()
 		begun := clock()
-		rows, err := call(callCtx, t, step)
-		cancel()
-		<-done
+		rows, refreshed, err := call(ctx, t, step, refresh)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if refreshed && err != nil {
-			f.Refresh(clock())
+		now := clock()
+		if refreshed {
+			f.With(func(f *Follower) { f.Refresh(now) })
 			continue
 		}
-		now := clock()
-		f.Done(now, begun, rows, err)
-		sink(now, rows, err)
+		f.With(func(f *Follower) { f.Done(now, begun, rows, err) })
+		sink(now, step.After, rows, err)
 	}
 	return nil
 }
 
-func call(ctx context.Context, t Table, s Step) (Rows, error) {
+// call makes the call of a step. A call for changes ends early, with refreshed set, if a refresh is asked for. A full
+// reading is what a refresh asks for and goes on: requests that come faster than the store answers must not keep it from
+// ending.
+func call(ctx context.Context, t Table, s Step, refresh <-chan struct{}) (rows Rows, refreshed bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if s.Full {
+			rows, err = t.Read(ctx)
+		} else {
+			rows, err = t.Changes(ctx, s.After, s.Wait)
+		}
+	}()
 	if s.Full {
-		return t.Read(ctx)
+		refresh = nil
 	}
-	return t.Changes(ctx, s.After, s.Wait)
+	select {
+	case <-done:
+	case <-refresh:
+		cancel()
+		<-done
+		refreshed = err != nil
+	}
+	return rows, refreshed, err
 }
 
 // sleep waits for d. It returns false early if a refresh is asked for.
 func sleep(ctx context.Context, d time.Duration, refresh <-chan struct{}) bool {
-	if d <= 0 {
-		return true
-	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -148,6 +148,8 @@
 	Rows []Row
 	// Whole says that Rows is the whole registry.
 	Whole bool
+	// Settled says that another VM has already waited for entries that may only have lapsed.
+	Settled bool
 }
 
 // last returns the final row of each id and the ids in order of first appearance.
@@ -192,7 +194,10 @@
 			}
 		}
 	}
-	if v.resumed {
+	switch {
+	case r.Settled:
+		v.resumed, v.graceUntil = false, time.Time{}
+	case v.resumed:
 		v.resumed = false
 		v.resume(now, removed)
 	}
@@ -331,6 +336,20 @@
 	return true
 }
 
+// Registered returns the targets that are usable as far as the registry is concerned, with the warm-up that is left.
+func (v *View) Registered(now time.Time) map[ident.Target]Entry {
+	all := make(map[ident.Target]Entry, len(v.records))
+	for id, r := range v.records {
+		if !r.usable(now) {
+			continue
+		}
+		e := r.Entry
+		e.WarmupLeft = max(r.coldUntil.Sub(now), 0)
+		all[id] = e
+	}
+	return all
+}
+
 // Snapshot returns the present state.
 func (v *View) Snapshot(now time.Time) *Snapshot {
 	s := &Snapshot{
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -4,12 +4,16 @@
 package peers
 
 import (
+	"cmp"
 	"math/bits"
 	"math/rand"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 )
 
@@ -63,6 +67,18 @@
 	Infos []Info `json:"infos,omitempty"`
 	// Operator is the version of the newest change of the operators that the sender has seen.
 	Operator ident.Version `json:"operator"`
+	// News is nil in most messages.
+	News *News `json:"news,omitempty"`
+}
+
+// News is what one VM has read of the registry, for the others of its group.
+type News struct {
+	From ident.VM `json:"from"`
+	// After and Version are the versions of the registry that the changes lie between.
+	After   ident.Version `json:"after"`
+	Version ident.Version `json:"version"`
+	// Rows are the targets that became usable, changed or ceased to be usable.
+	Rows []fleet.Row `json:"rows,omitempty"`
 }
 
 // Packet is a message and where it goes.
@@ -293,6 +309,32 @@
 	return list
 }
 
+// Group returns the VMs that share the reading of the registry with this one, in the order in which they take it on: those
+// of its region that are alive. The order is the same on all of them while they agree on who is alive.
+func (v *View) Group(now time.Time) []Info {
+	list := []Info{v.self}
+	for _, m := range v.sorted() {
+		if m.Place.Region == v.self.Place.Region && v.alive(now, m) {
+			list = append(list, m.Info)
+		}
+	}
+	slices.SortFunc(list, func(a, b Info) int { return cmp.Compare(order(a), order(b)) })
+	return list
+}
+
+func order(i Info) uint64 { return xxhash.Sum64String(string(i.VM)) }
+
+// Tell returns the messages that carry news to the other VMs of the group.
+func (v *View) Tell(now time.Time, news *News) []Packet {
+	var packets []Packet
+	for _, i := range v.Group(now) {
+		if i.VM != v.self.VM {
+			packets = append(packets, Packet{To: i.Peer, Message: Message{From: v.self, News: news, Operator: v.operator}})
+		}
+	}
+	return packets
+}
+
 // Sharing returns the VMs that may send requests to the same targets, this one included. It errs on the side of too
 // many: after a start, VMs that only the store lists count as well.
 func (v *View) Sharing(now time.Time) []ident.VM {
--- a/peers/run.go
+++ b/peers/run.go
@@ -12,22 +12,26 @@
 )
 
 // datagramMost is the largest datagram that is read.
-const datagramMost = 16 << 10
+const datagramMost = 64 << 10
 
 // Service sends and receives the messages of a View over UDP.
 type Service struct {
 	clock func() time.Time
 	conn  net.PacketConn
 
+	// news takes what other VMs have read.
+	news chan<- News
+
 	mu   sync.Mutex
 	view *View
 	// bad counts datagrams that could not be read or sent.
 	bad uint64
 }
 
-// NewService returns a service for a view that uses conn.
-func NewService(view *View, conn net.PacketConn, clock func() time.Time) *Service {
-	return &Service{view: view, conn: conn, clock: clock}
+// NewService returns a service for a view that uses conn. News of other VMs goes to the channel; what does not fit is left
+// out, as if the datagram were lost.
+func NewService(view *View, conn net.PacketConn, news chan<- News, clock func() time.Time) *Service {
+	return &Service{view: view, conn: conn, news: news, clock: clock}
 }
 
 // Name implements kernel.Service.
@@ -85,9 +89,24 @@
 		reply := s.view.Receive(s.clock(), msg)
 		s.mu.Unlock()
 		s.send(reply)
+		if msg.News != nil {
+			select {
+			case s.news <- *msg.News:
+			default:
+				s.countBad()
+			}
+		}
 	}
 }
 
+// Tell sends news to the other VMs of the group.
+func (s *Service) Tell(news *News) {
+	s.mu.Lock()
+	packets := s.view.Tell(s.clock(), news)
+	s.mu.Unlock()
+	s.send(packets)
+}
+
 func (s *Service) countBad() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
