--- a/edge/edge.go
+++ b/edge/edge.go
@@ -182,8 +182,11 @@
 	defer t.Stop()
 	for {
 		requests, connections := n.callers.InFlight()
-		phase := n.nextPhase(requests, connections == 0, withdrawn)
-		if phase == drain.Exit {
+		phase := n.nextPhase(requests, withdrawn)
+		if !phase.TakesWork() {
+			n.callers.StopAccepting()
+		}
+		if phase == drain.Exit && (n.callers.Close() || n.stop.Cut()) {
 			n.cfg.Log.Add(n.cfg.Clock(), trace.Stop, "phase", "exit", "requests", requests, "connections", connections)
 			return
 		}
@@ -191,8 +194,8 @@
 	}
 }
 
-// nextPhase advances the planned stop. Without connections there is nobody left to wait for.
-func (n *Node) nextPhase(requests int, empty bool, withdrawn <-chan struct{}) drain.Phase {
+// nextPhase advances the planned stop.
+func (n *Node) nextPhase(requests int, withdrawn <-chan struct{}) drain.Phase {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	handedOver := false
@@ -201,7 +204,7 @@
 		handedOver = true
 	default:
 	}
-	return n.stop.Next(n.cfg.Clock(), requests, handedOver || empty)
+	return n.stop.Next(n.cfg.Clock(), requests, handedOver)
 }
 
 // withdraw removes the node from the store's list. An entry that stays is found dead by the other VMs.
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -126,11 +126,10 @@
 func (c *conn) take() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
+	if c.ended || !c.s.admit() {
 		return false
 	}
 	c.queued++
-	c.s.progress(1)
 	return true
 }
 
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -51,9 +51,11 @@
 
 	mu    sync.Mutex
 	conns map[*conn]bool
-	// draining says that each connection ends after its next answer.
-	draining bool
-	inFlight int
+	// draining says that each connection ends after its next answer, closed that no request is taken any more.
+	draining, closed bool
+	// listeners are closed by StopAccepting.
+	listeners []net.Listener
+	inFlight  int
 }
 
 // New returns a server. Limits may return nil while none are known.
@@ -64,6 +66,9 @@
 // Serve accepts connections until ctx ends and returns once all of them are closed.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
+	s.mu.Lock()
+	s.listeners = append(s.listeners, ln)
+	s.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() {
 		// Closing the listener ends Accept; its error adds nothing.
 		_ = ln.Close()
@@ -78,7 +83,9 @@
 					return nil
 				}
 				if errors.Is(err, net.ErrClosed) {
-					return err
+					// StopAccepting closed it; the connections go on.
+					<-ctx.Done()
+					return nil
 				}
 				// Out of descriptors, or the caller left before Accept.
 				select {
@@ -103,6 +110,35 @@
 	s.draining = true
 }
 
+// StopAccepting refuses new connections. Those that are open go on.
+func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ln := range s.listeners {
+		_ = ln.Close() // it may be closed already
+	}
+	s.listeners = nil
+}
+
+// Close stops taking requests if none is in progress, and reports whether that is so. A request that arrives later ends
+// with its connection and has not been handled.
+func (s *Server) Close() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = s.closed || s.inFlight == 0
+	return s.closed
+}
+
+// admit counts a request that is taken. It reports false if the server is closed.
+func (s *Server) admit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.inFlight++
+	}
+	return !s.closed
+}
+
 // InFlight returns the number of requests in progress and of open connections.
 func (s *Server) InFlight() (requests, connections int) {
 	s.mu.Lock()
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -137,12 +137,15 @@
 	}
 	w := p.workOf(a.Route)
 	took := max(o.Took-p.trip(t), time.Millisecond)
-	mean := &w.unknown
+	mean, n := &w.unknown, &w.unknownSamples
 	if c.Known {
-		mean = &w.known
+		mean, n = &w.known, &w.knownSamples
 	}
+	*n++
 	t.slow += slowMemory * (min(float64(took)/float64(*mean), 8) - t.slow)
 	t.slow = max(t.slow, 0.7)
+	// Slowly from the start: the first requests find all targets cold, and as the mean of known objects their times would
+	// make known targets look no better than others.
 	*mean += scale(took-*mean, workMemory)
 	w.unknown = max(w.unknown, w.known)
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -29,6 +29,8 @@
 	firstWork = 200 * time.Millisecond
 	// workMemory is the weight of a new sample in the mean time of a route's requests.
 	workMemory = 0.05
+	// learnLeast is the number of requests below which no request is refused because of its route's mean times.
+	learnLeast = 8
 	// coldShare is how much of the difference between an unknown and a known object is added for the other requests that
 	// a longer one delays.
 	coldShare = 8.0
@@ -97,8 +99,13 @@
 type work struct {
 	// known and unknown are the means for objects that the target has handled recently and for others.
 	known, unknown time.Duration
+	// samples are the numbers of requests that the means are made of.
+	knownSamples, unknownSamples int
 }
 
+// learned reports whether the means rest on requests and not on a first guess.
+func (w *work) learned() bool { return w.knownSamples+w.unknownSamples >= learnLeast }
+
 // Picker chooses targets for one VM. It is not safe for concurrent use.
 type Picker struct {
 	self   ident.VM
@@ -230,12 +237,13 @@
 		return Choice{}, reason
 	}
 	left := a.Deadline.Sub(now)
+	learned := p.workOf(a.Route).learned()
 	// Wished is the cheapest candidate, chosen the cheapest in a region that may get more.
 	var wished, chosen *candidate
 	for i := range list {
 		c := &list[i]
 		p.estimate(now, a, c)
-		if c.expected >= left {
+		if c.expected >= left && learned {
 			continue
 		}
 		if wished == nil || c.cost < wished.cost {
