pick, carry: a single spoiled answer does not hold a target back; suspects are used when there are no others

Ruled out: the retry budget (the log says no-target). Change: only a target that cannot be connected to is held back at once, others after two failures in a row; a target's own failure is passed on when no other target answers. Conclusion: a guess that a target is bad must not turn requests away while nothing better is known.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -155,8 +155,10 @@
 	// deadline is when the answer must be on its way to the caller.
 	deadline time.Time
 	tried    []ident.Target
-	// sends counts the attempts, reached those that a target may have read.
-	sends, reached int
+	// sends counts the attempts.
+	sends int
+	// failure is a target's own answer that it failed; it is passed on if no other target answers.
+	failure *codec.Answer
 	// mayHaveRun says that a target may have run the request without a whole answer.
 	mayHaveRun bool
 }
@@ -333,6 +335,8 @@
 	case errors.As(err, &e) && e.Reused && !e.Partial:
 		// An unused connection may end at any time without a fault of its target.
 		return pick.Cancelled
+	case errors.As(err, &e) && e.Stage == outlet.NotSent:
+		return pick.Unreachable
 	}
 	return pick.Broken
 }
@@ -382,9 +386,11 @@
 func (k *call) again(now time.Time, choice pick.Choice, a *codec.Answer, result pick.Result, err error) *codec.Answer {
 	ran := k.ran(a, err)
 	if ran != kinds.RanNo {
-		k.reached++
 		k.mayHaveRun = true
 	}
+	if result == pick.ServerError {
+		k.failure = a
+	}
 	retriable := ran == kinds.RanNo || k.route.Idempotent
 	stale := result == pick.Cancelled && retriable
 	if !stale {
@@ -394,9 +400,6 @@
 	free := errors.Is(err, outlet.ErrTooMany) || ran == kinds.RanNo && a == nil
 	switch {
 	case !retriable, k.sends >= sendsMost, !free && len(k.tried) >= k.route.MaxAttempts, !free && !k.takeRetry(now):
-		if a != nil && result == pick.ServerError {
-			return k.deliver(now, choice, a)
-		}
 		return k.giveUp(now, failureKind(result), describe(a, err))
 	}
 	k.Counters.Retries.Add(1)
@@ -443,6 +446,12 @@
 // giveUp returns the final answer of a request without a target's answer. A request that may have run is never said to
 // have been refused.
 func (k *call) giveUp(now time.Time, kind kinds.Kind, cause string) *codec.Answer {
+	if k.failure != nil {
+		k.Counters.Failed.Add(1)
+		k.log.Add(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", "target-failed", "cause", cause, "sends", k.sends,
+			"after", now.Sub(k.arrived))
+		return k.failure
+	}
 	if !k.mayHaveRun {
 		if kind == kinds.Timeout {
 			kind = kinds.DeadlineTooShort
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -25,7 +25,9 @@
 	Full
 	// Moved: another target answered at the address.
 	Moved
-	// Broken: the connection could not be opened, broke, or carried something that is no answer.
+	// Unreachable: no connection could be opened.
+	Unreachable
+	// Broken: the connection broke or carried something that is no answer.
 	Broken
 	// Silent: the target did not answer in time.
 	Silent
@@ -106,11 +108,12 @@
 	case Moved:
 		t.gone = true
 		p.pools[t.Service].spread.failed(now)
-	case Broken:
+	case Unreachable:
 		t.failed(1)
 		t.hold(now)
 		p.pools[t.Service].spread.failed(now)
-	case Silent:
+	case Broken, Silent:
+		// One spoiled answer is no reason to leave a target that knows its objects.
 		t.failed(1)
 		t.failures++
 		if t.failures > 1 {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -263,19 +263,29 @@
 	return Choice{Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now), wished: wished.t.Place.Region}, Chosen
 }
 
-// candidates returns the targets that the request may be sent to, with their rank within their region.
+// candidates returns the targets that the request may be sent to, with their rank within their region. Targets that
+// failed lately are left out unless there are no others.
 func (p *Picker) candidates(now time.Time, pl *pool, a Ask) ([]candidate, Reason) {
 	list := make([]candidate, 0, len(pl.targets))
+	var suspects []candidate
 	reason := NoTarget
 	for _, t := range pl.targets {
-		if t.gone || now.Before(t.suspect) || !a.Route.Allows(t.Place.Region) || slices.Contains(a.Tried, t.ID) {
+		if t.gone || !a.Route.Allows(t.Place.Region) || slices.Contains(a.Tried, t.ID) {
 			continue
 		}
 		if now.Before(t.ColdUntil) && !p.mayWarm(now, t) {
 			reason = ColdOnly
 			continue
 		}
-		list = append(list, candidate{t: t, score: mix(uint64(a.Object) ^ t.hash)})
+		c := candidate{t: t, score: mix(uint64(a.Object) ^ t.hash)}
+		if now.Before(t.suspect) {
+			suspects = append(suspects, c)
+			continue
+		}
+		list = append(list, c)
+	}
+	if len(list) == 0 {
+		list = suspects
 	}
 	p.rank(list, a.Object)
 	return list, reason
