--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,326 @@
+package pick
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+var here = ident.Place{Region: "a", Domain: "a1"}
+
+// snapshot has n targets in each of the regions a, b and c.
+func snapshot(n int, rate float64) *fleet.Snapshot {
+	s := &fleet.Snapshot{
+		Config:  &fleet.Config{Services: map[ident.Service]fleet.Service{"s": {Name: "s", WarmupRate: rate, Warmup: 3 * time.Second}}},
+		Targets: map[ident.Service][]fleet.Target{},
+	}
+	for _, r := range []string{"a", "b", "c"} {
+		for i := range n {
+			s.Targets["s"] = append(s.Targets["s"], fleet.Target{Entry: fleet.Entry{
+				ID: ident.Target(fmt.Sprint(r, i)), Service: "s", Slots: 4,
+				Place: ident.Place{Region: ident.Region(r), Domain: ident.Domain(r + "1")},
+			}})
+		}
+	}
+	return s
+}
+
+var route = &fleet.Route{Name: "r", Parts: []fleet.Part{{Service: "s", Weight: 1}}, Aim: 300 * time.Millisecond, Affinity: true}
+
+func ask(now time.Time, key string) Ask {
+	return Ask{Route: route, Service: "s", Object: NewObject("r", []byte(key)), Deadline: now.Add(2 * time.Second)}
+}
+
+// Guards against VMs that send the same object to different targets, which makes every cache cold.
+func TestVMsAgreeOnTheTarget(t *testing.T) {
+	for key := range 50 {
+		a := ask(start, fmt.Sprint(key))
+		var first ident.Target
+		for vm := range 8 {
+			p := New(ident.VM(fmt.Sprint(vm)), here)
+			p.SetTargets(start, snapshot(5, 10))
+			c, _ := p.Choose(start, a)
+			if vm == 0 {
+				first = c.Target.ID
+			}
+			if c.Target.ID != first || c.Target.Place.Region != "a" {
+				t.Fatalf("object %d: VM %d chose %s, VM 0 %s", key, vm, c.Target.ID, first)
+			}
+		}
+	}
+}
+
+// Guards against objects that move between targets that stay when another one comes or goes.
+func TestFewObjectsMove(t *testing.T) {
+	p := New("vm", here)
+	before := map[int]ident.Target{}
+	s := snapshot(6, 10)
+	p.SetTargets(start, s)
+	for key := range 200 {
+		c, _ := p.Choose(start, ask(start, fmt.Sprint(key)))
+		before[key] = c.Target.ID
+	}
+	gone := s.Targets["s"][2].ID
+	s.Targets["s"] = append(s.Targets["s"][:2:2], s.Targets["s"][3:]...)
+	p.SetTargets(start, s)
+	for key := range 200 {
+		c, _ := p.Choose(start, ask(start, fmt.Sprint(key)))
+		if before[key] != gone && before[key] != c.Target.ID {
+			t.Errorf("object %d moved from %s, which stays, to %s", key, before[key], c.Target.ID)
+		}
+		if c.Target.ID == gone {
+			t.Errorf("object %d is sent to a target that is gone", key)
+		}
+	}
+}
+
+// Each case guards against a target that must not get the request.
+func TestExcludedTargets(t *testing.T) {
+	first := func(p *Picker, a Ask) ident.Target {
+		c, _ := p.Choose(start, a)
+		return c.Target.ID
+	}
+	tests := []struct {
+		name string
+		make func(p *Picker, a *Ask, id ident.Target)
+		want Reason
+	}{
+		{"tried", func(_ *Picker, a *Ask, id ident.Target) { a.Tried = append(a.Tried, id) }, Chosen},
+		{"unreachable", func(p *Picker, a *Ask, id ident.Target) { finish(p, *a, id, Unreachable) }, Chosen},
+		{"another target at its address", func(p *Picker, a *Ask, id ident.Target) { finish(p, *a, id, Moved) }, Chosen},
+		{"broken twice", func(p *Picker, a *Ask, id ident.Target) {
+			finish(p, *a, id, Broken)
+			finish(p, *a, id, Broken)
+		}, Chosen},
+		{"region not allowed", func(_ *Picker, a *Ask, _ ident.Target) {
+			r := *route
+			r.Regions = []ident.Region{"b"}
+			a.Route = &r
+		}, Chosen},
+		{"no region allowed", func(_ *Picker, a *Ask, _ ident.Target) {
+			r := *route
+			r.Regions = []ident.Region{"nowhere"}
+			a.Route = &r
+		}, NoTarget},
+		{"unknown service", func(_ *Picker, a *Ask, _ ident.Target) { a.Service = "none" }, NoTarget},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := New("vm", here)
+			p.SetTargets(start, snapshot(3, 10))
+			a := ask(start, "k")
+			id := first(p, a)
+			tt.make(p, &a, id)
+			c, reason := p.Choose(start, a)
+			if reason != tt.want {
+				t.Errorf("reason %v, want %v", reason, tt.want)
+			}
+			if c.Target.ID == id {
+				t.Errorf("chose %s again", id)
+			}
+			if !a.Route.Allows(c.Target.Place.Region) && reason == Chosen {
+				t.Errorf("chose region %s", c.Target.Place.Region)
+			}
+		})
+	}
+}
+
+func finish(p *Picker, a Ask, id ident.Target, r Result) {
+	c := Choice{Target: p.byID[id].Target}
+	p.Started(start, a, c)
+	p.Finished(start, a, c, Outcome{Result: r})
+}
+
+// Guards against requests that are refused although targets that failed lately may live.
+func TestSuspectsAreTheLastResort(t *testing.T) {
+	p := New("vm", here)
+	p.SetTargets(start, snapshot(1, 10))
+	for id := range p.byID {
+		finish(p, ask(start, "k"), id, Unreachable)
+	}
+	if _, reason := p.Choose(start, ask(start, "k")); reason != Chosen {
+		t.Errorf("reason %v: with suspects only, one of them must be tried", reason)
+	}
+}
+
+// Guards against a sum over all VMs above what a cold target bears, also while half of the VMs think that the others have
+// failed. The bound is the platform's: 1.5 times the rate and 5 more in any second.
+func TestColdRateHoldsInSum(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		vms    int
+		halves bool
+		rate   float64
+	}{
+		{"12 VMs", 12, false, 11}, {"12 VMs in two halves", 12, true, 11},
+		{"85 VMs", 85, false, 2.9}, {"85 VMs in two halves", 85, true, 2.9},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := snapshot(1, tt.rate)
+			for i := range s.Targets["s"] {
+				s.Targets["s"][i].ColdUntil = at(time.Minute)
+			}
+			var pickers []*Picker
+			var names []ident.VM
+			for i := range tt.vms {
+				names = append(names, ident.VM(fmt.Sprint("vm", i)))
+			}
+			for i, vm := range names {
+				p := New(vm, here)
+				p.SetTargets(start, s)
+				view := names
+				if tt.halves {
+					half := len(names) / 2
+					view = names[:half]
+					if i >= half {
+						view = names[half:]
+					}
+				}
+				p.SetVMs(view)
+				pickers = append(pickers, p)
+			}
+			sent := map[ident.Target][]time.Duration{}
+			for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+				for _, p := range pickers {
+					a := ask(at(now), "k")
+					if c, reason := p.Choose(at(now), a); reason == Chosen {
+						p.Started(at(now), a, c)
+						sent[c.Target.ID] = append(sent[c.Target.ID], now)
+					}
+				}
+			}
+			for id, times := range sent {
+				for i := range times {
+					n := 0
+					for j := i; j < len(times) && times[j] < times[i]+time.Second; j++ {
+						n++
+					}
+					if most := tt.rate*1.5 + 5; float64(n) > most {
+						t.Fatalf("%s got %d requests in a second, bound %.1f", id, n, most)
+					}
+				}
+				if len(times) == 0 {
+					t.Errorf("%s got no request", id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against the bench's SHIFT (kalnins-seti-grown quiet-1): cold caches send requests elsewhere by cost alone, and
+// warm ones call them back at once. The bound is the platform's 0.15 from one window of 2 s to the next.
+func TestRegionSharesChangeSlowly(t *testing.T) {
+	s := &spread{}
+	s.setSlots(start, "a", map[ident.Region]float64{"a": 10, "b": 100, "c": 100})
+	const perSecond = 100
+	var sent []ident.Region
+	for i := range 40 * perSecond {
+		now := at(time.Duration(i) * time.Second / perSecond)
+		// The costs alone move everything from b to a at 4 s, as caches warm up, and to c at 20 s.
+		wish := ident.Region("b")
+		if i > 4*perSecond {
+			wish = "a"
+		}
+		if i > 20*perSecond {
+			wish = "c"
+		}
+		to := wish
+		for _, r := range []ident.Region{wish, "a", "b", "c"} {
+			if s.open(now, r) {
+				to = r
+				break
+			}
+		}
+		s.count(now, wish, to)
+		sent = append(sent, to)
+	}
+	share := func(from int, r ident.Region) float64 {
+		n := 0
+		for _, x := range sent[from : from+2*perSecond] {
+			if x == r {
+				n++
+			}
+		}
+		return float64(n) / (2 * perSecond)
+	}
+	for i := 0; i+4*perSecond <= len(sent); i += 10 {
+		moved := 0.0
+		for _, r := range []ident.Region{"a", "b", "c"} {
+			moved += math.Abs(share(i+2*perSecond, r) - share(i, r))
+		}
+		if moved/2 > 0.15 {
+			t.Fatalf("%.2f of the requests changed region within 2 s after %.1f s", moved/2, float64(i)/perSecond)
+		}
+	}
+	if got := share(len(sent)-2*perSecond, "c"); got < 0.4 {
+		t.Errorf("the share of c is %.2f at the end: requests must follow the costs in time", got)
+	}
+}
+
+// Guards against a first plan that rests on the targets that happened to register first.
+func TestPlanWaitsForTheFirstRequest(t *testing.T) {
+	s := &spread{}
+	s.setSlots(start, "a", map[ident.Region]float64{"b": 10})
+	s.setSlots(start, "a", map[ident.Region]float64{"a": 10, "b": 10, "c": 10})
+	if x := s.of("a"); x.planned != 1 {
+		t.Errorf("share of the own region %.2f, want 1", x.planned)
+	}
+}
+
+// Guards against shares of a split that are off their weights by more than the platform's 0.1, with objects of very
+// different popularity.
+func TestSplitKeepsWeights(t *testing.T) {
+	for _, weights := range [][]int{{90, 10}, {50, 50}, {60, 30, 10}} {
+		r := &fleet.Route{Name: "split"}
+		for i, w := range weights {
+			r.Parts = append(r.Parts, fleet.Part{Service: ident.Service(fmt.Sprint(i)), Weight: w})
+		}
+		p := New("vm", here)
+		got := map[ident.Service]float64{}
+		const n = 1000
+		for i := range n {
+			key := fmt.Sprint(i % 24)
+			if i%3 == 0 {
+				key = "popular"
+			}
+			got[p.Service(start, r, NewObject("split", []byte(key)))] += 1.0 / n
+		}
+		for i, w := range weights {
+			if d := got[ident.Service(fmt.Sprint(i))] - float64(w)/100; math.Abs(d) > 0.1 {
+				t.Errorf("weights %v: part %d is off by %.3f", weights, i, d)
+			}
+		}
+	}
+}
+
+// Guards against a rush that spreads every object over all targets, so that none is known anywhere (sag-pier trouble-1:
+// 0.38 of the worth instead of 0.55). A request waits at the target that knows its object for several times the work that
+// an unknown one costs, but not for ever.
+func TestWaitsAtTheKnownTarget(t *testing.T) {
+	for _, tt := range []struct {
+		waiting int
+		stays   bool
+	}{{0, true}, {8, true}, {16, true}, {200, false}} {
+		p := New("vm", here)
+		one := snapshot(3, 10)
+		one.Targets["s"] = one.Targets["s"][:3] // a single region
+		p.SetTargets(start, one)
+		a := ask(start, "k")
+		a.Deadline = at(time.Hour)
+		first, _ := p.Choose(start, a)
+		p.Started(start, a, first)
+		p.Finished(start, a, first, Outcome{Result: Served, Load: &Load{Running: 4, Waiting: tt.waiting, Slots: 4}})
+		got, _ := p.Choose(start, a)
+		if stays := got.Target.ID == first.Target.ID; stays != tt.stays {
+			t.Errorf("%d requests waiting: stays = %v, want %v", tt.waiting, stays, tt.stays)
+		}
+	}
+}
--- a/pick/region.go
+++ b/pick/region.go
@@ -11,12 +11,12 @@
 const (
 	// shiftRate is how fast the planned share of a region may change, per second. The platform allows 0.15 within 2 s over
 	// all VMs; the rest is for the noise of the requests.
-	shiftRate = 0.055
+	shiftRate = 0.045
 	// faultFor is how long after a target failed or went away shares may change at once: waiting costs more than moving
 	// then.
 	faultFor = 4 * time.Second
 	// shareSlack is how far the measured share of a region may lie above its planned one.
-	shareSlack = 0.05
+	shareSlack = 0.03
 	// shareMemory is the time constant of the measured shares and of the wishes.
 	shareMemory = time.Second
 	// shareEvent bounds the weight of one request in a measured share.
