meter, trail, edge: counters and latencies by route and outcome, dump, and the story of a request from logs

Cause: on-call engineers have only logs and metrics; there were log lines, but no counters, no dump and no tool. Change: GET /metrics and /dump on the last of the ports for VMs; each line names its VM; package trail orders the lines of many VMs for one id, with what each VM believed and for how long. Before: a failed order could be found only by grep. After: TestExplainedAfterwards goes from the id to the cause.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -18,6 +18,7 @@
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/meter"
 	"github.com/currantpier/currantpier/outlet"
 	"github.com/currantpier/currantpier/pick"
 	"github.com/currantpier/currantpier/retry"
@@ -58,10 +59,8 @@
 	Answering string
 }
 
-// Counters count the requests by outcome.
-type Counters struct {
-	Requests, Served, Late, Refused, Failed, Left, Retries, Sends atomic.Uint64
-}
+// Counters count what the meter does not.
+type Counters struct{ Retries, Sends atomic.Uint64 }
 
 // Carrier serves the requests of one VM. It is safe for concurrent use.
 type Carrier struct {
@@ -74,6 +73,7 @@
 	snapshot atomic.Pointer[fleet.Snapshot]
 	// Counters are exported by the metrics service.
 	Counters Counters
+	meter    *meter.Meter
 
 	mu     sync.Mutex
 	picker *pick.Picker
@@ -95,7 +95,7 @@
 // New returns a carrier that knows no configuration and no targets.
 func New(cfg Config) *Carrier {
 	c := &Carrier{
-		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota,
+		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, meter: meter.New(),
 		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1,
 	}
 	c.pool = outlet.New(cfg.Clock, nil)
@@ -122,6 +122,27 @@
 // Snapshot returns the snapshot in use.
 func (c *Carrier) Snapshot() *fleet.Snapshot { return c.snapshot.Load() }
 
+// Meter returns the counters by route and outcome.
+func (c *Carrier) Meter() *meter.Meter { return c.meter }
+
+// Connections returns the counts of connections to targets and the number that is open.
+func (c *Carrier) Connections() (outlet.Stats, int) { return c.pool.Stats() }
+
+// State is the dump of a Carrier.
+type State struct {
+	Targets []pick.TargetState `json:"targets"`
+	Routes  []pick.WorkState   `json:"routes"`
+	VMs     int                `json:"vms-sharing"`
+}
+
+// Dump returns what is known of targets and routes.
+func (c *Carrier) Dump(now time.Time) State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	targets, routes := c.picker.Dump(now)
+	return State{Targets: targets, Routes: routes, VMs: c.vms}
+}
+
 // Sweep closes connections that are of no use any more.
 func (c *Carrier) Sweep(now time.Time) {
 	keep := map[ident.Target]bool{}
@@ -165,13 +186,13 @@
 
 // Handle implements inlet.Handler.
 func (c *Carrier) Handle(ctx context.Context, r *codec.Request, arrived time.Time) *codec.Answer {
-	c.Counters.Requests.Add(1)
 	cfg := c.snapshot.Load().Config
 	if cfg == nil {
-		return c.refuse(arrived, &call{Carrier: c, r: r}, kinds.Stopping, "no configuration yet")
+		return c.refuse(arrived, &call{Carrier: c, r: r, arrived: arrived}, kinds.Stopping, "no configuration yet")
 	}
 	route := cfg.Find(r.Host(), r.Path())
 	if route == nil {
+		c.meter.Observe("none", "no-route", c.clock().Sub(arrived))
 		return codec.NewAnswer(http.StatusNotFound, "no such route\n")
 	}
 	k := &call{Carrier: c, r: r, id: r.Field(c.headers.Attempt), route: route, arrived: arrived}
@@ -223,7 +244,7 @@
 		now = k.clock()
 		switch {
 		case ctx.Err() != nil:
-			k.Counters.Left.Add(1)
+			k.observe(now, "caller-left")
 			k.log.Add(now, trace.Left, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "after", now.Sub(k.arrived))
 			return codec.NewAnswer(http.StatusBadGateway, "caller left\n")
 		case err == nil && k.final(a, result):
@@ -370,15 +391,30 @@
 	return false
 }
 
+// triedText lists the targets that were tried, for log lines.
+func (k *call) triedText() string {
+	names := make([]string, len(k.tried))
+	for i, id := range k.tried {
+		names[i] = string(id)
+	}
+	return strings.Join(names, ",")
+}
+
+// observe counts the request under its outcome.
+func (k *call) observe(now time.Time, outcome string) {
+	k.meter.Observe(string(k.route.Name), outcome, now.Sub(k.arrived))
+}
+
 // deliver returns a target's answer to the caller.
 func (k *call) deliver(now time.Time, choice pick.Choice, a *codec.Answer) *codec.Answer {
 	took := now.Sub(k.arrived)
+	outcome := "served"
 	if took > k.route.Aim && k.route.Aim > 0 {
-		k.Counters.Late.Add(1)
+		outcome = "late"
 		k.log.Add(now, trace.Late, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "took", took,
 			"expected", choice.Expected, "known", choice.Known, "load", math.Round(choice.Load), "sends", k.sends)
 	}
-	k.Counters.Served.Add(1)
+	k.observe(now, outcome)
 	return a
 }
 
@@ -447,7 +483,7 @@
 // have been refused.
 func (k *call) giveUp(now time.Time, kind kinds.Kind, cause string) *codec.Answer {
 	if k.failure != nil {
-		k.Counters.Failed.Add(1)
+		k.observe(now, "target-failed")
 		k.log.Add(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", "target-failed", "cause", cause, "sends", k.sends,
 			"after", now.Sub(k.arrived))
 		return k.failure
@@ -466,8 +502,8 @@
 	default:
 		kind = kinds.OutcomeUnknown
 	}
-	k.Counters.Failed.Add(1)
-	k.log.Add(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", kind, "cause", cause, "sends", k.sends,
+	k.observe(now, kind.String())
+	k.log.Add(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", kind, "tried", k.triedText(), "cause", cause, "sends", k.sends,
 		"after", now.Sub(k.arrived))
 	status := http.StatusBadGateway
 	if kind == kinds.Timeout {
@@ -478,7 +514,6 @@
 
 // refuse answers a request that has not run and never will.
 func (c *Carrier) refuse(now time.Time, k *call, kind kinds.Kind, cause string) *codec.Answer {
-	c.Counters.Refused.Add(1)
 	fields := []codec.Field{{Name: "Currantpier-Outcome", Value: kind.String()}}
 	after := c.retryAfter(k)
 	if after > 0 {
@@ -488,7 +523,8 @@
 	if k.route != nil {
 		route = k.route.Name
 	}
-	c.log.Add(now, trace.Refused, "id", k.id, "route", route, "kind", kind, "cause", cause, "sends", k.sends,
+	c.meter.Observe(string(route), kind.String(), now.Sub(k.arrived))
+	c.log.Add(now, trace.Refused, "id", k.id, "route", route, "kind", kind, "cause", cause, "sends", k.sends, "tried", k.triedText(),
 		"retry-after", after, "after", now.Sub(k.arrived))
 	return codec.NewAnswer(http.StatusServiceUnavailable, kind.String()+"\n", fields...)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -89,6 +89,7 @@
 			refresh: n.state.behind},
 		&follow{name: "registry-feed", table: cfg.Registry, follower: cfg.RegistryFollower, topic: registryTopic, n: n},
 		&announce{n: n},
+		routing{n},
 		&listen{name: "callers", ln: ln, server: n.callers},
 	}
 	for _, o := range others {
--- /dev/null
+++ b/edge/inspect.go
@@ -0,0 +1,84 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/currantpier/currantpier/codec"
+	"github.com/currantpier/currantpier/meter"
+)
+
+// Inspect answers GET /metrics with the counters as text and GET /dump with the state of every service as JSON.
+type Inspect struct {
+	// Node returns the node; nil while it is being built.
+	Node func() *Node
+}
+
+// MayOverlap implements inlet.Handler.
+func (Inspect) MayOverlap(*codec.Request) bool { return true }
+
+// Handle implements inlet.Handler.
+func (h Inspect) Handle(_ context.Context, r *codec.Request, arrived time.Time) *codec.Answer {
+	n := h.Node()
+	if n == nil {
+		return codec.NewAnswer(http.StatusServiceUnavailable, "")
+	}
+	var b bytes.Buffer
+	kind, err := "text/plain", error(nil)
+	switch r.Path() {
+	case "/metrics":
+		err = n.writeMetrics(&b)
+	case "/dump":
+		kind = "application/json"
+		err = n.kernel.WriteDump(&b, arrived)
+	default:
+		return codec.NewAnswer(http.StatusNotFound, "")
+	}
+	if err != nil {
+		return codec.NewAnswer(http.StatusInternalServerError, err.Error()+"\n")
+	}
+	return codec.NewAnswer(http.StatusOK, b.String(), codec.Field{Name: "Content-Type", Value: kind})
+}
+
+func (n *Node) writeMetrics(b *bytes.Buffer) error {
+	if err := n.cfg.Carrier.Meter().WriteText(b); err != nil {
+		return err
+	}
+	requests, connections := n.callers.InFlight()
+	pool, open := n.cfg.Carrier.Connections()
+	lines := n.cfg.Log.Counts()
+	for _, v := range []struct {
+		name  string
+		value any
+	}{
+		{"requests_in_progress", requests}, {"caller_connections", connections},
+		{"target_connections", open}, {"target_connections_opened_total", pool.Opened},
+		{"target_connections_reused_total", pool.Reused}, {"target_connections_failed_total", pool.Failed},
+		{"target_connections_found_dead_total", pool.FoundDead},
+		{"sends_total", n.cfg.Carrier.Counters.Sends.Load()}, {"retries_total", n.cfg.Carrier.Counters.Retries.Load()},
+		{"log_lines_total", lines.Sent}, {"log_lines_dropped_total", lines.Full},
+		{"config_version", n.state.summary.Load().Version},
+	} {
+		if err := meter.WriteValue(b, v.name, v.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// routing is the service of the carrier, for dumps.
+type routing struct{ n *Node }
+
+// Name implements kernel.Service.
+func (routing) Name() string { return "routing" }
+
+// Run implements kernel.Service.
+func (routing) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+// Dump implements kernel.Service.
+func (r routing) Dump(now time.Time) any { return r.n.cfg.Carrier.Dump(now) }
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -171,10 +171,9 @@
 
 // WorkState is the dump of a route's mean times.
 type WorkState struct {
-	Route       fleet.RouteName `json:"route"`
-	KnownMS     int64           `json:"known-ms"`
-	UnknownMS   int64           `json:"unknown-ms"`
-	PartsServed map[string]int  `json:"parts-served,omitempty"`
+	Route     fleet.RouteName `json:"route"`
+	KnownMS   int64           `json:"known-ms"`
+	UnknownMS int64           `json:"unknown-ms"`
 }
 
 // Dump returns the state of all targets and routes.
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/stubs/plat"
+	"github.com/currantpier/currantpier/trail"
 )
 
 func look(id string) request  { return request{id, "GET", "/look/x", "", 1500} }
@@ -357,3 +358,37 @@
 		t.Errorf("after the restart: %+v", a)
 	}
 }
+
+// Guards against a failed request that nobody can explain: its id must lead to a log line with the cause, and the counters
+// and the dump must be there.
+func TestExplainedAfterwards(t *testing.T) {
+	w := newWorld(t, 1)
+	w.orderHolder(t).Spoil(plat.LoseReset, 1)
+	if a := w.vms[0].send(order("lost")); a.status != 502 {
+		t.Errorf("%+v, want 502", a)
+	}
+	w.eventually(2*time.Second, "the log names the request", func() bool { return w.vms[0].logged("event=failed id=lost") })
+	w.vms[0].mu.Lock()
+	lines, err := trail.Read(strings.NewReader(w.vms[0].log.String()))
+	w.vms[0].mu.Unlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var story strings.Builder
+	if told, err := trail.Explain(&story, lines, "lost"); err != nil || !told || !strings.Contains(story.String(), "outcome-unknown") {
+		t.Errorf("story %q, error %v", story.String(), err)
+	}
+	for path, want := range map[string]string{
+		"/metrics": `currantpier_requests_total{route="order",outcome="outcome-unknown"} 1`, "/dump": `"targets"`,
+	} {
+		resp, err := plainClient.Get("http://" + w.vms[0].address(w.ports.metrics) + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || !strings.Contains(string(b), want) {
+			t.Errorf("%s: error %v, no %s in %.400s", path, err, want, b)
+		}
+	}
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -46,7 +46,7 @@
 )
 
 // ports are the ports of every VM, which have one loopback address each.
-type ports struct{ caller, ready, directory, control, peer int }
+type ports struct{ caller, ready, directory, control, peer, metrics int }
 
 // world is a small deployment: VMs as processes, targets and the store in this process.
 type world struct {
@@ -130,7 +130,7 @@
 // pickPorts returns ports that are free on the address of the first VM.
 func pickPorts(t *testing.T) ports {
 	var p ports
-	for _, dst := range []*int{&p.caller, &p.ready, &p.directory, &p.control, &p.peer} {
+	for _, dst := range []*int{&p.caller, &p.ready, &p.directory, &p.control, &p.peer, &p.metrics} {
 		ln, err := net.Listen("tcp", "127.0.9.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -186,7 +186,7 @@
 		"Network": map[string]any{
 			"Listen": map[string]any{"Frontend": v.address(p.caller), "Ready": v.address(p.ready),
 				"Directory": v.address(p.directory), "ControlPlane": v.address(p.control)},
-			"InternalPortRange": []int{p.peer, p.peer}, "SeedNodes": seeds, "Zones": zones,
+			"InternalPortRange": []int{p.peer, p.metrics}, "SeedNodes": seeds, "Zones": zones,
 		},
 		"Platform": map[string]any{"HeartbeatS": 0.5, "Platform": map[string]any{"Address": v.w.storeAt}},
 		"Terms": map[string]any{"Bounds": map[string]any{"DrainS": leaveS, "GraceS": 5, "RetryBudgetRatio": 0.2,
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/ring"
 )
 
@@ -54,6 +55,7 @@
 
 // Log accepts lines from all goroutines of a process.
 type Log struct {
+	vm    ident.VM
 	lines chan line
 	stats ring.Stats
 
@@ -66,9 +68,9 @@
 	lines, dropped int
 }
 
-// New returns a log whose lines wait until Run writes them.
-func New() *Log {
-	return &Log{lines: make(chan line, ringSize), events: map[Event]*eventCount{}}
+// New returns the log of a VM. Its lines wait until Run writes them.
+func New(vm ident.VM) *Log {
+	return &Log{vm: vm, lines: make(chan line, ringSize), events: map[Event]*eventCount{}}
 }
 
 // Add queues a line with fields given as key and value in turn. It never blocks.
@@ -114,12 +116,12 @@
 	for {
 		select {
 		case ln := <-l.lines:
-			write(out, ln)
+			l.write(out, ln)
 		case <-ctx.Done():
 			for {
 				select {
 				case ln := <-l.lines:
-					write(out, ln)
+					l.write(out, ln)
 				default:
 					return nil
 				}
@@ -128,8 +130,8 @@
 	}
 }
 
-func write(out log.Logger, ln line) {
-	fields := append([]any{"ts", ln.at.UTC().Format("15:04:05.000"), "event", string(ln.event)}, ln.fields...)
+func (l *Log) write(out log.Logger, ln line) {
+	fields := append([]any{"ts", ln.at.UTC().Format("15:04:05.000"), "vm", l.vm, "event", string(ln.event)}, ln.fields...)
 	// There is nowhere to report a log that cannot be written.
 	_ = out.Log(fields...)
 }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -20,7 +20,7 @@
 
 // Guards against a request that waits for the log, and lines that are lost without a word.
 func TestStoppedReaderBlocksNobody(t *testing.T) {
-	l := New()
+	l := New("vm")
 	ctx, cancel := context.WithCancel(context.Background())
 	until := make(chan struct{})
 	done := make(chan error, 1)
@@ -59,7 +59,7 @@
 
 // Guards against a flood of one event that hides the others, and a bound that does not say what it dropped.
 func TestBoundPerEvent(t *testing.T) {
-	l := New()
+	l := New("vm")
 	for i := range 100 {
 		l.Add(start, Refused, "id", i)
 	}
