--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -25,6 +25,8 @@
 	settings := file("bad.ini", "[vm]\nname = riga 1\ncolour = red\n")
 	customers := file("customers.csv", "customer,plan\nshop-1,trade\nshop-1,trade\n")
 	uses := file("uses.csv", "plan,service,rate,weight,orders\ntrade,desk,0,10,yes\n")
+	logs := file("vm.log", "ts=10:00:00.500 vm=vm-a event=config version=7\n"+
+		"ts=10:00:02.000 vm=vm-a event=refused id=r1 cause=too-late\n")
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -52,6 +54,10 @@
 		{[]string{"status", "--steer", closed}, ExitUnreachable, []string{"refused"}},
 		{[]string{"drain", "--steer", closed, "target", "t1"}, ExitUnreachable, []string{"refused"}},
 		{[]string{"dump", "--control", closed}, ExitUnreachable, []string{"refused"}},
+		{[]string{"explain"}, ExitUsage, []string{"ID"}},
+		{[]string{"explain", "r1", logs}, ExitOK, []string{"10:00:02.000 vm-a refused", "too-late", "believed for 1.5s: config"}},
+		{[]string{"explain", "r9", logs}, ExitUsage, []string{"no log line names"}},
+		{[]string{"explain", "r1", filepath.Join(dir, "none.log")}, ExitFailed, []string{"none.log"}},
 		{[]string{"stand-in", "cloud"}, ExitUsage, []string{"neither platform nor upstream"}},
 	}
 	for _, tt := range tests {
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"net/http"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/currantpier/currantpier/codec"
@@ -32,7 +34,7 @@
 		err = n.writeMetrics(&b)
 	case "/dump":
 		kind = "application/json"
-		err = n.kernel.WriteDump(&b, arrived)
+		err = n.kernel.WriteDump(&b, arrived, services(r.URI())...)
 	default:
 		return codec.NewAnswer(http.StatusNotFound, "")
 	}
@@ -42,6 +44,16 @@
 	return codec.NewAnswer(http.StatusOK, b.String(), codec.Field{Name: "Content-Type", Value: kind})
 }
 
+// services returns the names of the services that a dump is limited to; none means all.
+func services(uri string) []string {
+	_, query, _ := strings.Cut(uri, "?")
+	q, err := url.ParseQuery(query)
+	if err != nil {
+		return nil
+	}
+	return q["service"]
+}
+
 func (n *Node) writeMetrics(b *bytes.Buffer) error {
 	if err := n.cfg.Carrier.Meter().WriteText(b); err != nil {
 		return err
