--- a/carry/carry.go
+++ b/carry/carry.go
@@ -98,7 +98,11 @@
 		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, meter: meter.New(),
 		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1,
 	}
-	c.pool = outlet.New(cfg.Clock, nil)
+	c.pool = outlet.New(cfg.Clock, func(t outlet.Target, took time.Duration) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.picker.Trip(t.Region, took)
+	})
 	c.snapshot.Store(&fleet.Snapshot{})
 	return c
 }
@@ -309,14 +313,15 @@
 	return a, result, err
 }
 
+// outletTarget adds to a target what the connection to it needs. The bound of connections is divided among the VMs.
 func (k *call) outletTarget(t fleet.Target) outlet.Target {
-	most := 0
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := outlet.Target{ID: t.ID, Service: t.Service, Address: t.Address, Region: t.Place.Region}
 	if cfg := k.snapshot.Load().Config; cfg != nil {
-		k.mu.Lock()
-		most = cfg.Services[t.Service].MaxConnections / k.vms
-		k.mu.Unlock()
+		out.Connections = cfg.Services[t.Service].MaxConnections / k.vms
 	}
-	return outlet.Target{ID: t.ID, Service: t.Service, Address: t.Address, Connections: most}
+	return out
 }
 
 // mine reports whether an answer belongs to this request. Answers carry the id of their request; only a target that
--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// DialTimeout bounds the opening of a connection.
-	DialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 700 * time.Millisecond
 	// defaultIdle is how long an unused connection is kept if the target does not say.
 	defaultIdle = 5 * time.Second
 	// idleMargin is subtracted from the time that the target states, since its clock starts earlier.
@@ -42,6 +42,8 @@
 	ID      ident.Target
 	Service ident.Service
 	Address string
+	// Region is where the target is.
+	Region ident.Region
 	// Connections bounds the connections of this process to the target; zero means no bound.
 	Connections int
 }
@@ -262,21 +264,27 @@
 
 func (p *Pool) dial(ctx context.Context, t Target) (*conn, error) {
 	start := p.clock()
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := dialer.DialContext(ctx, "tcp", t.Address)
+	p.count(t, err)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	p.dialed(t, p.clock().Sub(start))
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, answerBuffer)}, nil
+}
+
+// count records a new connection, or gives the room for it back.
+func (p *Pool) count(t Target, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
 		p.stats.Failed++
 		p.group(t).open--
-		return nil, errors.Wrap(err, "connect")
+		return
 	}
 	p.stats.Opened++
-	if p.dialed != nil {
-		p.dialed(t, p.clock().Sub(start))
-	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, answerBuffer)}, nil
 }
 
 // put keeps a connection after a whole answer, unless it cannot be used again.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -20,7 +20,7 @@
 	// loadMemory is the time constant with which the load that other VMs cause at a target is forgotten after a report.
 	loadMemory = 1500 * time.Millisecond
 	// firstRegionTrip and firstDomainTrip are the round trips that are assumed until some were measured.
-	firstRegionTrip = 60 * time.Millisecond
+	firstRegionTrip = 100 * time.Millisecond
 	firstDomainTrip = 3 * time.Millisecond
 	// regionPenalty and domainPenalty weigh the price of bytes between places, as time.
 	regionPenalty = 40 * time.Millisecond
