inlet: a stopping VM ends idle connections once the lookups no longer name it

Cause: a request on a kept connection was taken 4.7 s after SIGTERM and cut at the end of the process 0.6 s later. Ruled out: a new connection (the listener closes after 3 s). Change: connections without a request in progress end when the listener closes; the lookups' time to live is 1.8 s, so that this is 2.8 s after SIGTERM.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -143,6 +143,17 @@
 	return last
 }
 
+// endIdle ends the connection if no request is in progress. A request that is on its way is not taken; its caller finds
+// the connection closed and sends it again.
+func (c *conn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.queued == 0 && !c.ended {
+		c.ended = true
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the reader
+	}
+}
+
 func (c *conn) busy() (queued int, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -110,14 +110,23 @@
 	s.draining = true
 }
 
-// StopAccepting refuses new connections. Those that are open go on.
+// StopAccepting refuses new connections and ends those without a request in progress. The others end after their next
+// answer if the server drains.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	for _, ln := range s.listeners {
 		_ = ln.Close() // it may be closed already
 	}
 	s.listeners = nil
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	// A connection's lock is taken before the server's.
+	for _, c := range conns {
+		c.endIdle()
+	}
 }
 
 // Close stops taking requests if none is in progress, and reports whether that is so. A request that arrives later ends
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -226,7 +227,7 @@
 func TestCallerLeaves(t *testing.T) {
 	w := newWorld(t, 1)
 	for _, tg := range w.targets {
-		tg.Work = 3 * time.Second
+		tg.SetWork(3 * time.Second)
 	}
 	nc, err := net.Dial("tcp", w.vms[0].address(w.ports.caller))
 	if err != nil {
@@ -392,3 +393,38 @@
 		}
 	}
 }
+
+// Guards against a request that a stopping VM takes on a kept connection so late that its process ends before the answer
+// (kalnins-seti-grown trouble-2, seed 1081075261651: LOST, taken 4.7 s after SIGTERM).
+func TestNoRequestIsTakenLate(t *testing.T) {
+	w := newWorld(t, 2)
+	v := w.vms[0]
+	nc, err := net.Dial("tcp", v.address(w.ports.caller))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	br := bufio.NewReader(nc)
+	if a := exchange(nc, br, look("early")); !a.whole("early") {
+		t.Fatalf("before the stop: %+v", a)
+	}
+	v.signal(syscall.SIGTERM)
+	// Another request keeps the process from its end.
+	for _, tg := range w.targets {
+		tg.SetWork(1900 * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	long := make(chan answer, 1)
+	go func() { long <- v.send(request{"long", "GET", "/look/x", "", 2000}) }()
+	w.eventually(3*time.Second, "the idle connection ends", func() bool {
+		_ = nc.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		_, err := br.Peek(1)
+		return errors.Is(err, io.EOF)
+	})
+	if len(long) > 0 {
+		t.Error("the idle connection was open until the request in progress had ended")
+	}
+	if a := <-long; !a.whole("long") {
+		t.Errorf("the request in progress: %+v", a)
+	}
+}
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -44,11 +44,11 @@
 	ID    string
 	Slots int
 	Queue int
-	// Work is the time of one request.
-	Work time.Duration
-	ln   net.Listener
+	ln    net.Listener
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// work is the time of one request.
+	work    time.Duration
 	runs    map[string]int
 	bodies  map[string]string
 	arrived map[string]time.Time
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	return &Target{
-		ID: id, Slots: slots, Queue: 3 * slots, Work: work, ln: ln,
+		ID: id, Slots: slots, Queue: 3 * slots, work: work, ln: ln,
 		runs: map[string]int{}, bodies: map[string]string{}, arrived: map[string]time.Time{}, ended: map[string]time.Time{},
 		limits: map[string]int{}, free: make(chan struct{}, slots),
 	}, nil
@@ -84,6 +84,13 @@
 	}
 }
 
+// SetWork sets the time of one request.
+func (t *Target) SetWork(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.work = d
+}
+
 // Spoil spoils the next n answers.
 func (t *Target) Spoil(s Spoil, n int) {
 	t.mu.Lock()
@@ -196,9 +203,10 @@
 func (t *Target) run(ctx context.Context, id string) Spoil {
 	t.mu.Lock()
 	t.runs[id]++
+	work := t.work
 	t.mu.Unlock()
 	select {
-	case <-time.After(t.Work):
+	case <-time.After(work):
 	case <-ctx.Done():
 	}
 	t.leave(true)
