--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -269,9 +269,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	var a struct {
 		Addresses []string
-		TtlS      float64
+		TTL       float64 `json:"TtlS"`
 	}
-	if json.NewDecoder(resp.Body).Decode(&a) != nil || a.TtlS <= 0 {
+	if json.NewDecoder(resp.Body).Decode(&a) != nil || a.TTL <= 0 {
 		return nil
 	}
 	return a.Addresses
