soak, stubs/plat: spoiled answers are shared by targets, so that the test does not guess the next one

Ruled out: a fault of the program; the order was answered whole by a target whose answers were not spoiled. Change: the next answer is spoiled whichever target gives it. The checks are the same.

--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -48,19 +48,22 @@
 // that could be repeated and was not.
 func TestSpoiledAnswers(t *testing.T) {
 	w := newWorld(t, 1)
+	// Which target gets the next request depends on what earlier ones showed.
+	spoils := &plat.Spoils{}
+	for _, tg := range w.targets {
+		tg.Share(spoils)
+	}
 	// A target's own failure of an order is passed on with its signature.
 	statusOfOrder := map[plat.Spoil]int{plat.Extra: 200, plat.Fail: 500}
 	for _, s := range []plat.Spoil{plat.LoseReset, plat.CutBody, plat.CutOpen, plat.Garbage, plat.Unsigned, plat.Extra, plat.Fail} {
 		t.Run(string(s), func(t *testing.T) {
-			first := w.holder(t)
-			first.Spoil(s, 1)
+			spoils.Set(s, 1)
 			id := "look-" + string(s)
 			if a := w.vms[0].send(look(id)); !a.whole(id) {
 				t.Errorf("idempotent: %+v, want a whole answer of another target", a)
 			}
 			w.calm(t)
-			first = w.orderHolder(t)
-			first.Spoil(s, 1)
+			spoils.Set(s, 1)
 			id = "order-" + string(s)
 			a := w.vms[0].send(order(id))
 			want := 502
@@ -73,7 +76,7 @@
 			if n := w.runs()[id]; n != 1 {
 				t.Errorf("order ran %d times, want once", n)
 			}
-			first.Spoil(plat.Whole, 0)
+			spoils.Set(plat.Whole, 0)
 			w.calm(t)
 		})
 	}
@@ -81,13 +84,10 @@
 
 var probes int
 
-// holder returns the target that the next look goes to; orderHolder the one of the next order.
-func (w *world) holder(t *testing.T) *plat.Target      { return w.runner(t, look) }
-func (w *world) orderHolder(t *testing.T) *plat.Target { return w.runner(t, order) }
-
-func (w *world) runner(t *testing.T, make func(string) request) *plat.Target {
+// holder returns the target that has run a look, and will most likely run the next one.
+func (w *world) holder(t *testing.T) *plat.Target {
 	probes++
-	r := make(fmt.Sprint("probe", probes))
+	r := look(fmt.Sprint("probe", probes))
 	if a := w.vms[0].send(r); !a.whole(r.id) {
 		t.Fatalf("probe: %+v", a)
 	}
@@ -364,7 +364,9 @@
 // and the dump must be there.
 func TestExplainedAfterwards(t *testing.T) {
 	w := newWorld(t, 1)
-	w.orderHolder(t).Spoil(plat.LoseReset, 1)
+	for _, tg := range w.targets {
+		tg.Spoil(plat.LoseReset, 1)
+	}
 	if a := w.vms[0].send(order("lost")); a.status != 502 {
 		t.Errorf("%+v, want 502", a)
 	}
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -39,6 +39,32 @@
 	Fail      Spoil = "fail"       // answers 500
 )
 
+// Spoils are the answers that are to be spoiled. Several targets can share them, so that the next answer is spoiled
+// whichever of them gives it.
+type Spoils struct {
+	mu   sync.Mutex
+	kind Spoil
+	left int
+}
+
+// Set spoils the next n answers.
+func (s *Spoils) Set(kind Spoil, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kind, s.left = kind, n
+}
+
+// next returns how the next answer is spoiled.
+func (s *Spoils) next() Spoil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left == 0 {
+		return Whole
+	}
+	s.left--
+	return s.kind
+}
+
 // Target is one target of a service.
 type Target struct {
 	ID    string
@@ -55,8 +81,7 @@
 	ended   map[string]time.Time
 	limits  map[string]int // deadline in milliseconds that a request arrived with
 	running int
-	spoil   Spoil
-	spoils  int
+	spoils  *Spoils
 	free    chan struct{}
 }
 
@@ -69,7 +94,7 @@
 	return &Target{
 		ID: id, Slots: slots, Queue: 3 * slots, work: work, ln: ln,
 		runs: map[string]int{}, bodies: map[string]string{}, arrived: map[string]time.Time{}, ended: map[string]time.Time{},
-		limits: map[string]int{}, free: make(chan struct{}, slots),
+		limits: map[string]int{}, spoils: &Spoils{}, free: make(chan struct{}, slots),
 	}, nil
 }
 
@@ -91,11 +116,18 @@
 	t.work = d
 }
 
-// Spoil spoils the next n answers.
+// Share makes the target spoil the answers that s says, which other targets may share.
+func (t *Target) Share(s *Spoils) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spoils = s
+}
+
+// Spoil spoils the next n answers of this target, or of all that share its spoils.
 func (t *Target) Spoil(s Spoil, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.spoil, t.spoils = s, n
+	t.spoils.Set(s, n)
 }
 
 // Runs returns how often each attempt has run here.
@@ -213,11 +245,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ended[id] = time.Now()
-	if t.spoils == 0 {
-		return Whole
-	}
-	t.spoils--
-	return t.spoil
+	return t.spoils.next()
 }
 
 func (t *Target) load() string {
