--- a/pick/pick.go
+++ b/pick/pick.go
@@ -31,9 +31,9 @@
 	workMemory = 0.05
 	// learnLeast is the number of requests below which no request is refused because of its route's mean times.
 	learnLeast = 8
-	// coldShare is how much of the difference between an unknown and a known object is added for the other requests that
-	// a longer one delays.
-	coldShare = 8.0
+	// unknownCost is how many times the extra work of an unknown object counts: it delays the requests behind it, and
+	// makes the target forget another object. With 1, a rush spread every object over all targets and kept all caches cold.
+	unknownCost = 8.0
 	// suspectFor is how long a target that failed to connect or broke a connection gets no requests; it doubles with each
 	// further failure up to suspectMost.
 	suspectFor  = 500 * time.Millisecond
@@ -42,12 +42,16 @@
 	// adds to its cost.
 	failMemory  = 0.1
 	failPenalty = 3 * time.Second
+	// failOrdinary is the failure rate that any target may have.
+	failOrdinary = 0.05
 	// slowMemory is the weight of a new sample in a target's speed.
 	slowMemory = 0.1
 	// knownFor is how long an object counts as known to a target after its last request from this VM.
 	knownFor = 3 * time.Second
-	// holders is the number of targets of a region that an object is spread over at most while they have room.
+	// holders is the number of targets of a region beyond which a further one costs as much again.
 	holders = 2
+	// coldSlowdown is how much longer a cold target works.
+	coldSlowdown = 2
 )
 
 // Object is the hash of what a request is about. Zero stands for a request without an object.
@@ -339,17 +343,16 @@
 		need = w.known
 	}
 	if now.Before(c.t.ColdUntil) {
-		need = 2 * w.unknown
+		need = coldSlowdown * w.unknown
 	}
-	mean := w.known
-	wait := time.Duration(c.t.queue(now) * float64(mean) / float64(max(c.t.Slots, 1)))
+	wait := scale(w.known, c.t.queue(now)/float64(max(c.t.Slots, 1)))
 	c.expected = p.trip(c.t) + scale(need+wait, c.t.slow)
 	c.cost = c.expected + p.penalty(c.t)
 	if !c.known {
-		c.cost += scale(w.unknown-w.known, coldShare)
+		c.cost += scale(w.unknown-w.known, unknownCost)
 	}
 	if a.Object != 0 && !c.known && c.rank >= holders {
-		c.cost += scale(w.unknown-w.known, coldShare)
+		c.cost += scale(w.unknown-w.known, unknownCost)
 	}
 }
 
@@ -357,7 +360,7 @@
 
 // penalty is the cost of a target beyond its expected time.
 func (p *Picker) penalty(t *target) time.Duration {
-	cost := scale(failPenalty, max(t.failRate-0.05, 0))
+	cost := scale(failPenalty, max(t.failRate-failOrdinary, 0))
 	switch p.place.To(t.Place) {
 	case ident.OtherRegion:
 		cost += regionPenalty
