feed, peers, edge: two VMs of a region wait for the operators' changes and tell the others

While the store is away all VMs also called it about twice a second for each table. Change: the VMs of rank 0 and 1 of a region wait for changes; the first one sends them to the others. VMs that are told by others pause 2 s instead of 0.6 s between failing calls. The follower wakes when its next call moves and not every 50 ms.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -46,6 +46,9 @@
 	TTL time.Duration
 	// Grace bounds a planned stop.
 	Grace time.Duration
+	// OperatorTrust is how long a VM that is told of the operators' changes goes without word of a VM that follows them
+	// before it looks for itself.
+	OperatorTrust time.Duration
 }
 
 // Config is what a Node is made of. All fields are required.
@@ -57,8 +60,8 @@
 	Registry feed.Table
 	// OperatorFollower and RegistryFollower decide the calls to the two tables.
 	OperatorFollower, RegistryFollower *feed.Shared
-	// News is what other VMs have read of the registry.
-	News      <-chan peers.News
+	// News are messages of other VMs that tell what they have read.
+	News      <-chan peers.Message
 	Directory Directory
 	Decoder   Decoder
 	Log       *trace.Log
--- a/edge/share.go
+++ b/edge/share.go
@@ -17,15 +17,22 @@
 	// tellRank is the rank up to which a VM tells others what it has read. Were all of them to do so, a reader that fails
 	// would cause a message from each VM to each other.
 	tellRank = 2
+	// changeBytes bounds a change of the operators that is passed on in one datagram. With a longer one, the other VMs read
+	// the table themselves.
+	changeBytes = 32 << 10
+	// rankAfter is how long after its start a VM takes its place among the readers. Before that it knows too few others.
+	rankAfter = 1500 * time.Millisecond
 	// warmupNoise is the difference of a warm-up's rest that is no news.
 	warmupNoise = 300 * time.Millisecond
 )
 
 // shared is what the VMs of the group were last told of the registry.
 type shared struct {
-	rank  int
-	known map[ident.Target]fleet.Entry
-	at    time.Time
+	rank int
+	// confirmed is when the operators' table was last known to have no newer change.
+	confirmed time.Time
+	known     map[ident.Target]fleet.Entry
+	at        time.Time
 }
 
 // diff returns the rows that turn one state of the registry into another.
@@ -56,17 +63,49 @@
 	return rows
 }
 
-// tell passes on what this VM has read after a version.
+// tell passes on what this VM has read of the registry after a version, and that it follows the operators' table.
 func (s *state) tell(r reading) {
 	rows := s.shared.step(r.at, s.view)
 	if s.shared.rank > tellRank || r.rows.Whole || len(rows) > newsRows {
 		return
 	}
-	s.cfg.Peers.Tell(&peers.News{From: s.cfg.Self.VM, After: r.after, Version: r.rows.Version, Rows: rows})
+	news := &peers.News{From: s.cfg.Self.VM, After: r.after, Version: r.rows.Version, Rows: rows}
+	if !s.lost[operatorTopic] {
+		s.cfg.OperatorFollower.With(func(f *feed.Follower) {
+			if f.Waits() {
+				news.Operator = f.Version()
+			}
+		})
+	}
+	s.cfg.Peers.Tell(news, nil)
+}
+
+// tellChange passes on what this VM has read of the operators' table.
+func (s *state) tellChange(r reading) {
+	size := 0
+	for _, row := range r.rows.Rows {
+		size += len(row.Key) + len(row.Value)
+	}
+	if s.shared.rank > 0 || r.rows.Whole || size == 0 || size > changeBytes {
+		return
+	}
+	s.cfg.Peers.Tell(nil, &peers.Change{After: r.after, Version: r.rows.Version, Rows: r.rows.Rows})
 }
 
 // hear applies what another VM has read, and reports whether anything changed.
-func (s *state) hear(now time.Time, n peers.News) bool {
+func (s *state) hear(now time.Time, m peers.Message) bool {
+	changed := false
+	if m.Change != nil {
+		changed = s.hearChange(now, m.Change)
+	}
+	if m.News != nil {
+		changed = s.hearNews(now, m.News) || changed
+	}
+	return changed
+}
+
+func (s *state) hearNews(now time.Time, n *peers.News) bool {
+	s.confirm(now, n.Operator)
 	taken := false
 	s.cfg.RegistryFollower.With(func(f *feed.Follower) { taken = f.Heard(now, n.After, n.Version) })
 	if !taken {
@@ -79,12 +118,50 @@
 	return len(changed) > 0
 }
 
+func (s *state) hearChange(now time.Time, c *peers.Change) bool {
+	taken := false
+	s.cfg.OperatorFollower.With(func(f *feed.Follower) { taken = f.Heard(now, c.After, c.Version) })
+	if !taken {
+		return false
+	}
+	r := reading{at: now, topic: operatorTopic, after: c.After, rows: feed.Rows{Rows: c.Rows, Version: c.Version}}
+	s.contact(r)
+	return s.applyOperator(r)
+}
+
+// confirm takes a peer's word that it knows the operators' table up to a version.
+func (s *state) confirm(now time.Time, version ident.Version) {
+	if version == 0 {
+		return
+	}
+	upToDate := false
+	s.cfg.Peers.With(func(v *peers.View) { upToDate = v.UpToDate() })
+	if upToDate {
+		s.shared.confirmed = now
+		s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.Confirmed(now, version) })
+	}
+}
+
+// checkOperator reads the operators' table if no peer that follows it was heard from lately.
+func (s *state) checkOperator(now time.Time) {
+	waits := false
+	s.cfg.OperatorFollower.With(func(f *feed.Follower) { waits = f.Waits() })
+	if !waits && !s.shared.confirmed.IsZero() && now.Sub(s.shared.confirmed) > s.cfg.Times.OperatorTrust {
+		s.shared.confirmed = now
+		s.askRefresh()
+	}
+}
+
 // setRank finds this VM's place in its group.
-func (s *state) setRank(group []peers.Info) {
+func (s *state) setRank(now time.Time, group []peers.Info) {
+	if now.Sub(s.started) < rankAfter {
+		return
+	}
 	for i, info := range group {
 		if info.VM == s.cfg.Self.VM {
 			s.shared.rank = i
-			s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.SetRank(i) })
+			s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.SetRank(now, i) })
+			s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.SetRank(now, i) })
 		}
 	}
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -50,8 +50,9 @@
 	// behind asks for a full reading of the operators' table.
 	behind chan struct{}
 
-	view   *fleet.View
-	shared shared
+	started time.Time
+	view    *fleet.View
+	shared  shared
 	// operator is the version of the newest change of the operators.
 	operator ident.Version
 	lost     [2]bool
@@ -73,7 +74,7 @@
 func newState(cfg Config, stopping func() bool) *state {
 	s := &state{
 		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsSize), behind: make(chan struct{}, 1),
-		view: fleet.NewView(),
+		view: fleet.NewView(), started: cfg.Clock(), shared: shared{rank: tellRank + 1},
 	}
 	s.summary.Store(&Summary{})
 	return s
@@ -107,6 +108,7 @@
 				s.publish(now)
 			}
 			s.tellPeers(now)
+			s.checkOperator(now)
 			if now.Sub(swept) >= sweepEvery {
 				swept = now
 				s.cfg.Carrier.Sweep(now)
@@ -146,10 +148,10 @@
 	s.cfg.Peers.With(func(v *peers.View) {
 		v.SetState(ready, stopping, s.operator)
 		vms = v.Sharing(now)
-		behind = v.Behind()
+		behind = v.Behind(now)
 		group = v.Group(now)
 	})
-	s.setRank(group)
+	s.setRank(now, group)
 	if len(vms) != s.vms {
 		s.cfg.Log.Add(now, trace.Members, "sharing", len(vms), "before", s.vms)
 		s.vms = len(vms)
@@ -175,7 +177,9 @@
 		return false
 	}
 	if r.topic == operatorTopic {
-		return s.applyOperator(r)
+		changed := s.applyOperator(r)
+		s.tellChange(r)
+		return changed
 	}
 	return s.applyRegistry(r)
 }
@@ -202,6 +206,7 @@
 }
 
 func (s *state) applyOperator(r reading) bool {
+	s.shared.confirmed = r.at
 	changed := false
 	present := map[ident.Domain]bool{}
 	for _, row := range r.rows.Rows {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -43,6 +43,9 @@
 	// firstBackoff and mostBackoff bound the pause after calls that failed.
 	firstBackoff = 150 * time.Millisecond
 	mostBackoff  = 600 * time.Millisecond
+	// followerBackoff is the pause of a VM that depends on the readings of others: they find out when the store is back, and
+	// refused calls cost as much as others.
+	followerBackoff = 2 * time.Second
 )
 
 // Step is what a Follower does next.
@@ -61,11 +64,15 @@
 	patience     = 350 * time.Millisecond
 	patienceRank = 150 * time.Millisecond
 	rankMost     = 4
+	// waiters is the number of VMs of a group that keep a call for changes waiting at the store; the others are told.
+	waiters = 2
+	// idleCheck is how often a VM that is told of changes looks for itself, should everything else fail.
+	idleCheck = 30 * time.Second
 )
 
-// Follower decides the calls for one table. The VMs of a group can share the calls: the one of rank zero reads the table
-// and tells the others what has changed; they read only when they hear nothing or have missed something. It is not safe
-// for concurrent use.
+// Follower decides the calls for one table. The VMs of a group can share the calls: those of the lowest ranks read the
+// table and tell the others what has changed; they read only when they hear nothing or have missed something. It is not
+// safe for concurrent use.
 type Follower struct {
 	// rank is the place of this VM among those that share calls.
 	rank int
@@ -79,18 +86,30 @@
 	next     time.Time
 }
 
-// NewFollower returns a follower that begins with a full reading. Either pause or wait is positive.
+// NewFollower returns a follower that begins with a full reading. Either pause or wait is positive. Until SetRank is
+// called, it behaves as one of the VMs that are told by others.
 func NewFollower(pause, wait time.Duration, src rand.Source) *Follower {
-	return &Follower{pause: pause, wait: wait, rnd: rand.New(src), full: true}
+	return &Follower{pause: pause, wait: wait, rnd: rand.New(src), full: true, rank: rankMost}
 }
 
 // Next returns the next call.
 func (f *Follower) Next() Step {
-	return Step{At: f.next, Full: f.full, After: f.version, Wait: f.wait}
+	s := Step{At: f.next, Full: f.full, After: f.version}
+	if f.rank < waiters {
+		s.Wait = f.wait
+	}
+	return s
 }
 
 // SetRank sets the place of this VM among those that share calls; zero reads the table.
-func (f *Follower) SetRank(n int) { f.rank = min(n, rankMost) }
+func (f *Follower) SetRank(now time.Time, n int) {
+	before := f.rank
+	f.rank = min(n, rankMost)
+	// A VM that becomes one of those that wait for changes begins at once.
+	if f.wait > 0 && before >= waiters && f.rank < waiters && f.failures == 0 && f.next.After(now) {
+		f.next = now
+	}
+}
 
 // Version returns the version up to which the table is known; zero before the first reading.
 func (f *Follower) Version() ident.Version {
@@ -117,14 +136,39 @@
 	return true
 }
 
+// Confirmed takes a peer's word that nothing has changed up to a version.
+func (f *Follower) Confirmed(now time.Time, version ident.Version) {
+	if !f.full && version > f.version {
+		f.Heard(now, f.version, version)
+	}
+}
+
+// Waits reports whether this VM keeps a call for changes waiting at the store.
+func (f *Follower) Waits() bool { return f.wait > 0 && f.rank < waiters }
+
 // interval is the time from one reading or piece of news to the next reading.
 func (f *Follower) interval() time.Duration {
-	if f.rank == 0 {
+	switch {
+	case f.wait > 0 && f.rank < waiters:
+		return 0
+	case f.wait > 0:
+		return idleCheck + time.Duration(f.rnd.Int63n(int64(idleCheck)))
+	case f.rank == 0:
 		return f.pause
 	}
 	return f.pause + patience + time.Duration(f.rank)*patienceRank
 }
 
+// backoff is the pause after a call that failed. Calls of all VMs fail at the same time; the random part spreads their
+// return.
+func (f *Follower) backoff() time.Duration {
+	d := min(firstBackoff<<min(f.failures, 8), mostBackoff)
+	if f.rank >= waiters && f.version > 0 && f.failures > 0 {
+		d = followerBackoff
+	}
+	return d/2 + time.Duration(f.rnd.Int63n(int64(d/2)+1))
+}
+
 // Refresh asks for a full reading at once, or after the present pause if calls are failing.
 func (f *Follower) Refresh(now time.Time) {
 	f.full = true
@@ -137,9 +181,7 @@
 func (f *Follower) Done(now, begun time.Time, rows Rows, err error) {
 	switch {
 	case err != nil:
-		// Calls of all VMs fail at the same time; the random part spreads their return.
-		d := min(firstBackoff<<min(f.failures, 8), mostBackoff)
-		f.next = now.Add(d/2 + time.Duration(f.rnd.Int63n(int64(d/2)+1)))
+		f.next = now.Add(f.backoff())
 		f.failures++
 		return
 	case rows.Compacted:
@@ -157,31 +199,37 @@
 type Shared struct {
 	mu sync.Mutex
 	f  *Follower
+	// moved says that the next call has changed.
+	moved chan struct{}
 }
 
 // Share returns a follower for several goroutines.
-func Share(f *Follower) *Shared { return &Shared{f: f} }
+func Share(f *Follower) *Shared { return &Shared{f: f, moved: make(chan struct{}, 1)} }
 
 // With calls g with the follower.
 func (s *Shared) With(g func(f *Follower)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.f.Next().At
 	g(s.f)
+	if s.f.Next().At.Before(before) {
+		select {
+		case s.moved <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // Sink takes what was read after a version of the table. It is called from one goroutine.
 type Sink func(now time.Time, after ident.Version, rows Rows, err error)
 
-// recheck is how often the time of the next call is looked at while waiting for it, since news moves it.
-const recheck = 50 * time.Millisecond
-
 // Run follows a table until ctx ends. A value on refresh asks for a full reading, also while a call waits for changes.
 func Run(ctx context.Context, t Table, f *Shared, sink Sink, refresh <-chan struct{}, clock func() time.Time) error {
 	for ctx.Err() == nil {
 		var step Step
 		f.With(func(f *Follower) { step = f.Next() })
 		if d := step.At.Sub(clock()); d > 0 {
-			if !sleep(ctx, min(d, recheck), refresh) {
+			if f.sleep(ctx, d, refresh) {
 				f.With(func(f *Follower) { f.Refresh(clock()) })
 			}
 			continue
@@ -230,16 +278,16 @@
 	return rows, refreshed, err
 }
 
-// sleep waits for d. It returns false early if a refresh is asked for.
-func sleep(ctx context.Context, d time.Duration, refresh <-chan struct{}) bool {
+// sleep waits for d, or until the next call is due earlier. It returns true if a refresh is asked for.
+func (s *Shared) sleep(ctx context.Context, d time.Duration, refresh <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+	case <-s.moved:
 	case <-ctx.Done():
-		return true
 	case <-refresh:
-		return false
+		return true
 	}
+	return false
 }
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -1,11 +1,13 @@
 package peers
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 )
@@ -25,6 +27,7 @@
 	fieldInfo
 	fieldOperator
 	fieldNews
+	fieldChange
 )
 
 // The fields of an Info.
@@ -43,6 +46,21 @@
 	newsAfter
 	newsVersion
 	newsRow
+	newsOperator
+)
+
+// The fields of a Change and of its rows.
+const (
+	changeAfter protowire.Number = iota + 1
+	changeVersion
+	changeRow
+)
+
+const (
+	changeRowKey protowire.Number = iota + 1
+	changeRowValue
+	changeRowVersion
+	changeRowRemoved
 )
 
 // The fields of a row.
@@ -81,6 +99,9 @@
 	if m.News != nil {
 		b = appendMessage(b, fieldNews, appendNews(nil, m.News))
 	}
+	if m.Change != nil {
+		b = appendMessage(b, fieldChange, appendChange(nil, m.Change))
+	}
 	return b
 }
 
@@ -124,6 +145,20 @@
 	for i := range n.Rows {
 		b = appendMessage(b, newsRow, appendRow(nil, &n.Rows[i]))
 	}
+	return appendUint(b, newsOperator, uint64(n.Operator))
+}
+
+func appendChange(b []byte, c *Change) []byte {
+	b = appendUint(b, changeAfter, uint64(c.After))
+	b = appendUint(b, changeVersion, uint64(c.Version))
+	for _, r := range c.Rows {
+		row := appendText(nil, changeRowKey, r.Key)
+		if len(r.Value) > 0 {
+			row = appendMessage(row, changeRowValue, r.Value)
+		}
+		row = appendUint(row, changeRowVersion, uint64(r.Version))
+		b = appendMessage(b, changeRow, appendBool(row, changeRowRemoved, r.Removed))
+	}
 	return b
 }
 
@@ -229,6 +264,8 @@
 			m.Operator = ident.Version(x.num)
 		case fieldNews:
 			m.News, err = decodeNews(x.bytes)
+		case fieldChange:
+			m.Change, err = decodeChange(x.bytes)
 		}
 		return err
 	})
@@ -297,12 +334,49 @@
 			var r fleet.Row
 			r, err = decodeRow(x.bytes)
 			n.Rows = append(n.Rows, r)
+		case newsOperator:
+			n.Operator = ident.Version(x.num)
 		}
 		return err
 	})
 	return n, err
 }
 
+func decodeChange(b []byte) (*Change, error) {
+	c := &Change{}
+	err := decodeFields(b, func(x field) (err error) {
+		switch x.id {
+		case changeAfter:
+			c.After = ident.Version(x.num)
+		case changeVersion:
+			c.Version = ident.Version(x.num)
+		case changeRow:
+			var r feed.Row
+			r, err = decodeChangeRow(x.bytes)
+			c.Rows = append(c.Rows, r)
+		}
+		return err
+	})
+	return c, err
+}
+
+func decodeChangeRow(b []byte) (r feed.Row, err error) {
+	err = decodeFields(b, func(x field) error {
+		switch x.id {
+		case changeRowKey:
+			r.Key = string(x.bytes)
+		case changeRowValue:
+			r.Value = slices.Clone(x.bytes)
+		case changeRowVersion:
+			r.Version = ident.Version(x.num)
+		case changeRowRemoved:
+			r.Removed = x.num != 0
+		}
+		return nil
+	})
+	return r, err
+}
+
 func decodeRow(b []byte) (r fleet.Row, err error) {
 	err = decodeFields(b, func(x field) error {
 		switch x.id {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 )
@@ -46,6 +47,8 @@
 	// startTrust is how long after the start of this process VMs that the store lists share the bounds of targets before
 	// they were heard from.
 	startTrust = 6 * time.Second
+	// behindAfter is how long after the first sign of a change a VM waits for a peer to tell what it is.
+	behindAfter = 400 * time.Millisecond
 )
 
 // Info is what a VM says of itself.
@@ -83,8 +86,9 @@
 	Infos []Info
 	// Operator is the version of the newest change of the operators that the sender has seen.
 	Operator ident.Version
-	// News is nil in most messages.
-	News *News
+	// News and Change are nil in most messages.
+	News   *News
+	Change *Change
 }
 
 // News is what one VM has read of the registry, for the others of its group.
@@ -94,6 +98,15 @@
 	After, Version ident.Version
 	// Rows are the targets that became usable, changed or ceased to be usable.
 	Rows []fleet.Row
+	// Operator is the version up to which the sender has read the operators' table; zero if its contact with it is lost.
+	Operator ident.Version
+}
+
+// Change is what one VM has read of the operators' table, for the others of its group.
+type Change struct {
+	// After and Version are the versions that the rows lie between.
+	After, Version ident.Version
+	Rows           []feed.Row
 }
 
 // Packet is a message and where it goes.
@@ -119,8 +132,10 @@
 	rnd     *rand.Rand
 	// seeds are addresses to greet while no other VM is known.
 	seeds []string
-	// operator is the newest version that this VM has seen, heardOperator the newest that a peer has seen.
+	// operator is the newest version that this VM has seen, heardOperator the newest that a peer has seen, and heardAt when
+	// that became newer than this VM's own.
 	operator, heardOperator ident.Version
+	heardAt                 time.Time
 }
 
 // NewView returns a view that knows only its own VM.
@@ -137,8 +152,14 @@
 	v.operator = max(v.operator, operator)
 }
 
-// Behind reports whether a peer has seen a newer change of the operators than this VM.
-func (v *View) Behind() bool { return v.heardOperator > v.operator }
+// Behind reports whether a peer has seen a newer change of the operators than this VM, and the change itself should have
+// arrived by now.
+func (v *View) Behind(now time.Time) bool {
+	return v.heardOperator > v.operator && now.Sub(v.heardAt) >= behindAfter
+}
+
+// UpToDate reports whether no peer has seen a newer change of the operators.
+func (v *View) UpToDate() bool { return v.heardOperator <= v.operator }
 
 // Listed takes the VMs that the store lists.
 func (v *View) Listed(now time.Time, infos []Info) {
@@ -182,7 +203,12 @@
 	for _, b := range msg.Beats {
 		v.hear(now, b)
 	}
-	v.heardOperator = max(v.heardOperator, msg.Operator)
+	if msg.Operator > v.heardOperator {
+		if v.UpToDate() {
+			v.heardAt = now
+		}
+		v.heardOperator = msg.Operator
+	}
 	if !msg.Hello {
 		return nil
 	}
@@ -392,12 +418,13 @@
 
 func order(i Info) uint64 { return xxhash.Sum64String(string(i.VM)) }
 
-// Tell returns the messages that carry news to the other VMs of the group.
-func (v *View) Tell(now time.Time, news *News) []Packet {
+// Tell returns the messages that carry news or a change to the other VMs of the group. Either may be nil.
+func (v *View) Tell(now time.Time, news *News, change *Change) []Packet {
 	var packets []Packet
+	msg := Message{From: v.self, News: news, Change: change, Operator: v.operator}
 	for _, i := range v.Group(now) {
 		if i.VM != v.self.VM {
-			packets = append(packets, Packet{To: i.Peer, Message: Message{From: v.self, News: news, Operator: v.operator}})
+			packets = append(packets, Packet{To: i.Peer, Message: msg})
 		}
 	}
 	return packets
--- a/peers/run.go
+++ b/peers/run.go
@@ -18,8 +18,8 @@
 	clock func() time.Time
 	conn  net.PacketConn
 
-	// news takes what other VMs have read.
-	news chan<- News
+	// news takes messages of other VMs that tell what they have read.
+	news chan<- Message
 
 	mu   sync.Mutex
 	view *View
@@ -29,7 +29,7 @@
 
 // NewService returns a service for a view that uses conn. News of other VMs goes to the channel; what does not fit is left
 // out, as if the datagram were lost.
-func NewService(view *View, conn net.PacketConn, news chan<- News, clock func() time.Time) *Service {
+func NewService(view *View, conn net.PacketConn, news chan<- Message, clock func() time.Time) *Service {
 	return &Service{view: view, conn: conn, news: news, clock: clock}
 }
 
@@ -92,9 +92,9 @@
 		reply := s.view.Receive(s.clock(), msg)
 		s.mu.Unlock()
 		s.send(reply)
-		if msg.News != nil {
+		if msg.News != nil || msg.Change != nil {
 			select {
-			case s.news <- *msg.News:
+			case s.news <- msg:
 			default:
 				s.countBad()
 			}
@@ -102,10 +102,10 @@
 	}
 }
 
-// Tell sends news to the other VMs of the group.
-func (s *Service) Tell(news *News) {
+// Tell sends news or a change to the other VMs of the group. Either may be nil.
+func (s *Service) Tell(news *News, change *Change) {
 	s.mu.Lock()
-	packets := s.view.Tell(s.clock(), news)
+	packets := s.view.Tell(s.clock(), news, change)
 	s.mu.Unlock()
 	s.send(packets)
 }
