pick: each object has a home region, in proportion to the slots of the regions

Callers of a region ask for objects of their own, none was asked for in two regions. Ruled out: load (late requests met 0 to 3 requests at the target), processor time (same without it), targets that are slow. Change: a hash gives each object a home region in proportion to slots, with a slack of 1.2 for the own region so that regions of about the same size keep theirs. The first target of the home and that of the second choice count as knowing the object.

--- a/pick/load_test.go
+++ b/pick/load_test.go
@@ -22,14 +22,19 @@
 	// served counts the requests that were answered within the aim, by second; all counts all requests.
 	served, all map[int]int
 	choose      func(p *Picker, now time.Time, a Ask) (Choice, Reason)
+	// atHome says that the callers of each region ask for objects of their own. Only callers of counted count; empty means
+	// all.
+	atHome  bool
+	counted ident.Region
 }
 
 type modelTarget struct {
 	slots   int
 	running int
 	queue   []*modelRequest
-	// objects are in the order of their last use.
+	// objects are in the order of their last use; keeps is how many are remembered.
 	objects []Object
+	keeps   int
 }
 
 type modelRequest struct {
@@ -79,14 +84,19 @@
 var modelRoute = &fleet.Route{Name: "r", Parts: []fleet.Part{{Service: "s", Weight: 1}}, Aim: modelAim, Affinity: true}
 
 func newModel(targets int, choose func(p *Picker, now time.Time, a Ask) (Choice, Reason)) *model {
+	return newModelAt(targets, modelPlace, choose)
+}
+
+// newModelAt returns a model whose target i is at the given place.
+func newModelAt(targets int, place func(i int) ident.Place, choose func(*Picker, time.Time, Ask) (Choice, Reason)) *model {
 	m := &model{rnd: rand.New(rand.NewSource(7)), targets: map[ident.Target]*modelTarget{}, served: map[int]int{}, all: map[int]int{},
 		choose: choose}
 	s := &fleet.Snapshot{Config: &fleet.Config{}, Targets: map[ident.Service][]fleet.Target{}}
 	for i := range targets {
 		id := ident.Target(fmt.Sprint("t", i))
-		m.targets[id] = &modelTarget{slots: modelSlots}
+		m.targets[id] = &modelTarget{slots: modelSlots, keeps: modelKeeps}
 		s.Targets["s"] = append(s.Targets["s"], fleet.Target{Entry: fleet.Entry{ID: id, Service: "s", Slots: modelSlots,
-			Place: modelPlace(i)}})
+			Place: place(i)}})
 	}
 	for i := range 12 {
 		p := New(ident.VM(fmt.Sprint("vm", i)), modelPlace(i))
@@ -117,12 +127,20 @@
 }
 
 func (m *model) arrive() {
-	m.all[int(m.now/time.Second)]++
-	a := Ask{Route: modelRoute, Service: "s", Deadline: at(m.now + 1200*time.Millisecond),
-		Object: NewObject("r", fmt.Append(nil, m.rnd.Intn(modelObjects)))}
-	m.send(&modelRequest{vm: m.vms[m.rnd.Intn(len(m.vms))], ask: a, arrived: m.now})
+	vm := m.vms[m.rnd.Intn(len(m.vms))]
+	object := fmt.Append(nil, m.rnd.Intn(modelObjects))
+	if m.atHome {
+		object = append(object, vm.place.Region...)
+	}
+	if m.counts(vm) {
+		m.all[int(m.now/time.Second)]++
+	}
+	a := Ask{Route: modelRoute, Service: "s", Deadline: at(m.now + 1200*time.Millisecond), Object: NewObject("r", object)}
+	m.send(&modelRequest{vm: vm, ask: a, arrived: m.now})
 }
 
+func (m *model) counts(vm *Picker) bool { return m.counted == "" || vm.place.Region == m.counted }
+
 func (m *model) send(r *modelRequest) {
 	c, reason := m.choose(r.vm, at(m.now), r.ask)
 	if reason != Chosen {
@@ -163,7 +181,7 @@
 func (m *model) finish(t *modelTarget, r *modelRequest, res Result) {
 	load := &Load{Running: t.running, Waiting: len(t.queue), Slots: t.slots}
 	r.vm.Finished(at(m.now), r.ask, r.choice, Outcome{Result: res, Took: m.now - r.sent, Load: load})
-	if res == Served && m.now-r.arrived <= modelAim {
+	if res == Served && m.now-r.arrived <= modelAim && m.counts(r.vm) {
 		m.served[int(r.arrived/time.Second)]++
 	}
 }
@@ -177,7 +195,7 @@
 		}
 	}
 	t.objects = append(t.objects, o)
-	if len(t.objects) > modelKeeps {
+	if len(t.objects) > t.keeps {
 		t.objects = t.objects[1:]
 	}
 	return false
@@ -258,3 +276,75 @@
 		})
 	}
 }
+
+// localFirst is the baseline that keeps all objects in the callers' region and moves on when targets there are full.
+func localFirst(p *Picker, now time.Time, a Ask) (Choice, Reason) {
+	p.pools[a.Service].homes = homes{own: p.place.Region, local: 1}
+	return p.Choose(now, a)
+}
+
+// Pattern: a region with 2 of 28 targets (riga of kalnins-seti, brasov of sag-pier), whose callers ask for as many objects
+// as those of the others. On sag-pier-grown quiet-1, 22% of the requests at the region's first choices found an object
+// forgotten, and the region earned 0.79 instead of 0.93. Guards against such a region that keeps its objects to itself. The
+// bound is the one of the other patterns, since the work fits the deployment.
+func TestRegionWithFewTargets(t *testing.T) {
+	place := func(i int) ident.Place {
+		if i >= 2 {
+			i = i%2 + 1
+		} else {
+			i = 0
+		}
+		return modelPlace(i)
+	}
+	got := map[string]float64{}
+	for name, choose := range map[string]func(*Picker, time.Time, Ask) (Choice, Reason){
+		"shipped": shipped, "local first": localFirst, "least loaded": leastLoaded,
+	} {
+		m := newModelAt(28, place, choose)
+		m.atHome, m.counted = true, "a"
+		for _, t := range m.targets {
+			t.keeps = 44 // as a workshop target of kalnins-seti
+		}
+		m.run(steady(20, 500))
+		got[name] = m.share(8, 20)
+	}
+	t.Logf("within the aim: %.3v", got)
+	if got["shipped"] < 0.9 {
+		t.Errorf("%.2f within the aim, want 0.9", got["shipped"])
+	}
+	for name, x := range got {
+		if got["shipped"] < x {
+			t.Errorf("worse than %s: %v", name, got)
+		}
+	}
+}
+
+// Each case guards against objects of which too many or too few stay in a region, and against objects that move between
+// regions of the same size when a few targets go.
+func TestHomes(t *testing.T) {
+	tests := []struct {
+		name  string
+		slots map[ident.Region]float64
+		local float64
+	}{
+		{"regions of the same size", map[ident.Region]float64{"a": 30, "b": 30, "c": 30}, 1},
+		{"a few targets fewer than the others", map[ident.Region]float64{"a": 26, "b": 30, "c": 30}, 1},
+		{"a tenth of all", map[ident.Region]float64{"a": 10, "b": 45, "c": 45}, 0.36},
+		{"none", map[ident.Region]float64{"b": 45, "c": 45}, 0},
+		{"alone", map[ident.Region]float64{"a": 10}, 1},
+	}
+	for _, tt := range tests {
+		h := newHomes("a", tt.slots)
+		n := map[ident.Region]float64{}
+		const objects = 3000
+		for i := range objects {
+			n[h.of(NewObject("r", fmt.Append(nil, i)))] += 1.0 / objects
+		}
+		if d := n["a"] - tt.local; d > 0.03 || d < -0.03 {
+			t.Errorf("%s: %.2f of the objects stay, want %.2f", tt.name, n["a"], tt.local)
+		}
+		if d := n["b"] - n["c"]; d > 0.05 || d < -0.05 {
+			t.Errorf("%s: others hold %v", tt.name, n)
+		}
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -97,6 +97,7 @@
 type pool struct {
 	targets []*target
 	spread  *spread
+	homes   homes
 }
 
 // work is the mean time of a route's requests at a target, without waiting.
@@ -170,6 +171,7 @@
 			slots[t.Place.Region] += float64(t.Slots)
 		}
 		pl.spread.setSlots(now, p.place.Region, slots)
+		pl.homes = newHomes(p.place.Region, slots)
 		slices.SortFunc(pl.targets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 		p.pools[svc] = pl
 	}
@@ -222,8 +224,10 @@
 
 // candidate is a target with the cost of sending a request there.
 type candidate struct {
-	t        *target
-	score    uint64
+	t     *target
+	score uint64
+	group group
+	// rank is the target's place in its group by the object's hash.
 	rank     int
 	known    bool
 	expected time.Duration
@@ -291,12 +295,16 @@
 	if len(list) == 0 {
 		list = suspects
 	}
-	p.rank(list, a.Object)
+	home := p.home(pl, a)
+	for i := range list {
+		list[i].group = p.groupOf(home, list[i].t)
+	}
+	rank(list, a.Object)
 	return list, reason
 }
 
-// rank numbers the candidates of each region in the order of the object's hash. The own region's come first.
-func (p *Picker) rank(list []candidate, object Object) {
+// rank numbers the candidates of each group in the order of the object's hash.
+func rank(list []candidate, object Object) {
 	if object == 0 {
 		for i := range list {
 			list[i].rank = math.MaxInt
@@ -304,8 +312,8 @@
 		return
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if d := p.distance(a.t) - p.distance(b.t); d != 0 {
-			return d
+		if a.group != b.group {
+			return int(a.group) - int(b.group)
 		}
 		if a.score != b.score {
 			if a.score > b.score {
@@ -317,7 +325,7 @@
 	})
 	rank := 0
 	for i := range list {
-		if i > 0 && p.distance(list[i].t) != p.distance(list[i-1].t) {
+		if i > 0 && list[i].group != list[i-1].group {
 			rank = 0
 		}
 		list[i].rank = rank
@@ -325,19 +333,40 @@
 	}
 }
 
-// distance is 0 for targets in the own region and 1 for others.
-func (p *Picker) distance(t *target) int {
-	if t.Place.Region == p.place.Region {
-		return 0
+// group is the order of regions for an object.
+type group uint8
+
+const (
+	// homeGroup is the region that holds the object, nextGroup the VM's own region or, if that is the home, all others.
+	homeGroup group = iota
+	nextGroup
+	restGroup
+)
+
+func (p *Picker) groupOf(home ident.Region, t *target) group {
+	switch {
+	case t.Place.Region == home:
+		return homeGroup
+	case home == p.place.Region, t.Place.Region == p.place.Region:
+		return nextGroup
+	}
+	return restGroup
+}
+
+// home is the region that holds the object of a request. A route that may not be served everywhere stays near.
+func (p *Picker) home(pl *pool, a Ask) ident.Region {
+	if len(a.Route.Regions) > 0 || a.Object == 0 {
+		return p.place.Region
 	}
-	return 1
+	return pl.homes.of(a.Object)
 }
 
 // estimate fills in how long the request would take at the candidate and what it costs.
 func (p *Picker) estimate(now time.Time, a Ask, c *candidate) {
 	w := p.workOf(a.Route)
 	_, seen := c.t.known[a.Object]
-	c.known = a.Object != 0 && (c.rank == 0 || seen && now.Sub(c.t.known[a.Object]) < knownFor)
+	first := c.rank == 0 && c.group != restGroup
+	c.known = a.Object != 0 && (first || seen && now.Sub(c.t.known[a.Object]) < knownFor)
 	need := w.unknown
 	if c.known {
 		need = w.known
@@ -347,7 +376,7 @@
 	}
 	wait := scale(w.known, c.t.queue(now)/float64(max(c.t.Slots, 1)))
 	c.expected = p.trip(c.t) + scale(need+wait, c.t.slow)
-	c.cost = c.expected + p.penalty(c.t)
+	c.cost = c.expected + p.penalty(c)
 	if !c.known {
 		c.cost += scale(w.unknown-w.known, unknownCost)
 	}
@@ -359,17 +388,31 @@
 func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
 
 // penalty is the cost of a target beyond its expected time.
-func (p *Picker) penalty(t *target) time.Duration {
-	cost := scale(failPenalty, max(t.failRate-failOrdinary, 0))
-	switch p.place.To(t.Place) {
-	case ident.OtherRegion:
+func (p *Picker) penalty(c *candidate) time.Duration {
+	cost := scale(failPenalty, max(c.t.failRate-failOrdinary, 0))
+	switch d := p.place.To(c.t.Place); {
+	case d == ident.OtherRegion && c.group != homeGroup:
 		cost += regionPenalty
-	case ident.SameRegion:
+	case d != ident.OtherRegion && c.group == nextGroup:
+		// As far from the object's home as the home is from here.
+		cost += 2*p.nearestTrip() + regionPenalty
+	case d == ident.SameRegion:
 		cost += domainPenalty
 	}
 	return cost
 }
 
+// nearestTrip is the shortest known round trip to another region.
+func (p *Picker) nearestTrip() time.Duration {
+	nearest := firstRegionTrip
+	for r, d := range p.trips {
+		if r != p.place.Region {
+			nearest = min(nearest, d)
+		}
+	}
+	return nearest
+}
+
 // trip is the round trip to a target.
 func (p *Picker) trip(t *target) time.Duration {
 	switch p.place.To(t.Place) {
--- a/pick/region.go
+++ b/pick/region.go
@@ -43,8 +43,7 @@
 }
 
 // setSlots takes the slots of the service in each region. Until the first request it plans anew, since targets register
-// one after the other at the start of a deployment: all requests for the own region if that has its part of the slots,
-// and otherwise as many as it has.
+// one after the other at the start of a deployment: as homes divides the objects.
 func (s *spread) setSlots(now time.Time, own ident.Region, slots map[ident.Region]float64) {
 	removed := s.update(slots)
 	switch {
@@ -71,16 +70,12 @@
 }
 
 func (s *spread) plan(own ident.Region, slots map[ident.Region]float64) {
-	total := 0.0
-	for _, n := range slots {
-		total += n
-	}
-	local := min(1, slots[own]*float64(len(slots))/max(total, 1))
+	local, all := localPart(own, slots), total(slots)
 	for i := range s.shares {
 		x := &s.shares[i]
 		x.planned = local
 		if x.region != own {
-			x.planned = (1 - local) * slots[x.region] / max(total-slots[own], 1)
+			x.planned = (1 - local) * slots[x.region] / max(all-slots[own], 1)
 		}
 		x.wished, x.got = x.planned, x.planned
 	}
