inlet: a VM that stops takes no further requests on connections that callers send ahead on

A connection ended after its next answer only if no other request was queued behind; a caller who always has requests ahead kept it open, and new requests were taken on it. Ruled out: the listener (closed 2.8 s after SIGTERM) and idle connections (ended then). Change: StopAccepting marks each connection, which then takes nothing more and ends after the answers that it owes. A connection accepted at that moment is closed. The soak's results were answered from the test cache after changes of the program, which it builds itself; it now imports the program's package.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -32,6 +32,8 @@
 	queued int
 	// ended says that the last answer is being written, so that no further request may be taken.
 	ended bool
+	// closing says that the connection ends after the answers to the requests that were taken.
+	closing bool
 }
 
 // errEnded says that the connection ends for a reason of this process.
@@ -41,9 +43,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c := &conn{s: s, nc: nc, br: bufio.NewReaderSize(nc, smallBuffer), size: smallBuffer, jobs: make(chan *job, pipelineMost)}
-	s.count(c, true)
-	defer s.count(c, false)
 	defer func() { _ = nc.Close() }()
+	if !s.add(c) {
+		return
+	}
+	defer s.remove(c)
 
 	linger := make(chan bool, 1)
 	go func() { linger <- c.writeAnswers(cancel) }()
@@ -126,7 +130,7 @@
 func (c *conn) take() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || !c.s.admit() {
+	if c.ended || c.closing || !c.s.admit() {
 		return false
 	}
 	c.queued++
@@ -138,16 +142,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.queued--
-	last = j.last || c.queued == 0 && c.s.isDraining()
+	last = j.last || c.queued == 0 && (c.closing || c.s.isDraining())
 	c.ended = c.ended || last
 	return last
 }
 
-// endIdle ends the connection if no request is in progress. A request that is on its way is not taken; its caller finds
-// the connection closed and sends it again.
-func (c *conn) endIdle() {
+// end ends the connection after the answers to the requests in progress, or at once without any. A request that is on its
+// way is not taken; its caller finds the connection closed and sends it again. Requests that a caller sends ahead would
+// keep the connection for as long as they come.
+func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closing = true
 	if c.queued == 0 && !c.ended {
 		c.ended = true
 		_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the reader
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -51,8 +51,9 @@
 
 	mu    sync.Mutex
 	conns map[*conn]bool
-	// draining says that each connection ends after its next answer, closed that no request is taken any more.
-	draining, closed bool
+	// draining says that each connection ends after its next answer, stopped that no connection is taken any more, closed
+	// that no request is.
+	draining, stopped, closed bool
 	// listeners are closed by StopAccepting.
 	listeners []net.Listener
 	inFlight  int
@@ -110,14 +111,14 @@
 	s.draining = true
 }
 
-// StopAccepting refuses new connections and ends those without a request in progress. The others end after their next
-// answer if the server drains.
+// StopAccepting refuses new connections and new requests. Connections end after the answers to the requests that were
+// taken.
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	for _, ln := range s.listeners {
 		_ = ln.Close() // it may be closed already
 	}
-	s.listeners = nil
+	s.listeners, s.stopped = nil, true
 	conns := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
@@ -125,7 +126,7 @@
 	s.mu.Unlock()
 	// A connection's lock is taken before the server's.
 	for _, c := range conns {
-		c.endIdle()
+		c.end()
 	}
 }
 
@@ -169,14 +170,20 @@
 	}
 }
 
-func (s *Server) count(c *conn, open bool) {
+// add counts a new connection. It reports false if the server has stopped accepting in the meantime.
+func (s *Server) add(c *conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if open {
+	if !s.stopped {
 		s.conns[c] = true
-	} else {
-		delete(s.conns, c)
 	}
+	return !s.stopped
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
 
 func (s *Server) progress(d int) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	_ "github.com/currantpier/currantpier/platform" // the program under test: its changes make cached results void
 	"github.com/currantpier/currantpier/stubs/plat"
 )
 
