--- a/cmds/daemon.go
+++ b/cmds/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -20,6 +21,7 @@
 	"github.com/currantpier/currantpier/local"
 	"github.com/currantpier/currantpier/steer"
 	"github.com/currantpier/currantpier/store"
+	"github.com/currantpier/currantpier/stubs/plat"
 )
 
 type settingsFlag struct {
@@ -112,6 +114,8 @@
 	VMs     int           `long:"vms-per-failure-domain" default:"2" value-name:"N" description:"entry VMs in each failure domain"`
 	For     time.Duration `long:"for" value-name:"TIME" description:"end after this time, for example 30s; by default at a signal"`
 	Verbose bool          `long:"verbose" short:"v" description:"log the events of all daemons"`
+	// OnPlatform runs cmd/pier's daemon in place of entry and steer.
+	OnPlatform bool `long:"platform" description:"run as on the users' platform, with stand-ins of its store and targets"`
 }
 
 // Execute implements flags.Commander.
@@ -123,12 +127,15 @@
 		ctx, cancel = context.WithTimeout(ctx, c.For)
 		defer cancel()
 	}
+	d := local.Kalnins()
+	d.VMsPerDomain = c.VMs
+	if c.OnPlatform {
+		return c.runPlatform(ctx, d)
+	}
 	l := log.NewNopLogger()
 	if c.Verbose {
 		l = logger(c.s.err, config.Info)
 	}
-	d := local.Kalnins()
-	d.VMsPerDomain = c.VMs
 	cluster, err := local.New(d, c.Port, l)
 	if err != nil {
 		return err
@@ -150,6 +157,51 @@
 	return err
 }
 
+// runPlatform runs the deployment as on the users' platform.
+func (c *localCommand) runPlatform(ctx context.Context, d local.Deployment) error {
+	w := io.Discard
+	if c.Verbose {
+		w = c.s.err
+	}
+	cluster, err := local.NewPlatform(d, c.Port, w)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.s.out, "starting %d VMs and %d targets\n", len(cluster.VMs), len(cluster.Platform.Targets))
+	done := make(chan error, 1)
+	go func() { done <- cluster.Run(ctx) }()
+	for cluster.Ready() < len(cluster.VMs) {
+		select {
+		case err := <-done:
+			return err
+		case <-time.After(readyPoll):
+		}
+	}
+	c.platformHints(cluster)
+	err = <-done
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+func (c *localCommand) platformHints(cluster *local.PlatformCluster) {
+	a := cluster.VMs[0]
+	fmt.Fprintf(c.s.out, `The Kalniņš set-up runs on loopback as on the users' platform: %d VMs, %d targets. Try next:
+
+  %s
+  %s
+  %s
+  curl -s http://%s/metrics
+  go run ./cmd/currantpier dump --control %s state
+
+End with Ctrl-C.
+`, len(cluster.VMs), len(cluster.Platform.Targets),
+		plat.LookupCommand(a.Lookups, local.ShopHost, string(a.Place.Region), string(a.Place.Domain)),
+		plat.TryCommand("GET", a.Callers, local.ShopHost, "/workshop/look/layout/7", "look-1", "7"),
+		plat.TryCommand("POST", a.Callers, local.ShopHost, "/workshop/order/frames", "order-1", "7"), a.Metrics, a.Metrics)
+}
+
 func (c *localCommand) hints(cluster *local.Cluster) {
 	a, b := cluster.Addresses[0], cluster.Addresses[len(cluster.Addresses)-1]
 	fmt.Fprintf(c.s.out, `The Kalniņš set-up runs on loopback: %d entry VMs, %d targets. Try next:
--- a/local/local.go
+++ b/local/local.go
@@ -306,9 +306,12 @@
 
 func (s *daemonService) Run(ctx context.Context) error { return s.d.Run(ctx) }
 
-func (s *daemonService) Dump(now time.Time) any {
+func (s *daemonService) Dump(now time.Time) any { return dumpOf(s.d.Kernel(), now) }
+
+// dumpOf returns the dump of a daemon's services.
+func dumpOf(k *kernel.Kernel, now time.Time) any {
 	var b strings.Builder
-	if err := s.d.Kernel().WriteDump(&b, now); err != nil {
+	if err := k.WriteDump(&b, now); err != nil {
 		return err.Error()
 	}
 	return rawJSON(b.String())
