edge: a VM that starts while the store is away takes over what another VM knows

Change: if the store has not answered 0.4 s after the start, the VM asks one that is ready for the rows of the operators' table and the registry, with the versions up to which they are known, and follows both from there. Before: TestStartDuringOutage fails (not ready within 5 s; shown with the service left out). After: ready, serves with the newest configuration, and follows the next one once the store is back.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -67,6 +67,8 @@
 	Log       *trace.Log
 	Clock     func() time.Time
 	Times     Times
+	// StatePort is the port, the same on all VMs, on which a VM hands its state to one that starts.
+	StatePort int
 }
 
 // Node is the daemon of one VM.
@@ -92,6 +94,7 @@
 			refresh: n.state.behind},
 		&follow{name: "registry-feed", table: cfg.Registry, follower: cfg.RegistryFollower, topic: registryTopic, n: n},
 		&announce{n: n},
+		newAdopter(n, cfg.Self.VM),
 		routing{n},
 		&listen{name: "callers", ln: ln, server: n.callers},
 	}
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -12,7 +12,8 @@
 	"github.com/currantpier/currantpier/meter"
 )
 
-// Inspect answers GET /metrics with the counters as text and GET /dump with the state of every service as JSON.
+// Inspect answers GET /metrics with the counters as text, GET /dump with the state of every service as JSON, and GET /state
+// with what another VM needs to start.
 type Inspect struct {
 	// Node returns the node; nil while it is being built.
 	Node func() *Node
@@ -22,7 +23,7 @@
 func (Inspect) MayOverlap(*codec.Request) bool { return true }
 
 // Handle implements inlet.Handler.
-func (h Inspect) Handle(_ context.Context, r *codec.Request, arrived time.Time) *codec.Answer {
+func (h Inspect) Handle(ctx context.Context, r *codec.Request, arrived time.Time) *codec.Answer {
 	n := h.Node()
 	if n == nil {
 		return codec.NewAnswer(http.StatusServiceUnavailable, "")
@@ -35,6 +36,13 @@
 	case "/dump":
 		kind = "application/json"
 		err = n.kernel.WriteDump(&b, arrived, services(r.URI())...)
+	case handOverPath:
+		kind = "application/octet-stream"
+		state := n.State(ctx)
+		if state == nil {
+			return codec.NewAnswer(http.StatusServiceUnavailable, "")
+		}
+		b.Write(state)
 	default:
 		return codec.NewAnswer(http.StatusNotFound, "")
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -50,9 +50,15 @@
 	// behind asks for a full reading of the operators' table.
 	behind chan struct{}
 
+	// adopted are states of other VMs, asks requests for this VM's own.
+	adopted chan *peers.Message
+	asks    chan chan<- *peers.Message
+
 	started time.Time
 	view    *fleet.View
 	shared  shared
+	// operatorRows are the rows of the operators' table by key, as the store has them; nil before it was read.
+	operatorRows map[string]feed.Row
 	// operator is the version of the newest change of the operators.
 	operator ident.Version
 	lost     [2]bool
@@ -74,6 +80,7 @@
 func newState(cfg Config, stopping func() bool) *state {
 	s := &state{
 		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsSize), behind: make(chan struct{}, 1),
+		adopted: make(chan *peers.Message), asks: make(chan chan<- *peers.Message),
 		view: fleet.NewView(), started: cfg.Clock(), shared: shared{rank: tellRank + 1},
 	}
 	s.summary.Store(&Summary{})
@@ -102,6 +109,13 @@
 			if s.hear(now, n) {
 				s.publish(now)
 			}
+		case m := <-s.adopted:
+			now := s.cfg.Clock()
+			if s.adopt(now, m) {
+				s.publish(now)
+			}
+		case reply := <-s.asks:
+			reply <- s.handOver(s.cfg.Clock())
 		case <-ticker.C:
 			now := s.cfg.Clock()
 			if s.view.Tick(now) {
@@ -207,6 +221,7 @@
 
 func (s *state) applyOperator(r reading) bool {
 	s.shared.confirmed = r.at
+	s.keepRows(r.rows)
 	changed := false
 	present := map[ident.Domain]bool{}
 	for _, row := range r.rows.Rows {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -136,6 +136,20 @@
 	return true
 }
 
+// Adopt takes a peer's whole reading as of a version in place of the first one. It reports false if the table was read
+// already.
+func (f *Follower) Adopt(now time.Time, version ident.Version) bool {
+	if f.version > 0 || version == 0 {
+		return false
+	}
+	f.full, f.version, f.failures = false, version, 0
+	f.next = now.Add(f.interval())
+	return true
+}
+
+// Known returns the version up to which the table is known, also while a full reading is due; zero before the first one.
+func (f *Follower) Known() ident.Version { return f.version }
+
 // Confirmed takes a peer's word that nothing has changed up to a version.
 func (f *Follower) Confirmed(now time.Time, version ident.Version) {
 	if !f.full && version > f.version {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -171,6 +171,9 @@
 	v.resumed = true
 }
 
+// Read reports whether the registry was read at least once.
+func (v *View) Read() bool { return v.read }
+
 // Outage reports whether the last call to the registry failed.
 func (v *View) Outage() bool { return v.outage }
 
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -47,6 +47,7 @@
 	newsVersion
 	newsRow
 	newsOperator
+	newsWhole
 )
 
 // The fields of a Change and of its rows.
@@ -54,6 +55,7 @@
 	changeAfter protowire.Number = iota + 1
 	changeVersion
 	changeRow
+	changeWhole
 )
 
 const (
@@ -145,7 +147,8 @@
 	for i := range n.Rows {
 		b = appendMessage(b, newsRow, appendRow(nil, &n.Rows[i]))
 	}
-	return appendUint(b, newsOperator, uint64(n.Operator))
+	b = appendUint(b, newsOperator, uint64(n.Operator))
+	return appendBool(b, newsWhole, n.Whole)
 }
 
 func appendChange(b []byte, c *Change) []byte {
@@ -159,7 +162,7 @@
 		row = appendUint(row, changeRowVersion, uint64(r.Version))
 		b = appendMessage(b, changeRow, appendBool(row, changeRowRemoved, r.Removed))
 	}
-	return b
+	return appendBool(b, changeWhole, c.Whole)
 }
 
 func appendRow(b []byte, r *fleet.Row) []byte {
@@ -336,6 +339,8 @@
 			n.Rows = append(n.Rows, r)
 		case newsOperator:
 			n.Operator = ident.Version(x.num)
+		case newsWhole:
+			n.Whole = x.num != 0
 		}
 		return err
 	})
@@ -354,6 +359,8 @@
 			var r feed.Row
 			r, err = decodeChangeRow(x.bytes)
 			c.Rows = append(c.Rows, r)
+		case changeWhole:
+			c.Whole = x.num != 0
 		}
 		return err
 	})
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -100,6 +100,8 @@
 	Rows []fleet.Row
 	// Operator is the version up to which the sender has read the operators' table; zero if its contact with it is lost.
 	Operator ident.Version
+	// Whole says that Rows is the whole registry.
+	Whole bool
 }
 
 // Change is what one VM has read of the operators' table, for the others of its group.
@@ -107,6 +109,8 @@
 	// After and Version are the versions that the rows lie between.
 	After, Version ident.Version
 	Rows           []feed.Row
+	// Whole says that Rows is the whole table.
+	Whole bool
 }
 
 // Packet is a message and where it goes.
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -360,6 +360,26 @@
 	}
 }
 
+// Guards against a VM that is restarted while the store is away and serves nobody until it is back.
+func TestStartDuringOutage(t *testing.T) {
+	w := newWorld(t, 3)
+	w.configure("desk")
+	w.inForce(t, "desk", 3*time.Second)
+	w.store.SetFaults(plat.StoreFaults{Status: 503})
+	v := w.vms[1]
+	v.signal(syscall.SIGKILL)
+	<-v.done
+	v.start()
+	w.eventually(5*time.Second, "the VM is ready without the store", v.ready)
+	if a := v.send(order("without-store")); !a.whole("without-store") {
+		t.Errorf("after a start during an outage: %+v", a)
+	}
+	w.inForce(t, "desk", time.Second)
+	w.store.SetFaults(plat.StoreFaults{})
+	w.configure("shop")
+	w.inForce(t, "shop", 6*time.Second)
+}
+
 // Guards against a failed request that nobody can explain: its id must lead to a log line with the cause, and the counters
 // and the dump must be there.
 func TestExplainedAfterwards(t *testing.T) {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -26,6 +26,7 @@
 	Regained   Event = "dependency-regained"
 	Config     Event = "config"
 	Evacuation Event = "evacuation"
+	Adopted    Event = "adopted"
 	Targets    Event = "targets"
 	Registry   Event = "registry"
 	Members    Event = "members"
