soak, stubs/plat: paths between processes are slowed, cut one way, silenced and reset; promises with bounds

Change: each VM reaches the store, and all VMs each target, through a loopback proxy that delays, loses one direction or both, and resets. After the faults the soak checks that a configuration is in force on every VM within 3 s and versions only go forward, that a target gets nothing 2 s after its notice, and that a planned stop under load cuts nothing.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/stubs/plat"
+	"github.com/currantpier/currantpier/trail"
 )
 
 var (
@@ -69,11 +71,82 @@
 		}
 		return true
 	})
+	s.promises()
 	close(s.stop)
 	s.callers.Wait()
 	s.check()
 }
 
+const (
+	// recoverFor is how long after the last fault a connection may still be silent.
+	recoverFor = 6 * time.Second
+	// watchFor is how long a promise is watched after its bound.
+	watchFor = time.Second
+)
+
+// promises checks, after the faults, what holds within bounds: a configuration is in force everywhere in time and stays so,
+// a target that leaves gets nothing after its bound, and a planned stop cuts no request.
+func (s *soaker) promises() {
+	w := s.w
+	w.configure("shop")
+	w.inForce(s.t, "shop", recoverFor)
+	w.configure("desk")
+	w.inForce(s.t, "desk", configS*time.Second)
+	left := s.rnd.Intn(4)
+	w.register(left, "draining")
+	leftAt := time.Now()
+	stopped := s.vm()
+	ended := make(chan struct{})
+	var callers sync.WaitGroup
+	for c := range 4 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			w.keepSending(s.t, stopped, 100+c, ended)
+		}()
+	}
+	stopped.signal(syscall.SIGTERM)
+	select {
+	case <-stopped.done:
+	case <-time.After(graceS * time.Second):
+		s.t.Errorf("%s has not ended %d s after SIGTERM", stopped.name, graceS)
+	}
+	close(ended)
+	callers.Wait()
+	stopped.start()
+	bound := leftAt.Add(time.Duration(leaveS * float64(time.Second)))
+	w.eventually(10*time.Second, "the time after the bound is over", func() bool { return time.Now().After(bound.Add(watchFor)) })
+	if last := w.targets[left].Last(); last.After(bound) {
+		s.t.Errorf("a request reached the leaving target %s %v after its notice", w.targets[left].ID, last.Sub(leftAt))
+	}
+	s.neverReverts()
+}
+
+// neverReverts reads from the logs that each process took configurations in the order of their versions.
+func (s *soaker) neverReverts() {
+	for _, v := range s.w.vms {
+		v.mu.Lock()
+		lines, err := trail.Read(strings.NewReader(v.log.String()))
+		v.mu.Unlock()
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		newest := 0
+		for _, l := range lines {
+			switch l.Event {
+			case "start":
+				newest = 0
+			case "config":
+				n := versionOf(s.t, l)
+				if n <= newest {
+					s.t.Errorf("%s took configuration %d after %d", v.name, n, newest)
+				}
+				newest = n
+			}
+		}
+	}
+}
+
 type soaker struct {
 	w       *world
 	t       *testing.T
@@ -126,6 +199,10 @@
 	{"store turns a VM away", func(s *soaker) {
 		s.w.store.SetFaults(plat.StoreFaults{Status: 503, Refused: map[string]bool{s.vm().ip: true}})
 	}},
+	{"path to the store", func(s *soaker) { s.vm().toStore.set(s.path()) }},
+	{"path to a target", func(s *soaker) { s.w.toTarget[s.rnd.Intn(targetN)].set(s.path()) }},
+	{"connections to the store reset", func(s *soaker) { s.vm().toStore.reset() }},
+	{"connections to a target reset", func(s *soaker) { s.w.toTarget[s.rnd.Intn(targetN)].reset() }},
 	{"history lost", func(s *soaker) { s.w.store.Compact() }},
 	{"configuration", func(s *soaker) { s.w.configure([]string{"shop", "desk"}[s.rnd.Intn(2)]) }},
 	{"answers spoiled", func(s *soaker) {
@@ -139,9 +216,34 @@
 	}},
 }
 
-// heal ends all faults.
+func versionOf(t *testing.T, l trail.Line) int {
+	for _, f := range l.Fields {
+		if f.Key == "version" {
+			n, err := strconv.Atoi(f.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+	}
+	t.Fatalf("no version in %+v", l)
+	return 0
+}
+
+// path returns a random state of a path: well, slow, cut one way or both.
+func (s *soaker) path() path {
+	return []path{{}, {delay: 40 * time.Millisecond}, {dropTo: true}, {dropFrom: true}, {dropTo: true, dropFrom: true}}[s.rnd.Intn(5)]
+}
+
+// heal ends all faults. Connections that lost bytes stay silent until one of their ends gives up.
 func (s *soaker) heal() {
 	s.w.store.SetFaults(plat.StoreFaults{})
+	for _, p := range s.w.toTarget {
+		p.set(path{})
+	}
+	for _, v := range s.w.vms {
+		v.toStore.set(path{})
+	}
 	for i, tg := range s.w.targets {
 		tg.Spoil(plat.Whole, 0)
 		s.w.register(i, "ready")
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -44,6 +44,8 @@
 	host    = "shop.example"
 	targetN = 6
 	leaveS  = 2.0
+	graceS  = 5
+	configS = 3
 )
 
 // ports are the ports of every VM, which have one loopback address each.
@@ -56,9 +58,11 @@
 	storeAt string
 	targets []*plat.Target
 	vms     []*vm
-	ports   ports
-	version int
-	seq     int
+	// toTarget are the paths to the targets.
+	toTarget []*proxy
+	ports    ports
+	version  int
+	seq      int
 }
 
 type vm struct {
@@ -67,8 +71,10 @@
 	ip   string
 	zone string
 	path string
-	cmd  *exec.Cmd
-	done chan struct{}
+	// toStore is the path of this VM to the store.
+	toStore *proxy
+	cmd     *exec.Cmd
+	done    chan struct{}
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -101,12 +107,16 @@
 			}
 		})
 		w.targets = append(w.targets, tg)
+		p := newProxy(t, "127.0.0.1", tg.Address())
+		tg.Via = p.address()
+		w.toTarget = append(w.toTarget, p)
 		w.register(i, "ready")
 	}
 	w.configure("shop")
 	for i := range vms {
 		v := &vm{w: w, name: fmt.Sprintf("vm%d", i), ip: fmt.Sprintf("127.0.9.%d", i+1), zone: zoneOrder[i%len(zoneOrder)]}
 		v.path = filepath.Join(t.TempDir(), "settings.json")
+		v.toStore = newProxy(t, v.ip, w.storeAt)
 		w.vms = append(w.vms, v)
 		v.start()
 	}
@@ -189,8 +199,8 @@
 				"Directory": v.address(p.directory), "ControlPlane": v.address(p.control)},
 			"InternalPortRange": []int{p.peer, p.metrics}, "SeedNodes": seeds, "Zones": zones,
 		},
-		"Platform": map[string]any{"HeartbeatS": 0.5, "Platform": map[string]any{"Address": v.w.storeAt}},
-		"Terms": map[string]any{"Bounds": map[string]any{"DrainS": leaveS, "GraceS": 5, "RetryBudgetRatio": 0.2,
+		"Platform": map[string]any{"HeartbeatS": 0.5, "Platform": map[string]any{"Address": v.toStore.address()}},
+		"Terms": map[string]any{"Bounds": map[string]any{"DrainS": leaveS, "GraceS": graceS, "RetryBudgetRatio": 0.2,
 			"RetryBudgetSlack": 64, "BudgetWindowS": 10, "ttl_max_s": 1}},
 	}
 }
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -70,7 +70,9 @@
 	ID    string
 	Slots int
 	Queue int
-	ln    net.Listener
+	// Via is the address in the registry entry if callers reach the target through a proxy; empty means its own.
+	Via string
+	ln  net.Listener
 
 	mu sync.Mutex
 	// work is the time of one request.
@@ -103,8 +105,12 @@
 
 // Entry returns the registry entry of the target.
 func (t *Target) Entry(service, zone, state string, sequence int) map[string]any {
+	address := t.Address()
+	if t.Via != "" {
+		address = t.Via
+	}
 	return map[string]any{
-		"Service": service, "Address": t.Address(), "Zone": zone, "Version": "v1", "Concurrency": t.Slots, "State": state,
+		"Service": service, "Address": address, "Zone": zone, "Version": "v1", "Concurrency": t.Slots, "State": state,
 		"WarmupLeftS": 0, "Sequence": sequence, "born": 1,
 	}
 }
