pick: no sorting and no allocation in the choice of a target

Cause: a choice among 540 targets took 94 µs and 33 KB, since all candidates of a request were sorted by hash; only the first two of each group matter. Change: one pass finds the first ones; candidates live in memory of the picker; the distance of a target and its idle load are not worked out anew.

--- a/pick/load_test.go
+++ b/pick/load_test.go
@@ -227,7 +227,12 @@
 // firstOnly is the baseline of hashing without a bound: each object has one target.
 func firstOnly(p *Picker, now time.Time, a Ask) (Choice, Reason) {
 	list, _ := p.candidates(now, p.pools[a.Service], a)
-	return Choice{Target: list[0].t.Target, Known: true}, Chosen
+	for _, c := range list {
+		if c.group == homeGroup && c.rank == 0 {
+			return Choice{Target: c.t.Target, Known: true}, Chosen
+		}
+	}
+	return Choice{}, NoTarget
 }
 
 func steady(seconds, perSecond int) []int {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -74,6 +74,8 @@
 type target struct {
 	fleet.Target
 	hash uint64
+	// distance is that from this VM.
+	distance ident.Distance
 	// sent is the number of requests of this VM in progress there.
 	sent int
 	// others is the load that other VMs caused there at the time of the last report.
@@ -123,6 +125,8 @@
 	splits map[fleet.RouteName]*split
 	// vms are the VMs that share the rates of cold targets, this one included.
 	vms []ident.VM
+	// list and suspects are memory for candidates; what is in them holds during one choice.
+	list, suspects []candidate
 }
 
 // New returns a picker for a VM at the given place, without targets.
@@ -166,6 +170,7 @@
 				t = &target{hash: xxhash.Sum64String(string(ft.ID)), slow: 1, known: map[Object]time.Time{}}
 			}
 			t.Target = ft
+			t.distance = p.place.To(ft.Place)
 			byID[ft.ID] = t
 			pl.targets = append(pl.targets, t)
 			slots[t.Place.Region] += float64(t.Slots)
@@ -227,7 +232,7 @@
 	t     *target
 	score uint64
 	group group
-	// rank is the target's place in its group by the object's hash.
+	// rank is the target's place in its group by the object's hash, at most holders.
 	rank     int
 	known    bool
 	expected time.Duration
@@ -274,8 +279,7 @@
 // candidates returns the targets that the request may be sent to, with their rank within their region. Targets that
 // failed lately are left out unless there are no others.
 func (p *Picker) candidates(now time.Time, pl *pool, a Ask) ([]candidate, Reason) {
-	list := make([]candidate, 0, len(pl.targets))
-	var suspects []candidate
+	list, suspects := p.list[:0], p.suspects[:0]
 	reason := NoTarget
 	for _, t := range pl.targets {
 		if t.gone || !a.Route.Allows(t.Place.Region) || slices.Contains(a.Tried, t.ID) {
@@ -292,6 +296,7 @@
 		}
 		list = append(list, c)
 	}
+	p.list, p.suspects = list, suspects
 	if len(list) == 0 {
 		list = suspects
 	}
@@ -303,36 +308,39 @@
 	return list, reason
 }
 
-// rank numbers the candidates of each group in the order of the object's hash.
+// rank numbers the first candidates of each group in the order of the object's hash; all others get the rank holders.
 func rank(list []candidate, object Object) {
-	if object == 0 {
-		for i := range list {
-			list[i].rank = math.MaxInt
-		}
-		return
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		if a.group != b.group {
-			return int(a.group) - int(b.group)
+	var first [groups][holders]*candidate
+	for i := range list {
+		c := &list[i]
+		c.rank = holders
+		if object == 0 {
+			continue
 		}
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
+		// Insertion into the first ones of the group.
+		for k, next := 0, c; k < holders && next != nil; k++ {
+			if x := first[c.group][k]; x == nil || next.before(x) {
+				first[c.group][k], next = next, x
 			}
-			return 1
 		}
-		return strings.Compare(string(a.t.ID), string(b.t.ID))
-	})
-	rank := 0
-	for i := range list {
-		if i > 0 && list[i].group != list[i-1].group {
-			rank = 0
+	}
+	for _, g := range first {
+		for k, c := range g {
+			if c != nil {
+				c.rank = k
+			}
 		}
-		list[i].rank = rank
-		rank++
 	}
 }
 
+// before reports whether c comes first by the object's hash.
+func (c *candidate) before(d *candidate) bool {
+	if c.score != d.score {
+		return c.score > d.score
+	}
+	return c.t.ID < d.t.ID
+}
+
 // group is the order of regions for an object.
 type group uint8
 
@@ -341,6 +349,7 @@
 	homeGroup group = iota
 	nextGroup
 	restGroup
+	groups = int(restGroup) + 1
 )
 
 func (p *Picker) groupOf(home ident.Region, t *target) group {
@@ -390,7 +399,7 @@
 // penalty is the cost of a target beyond its expected time.
 func (p *Picker) penalty(c *candidate) time.Duration {
 	cost := scale(failPenalty, max(c.t.failRate-failOrdinary, 0))
-	switch d := p.place.To(c.t.Place); {
+	switch d := c.t.distance; {
 	case d == ident.OtherRegion && c.group != homeGroup:
 		cost += regionPenalty
 	case d != ident.OtherRegion && c.group == nextGroup:
@@ -415,7 +424,7 @@
 
 // trip is the round trip to a target.
 func (p *Picker) trip(t *target) time.Duration {
-	switch p.place.To(t.Place) {
+	switch t.distance {
 	case ident.OtherRegion:
 		if d, ok := p.trips[t.Place.Region]; ok {
 			return d
@@ -437,6 +446,9 @@
 
 // load is the number of requests at the target that this VM knows of.
 func (t *target) load(now time.Time) float64 {
+	if t.others == 0 {
+		return float64(t.sent)
+	}
 	fade := math.Exp(-float64(now.Sub(t.reported)) / float64(loadMemory))
 	return float64(t.sent) + t.others*fade
 }
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -324,3 +324,19 @@
 		}
 	}
 }
+
+// BenchmarkChoose chooses among the targets of one service in three regions.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{28, 540} {
+		b.Run(fmt.Sprint(n, " targets"), func(b *testing.B) {
+			m := newModel(n, shipped)
+			p := m.vms[0]
+			for i := range b.N {
+				a := Ask{Route: modelRoute, Service: "s", Deadline: at(time.Second), Object: Object(i | 1)}
+				if _, reason := p.Choose(at(0), a); reason != Chosen {
+					b.Fatal(reason)
+				}
+			}
+		})
+	}
+}
