--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,6 +77,8 @@
 	kernel  *kernel.Kernel
 	callers *inlet.Server
 	state   *state
+	// announce knows whether this VM may be in the store's list.
+	announce *announce
 
 	mu   sync.Mutex
 	stop *drain.Stop
@@ -87,13 +89,14 @@
 	n := &Node{cfg: cfg, kernel: kernel.New(), stop: drain.NewStop(cfg.Times.TTL, cfg.Times.Grace)}
 	n.callers = inlet.New(cfg.Carrier, n.limits, cfg.Clock)
 	n.state = newState(cfg, n.stopping)
+	n.announce = &announce{n: n}
 	services := []kernel.Service{
 		cfg.Peers,
 		n.state,
 		&follow{name: "operator-feed", table: cfg.Operator, follower: cfg.OperatorFollower, topic: operatorTopic, n: n,
 			refresh: n.state.behind},
 		&follow{name: "registry-feed", table: cfg.Registry, follower: cfg.RegistryFollower, topic: registryTopic, n: n},
-		&announce{n: n},
+		n.announce,
 		newAdopter(n, cfg.Self.VM),
 		routing{n},
 		&listen{name: "callers", ln: ln, server: n.callers},
@@ -216,6 +219,9 @@
 
 // withdraw removes the node from the store's list. An entry that stays is found dead by the other VMs.
 func (n *Node) withdraw() {
+	if !n.announce.tried.Load() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawFor)
 	defer cancel()
 	if err := n.cfg.Directory.Withdraw(ctx, n.cfg.Self.VM); err != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -105,8 +105,9 @@
 func (f *Follower) SetRank(now time.Time, n int) {
 	before := f.rank
 	f.rank = min(n, rankMost)
-	// A VM that becomes one of those that wait for changes begins at once.
-	if f.wait > 0 && before >= waiters && f.rank < waiters && f.failures == 0 && f.next.After(now) {
+	// A VM that becomes the reader, or one of those that wait for changes, begins at once.
+	becomes := f.wait > 0 && before >= waiters && f.rank < waiters || f.wait == 0 && before > 0 && f.rank == 0
+	if becomes && !f.full && f.failures == 0 && f.next.After(now) {
 		f.next = now
 	}
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -118,6 +118,11 @@
 	if f.Heard(at(3), 10, 12) || f.Next().At.After(at(4)) {
 		t.Errorf("a change was missed: next %+v, want a call soon", f.Next())
 	}
+	r := NewFollower(time.Second, 0, rand.NewSource(1))
+	r.Done(at(0), at(0), Rows{Whole: true, Version: 5}, nil)
+	if r.SetRank(at(0.5), 0); r.Next().At.After(at(0.5)) {
+		t.Errorf("a VM that becomes the reader of a table begins at %v", r.Next().At)
+	}
 	g := follow(5)
 	if g.SetRank(at(3), 1); g.Next().At.After(at(3)) {
 		t.Errorf("a VM that is to wait for changes begins at %v", g.Next().At)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -266,7 +266,7 @@
 	v.forget(now)
 	targets := v.targets(now)
 	msg := v.message(now)
-	msg.Hello = !v.anyHeard() || v.beat.Count == helloAgain
+	msg.Hello = !v.AnyHeard() || v.beat.Count == helloAgain
 	packets := make([]Packet, 0, len(targets)+len(v.seeds))
 	for _, m := range targets {
 		packets = append(packets, Packet{To: m.Peer, Message: msg})
@@ -294,7 +294,8 @@
 	return packets
 }
 
-func (v *View) anyHeard() bool {
+// AnyHeard reports whether any other VM was heard from.
+func (v *View) AnyHeard() bool {
 	for _, m := range v.members {
 		if !m.heard.IsZero() {
 			return true
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -146,6 +146,8 @@
 				_ = dst.(*net.TCPConn).CloseWrite() // the other direction may go on
 				return
 			}
+			// A reset goes on as a reset: a clean end would make an answer without length look whole.
+			_ = dst.(*net.TCPConn).SetLinger(0)
 			_ = dst.Close()
 			return
 		}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,7 +87,7 @@
 
 func newWorld(t *testing.T, vms int) *world {
 	t.Helper()
-	w := &world{t: t, store: plat.NewStore(), ports: pickPorts(t)}
+	w := &world{t: t, store: plat.NewStore(), ports: pickPorts(t, vms)}
 	srv := httptest.NewServer(w.store)
 	t.Cleanup(srv.CloseClientConnections)
 	t.Cleanup(srv.Close)
@@ -114,7 +115,7 @@
 	}
 	w.configure("shop")
 	for i := range vms {
-		v := &vm{w: w, name: fmt.Sprintf("vm%d", i), ip: fmt.Sprintf("127.0.9.%d", i+1), zone: zoneOrder[i%len(zoneOrder)]}
+		v := &vm{w: w, name: fmt.Sprintf("vm%d", i), ip: vmIP(i), zone: zoneOrder[i%len(zoneOrder)]}
 		v.path = filepath.Join(t.TempDir(), "settings.json")
 		v.toStore = newProxy(t, v.ip, w.storeAt)
 		w.vms = append(w.vms, v)
@@ -138,20 +139,50 @@
 	return n
 }
 
-// pickPorts returns ports that are free on the address of the first VM.
-func pickPorts(t *testing.T) ports {
+// vmIP is the loopback address of a VM. It differs between test processes that run at the same time.
+func vmIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 10+pid/250%200, 1+pid%250, i+1)
+}
+
+const (
+	// portFirst and portCount give the ports of VMs. They lie below those that the system gives to connections, which would
+	// take them away while a VM restarts.
+	portFirst = 12000
+	portCount = 18000
+)
+
+// nextPort is where the search for free ports goes on, so that VMs of a world do not get the ports of the one before.
+var nextPort int
+
+// pickPorts returns ports that are free on the addresses of all VMs.
+func pickPorts(t *testing.T, vms int) ports {
 	var p ports
 	for _, dst := range []*int{&p.caller, &p.ready, &p.directory, &p.control, &p.peer, &p.metrics} {
-		ln, err := net.Listen("tcp", "127.0.9.1:0")
-		if err != nil {
-			t.Fatal(err)
+		for try := 0; *dst == 0; try++ {
+			port := portFirst + nextPort%portCount
+			nextPort++
+			if free(port, vms) {
+				*dst = port
+			} else if try > portCount {
+				t.Fatal("no free port")
+			}
 		}
-		*dst = ln.Addr().(*net.TCPAddr).Port
-		defer func() { _ = ln.Close() }()
 	}
 	return p
 }
 
+func free(port, vms int) bool {
+	for i := range vms {
+		ln, err := net.Listen("tcp", net.JoinHostPort(vmIP(i), strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		_ = ln.Close()
+	}
+	return true
+}
+
 // register writes the registry entry of target i. Targets 0 to 3 belong to the service shop, the others to desk.
 func (w *world) register(i int, state string) {
 	w.seq++
