peers, edge: told changes are compressed, and two VMs of a region tell them

The change is a datagram of the whole configuration to some 20 VMs at once; links of 10 Mbit/s drop what does not fit their queue. Ruled out: versions that do not continue each other (a gap is read within 150 ms); VMs that disagree about the reader (all VMs of a region missed it then). TestDatagram holds the size.

--- a/edge/share.go
+++ b/edge/share.go
@@ -22,6 +22,8 @@
 	changeBytes = 32 << 10
 	// rankAfter is how long after its start a VM takes its place among the readers. Before that it knows too few others.
 	rankAfter = 1500 * time.Millisecond
+	// tellChangeRank is the rank up to which a VM tells the operators' changes. The first one may have failed unnoticed.
+	tellChangeRank = 1
 	// warmupNoise is the difference of a warm-up's rest that is no news.
 	warmupNoise = 300 * time.Millisecond
 )
@@ -86,7 +88,7 @@
 	for _, row := range r.rows.Rows {
 		size += len(row.Key) + len(row.Value)
 	}
-	if s.shared.rank > 0 || r.rows.Whole || size == 0 || size > changeBytes {
+	if s.shared.rank > tellChangeRank || r.rows.Whole || size == 0 || size > changeBytes {
 		return
 	}
 	s.cfg.Peers.Tell(nil, &peers.Change{After: r.after, Version: r.rows.Version, Rows: r.rows.Rows})
--- a/peers/codec_test.go
+++ b/peers/codec_test.go
@@ -42,6 +42,34 @@
 	}
 }
 
+// Guards against a change of the operators that is told in datagrams so large that links drop them, and against a
+// compressed message that cannot be read.
+func TestDatagram(t *testing.T) {
+	routes := ""
+	for i := range 40 {
+		routes += fmt.Sprintf(`{"Name":"r-%d","Host":"shop%d.example","Prefix":"/p%d/","TimeoutS":3,"AimS":0.8,"MaxAttempts":2},`, i, i%3, i*7919)
+	}
+	large := fullMessage()
+	large.Change.Rows[0].Value = []byte(routes)
+	for name, m := range map[string]Message{"small": {From: Info{VM: "a"}}, "large": large} {
+		b := appendDatagram(nil, &m)
+		got, err := decodeDatagram(b)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if d := cmp.Diff(m, got); d != "" {
+			t.Errorf("%s: %s", name, d)
+		}
+		if plainSize := len(m.Append(nil)); plainSize > deflateLeast && len(b) > plainSize/2 {
+			t.Errorf("%s: %d bytes of %d", name, len(b), plainSize)
+		}
+	}
+	whole := appendDatagram(nil, &large)
+	for n := range whole {
+		_, _ = decodeDatagram(whole[:n]) // none may panic
+	}
+}
+
 // Guards against a datagram that was cut or comes from somebody else and ends the process, or makes it allocate without
 // bound.
 func TestCodecMalformed(t *testing.T) {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -115,8 +115,9 @@
 
 // Packet is a message and where it goes.
 type Packet struct {
-	To      string
-	Message Message
+	To string
+	// Message is shared by packets with the same content.
+	Message *Message
 }
 
 // member is what is known of one VM.
@@ -230,7 +231,7 @@
 				msg.Beats = append(msg.Beats, m.beat)
 			}
 		}
-		packets = append(packets, Packet{To: to, Message: msg})
+		packets = append(packets, Packet{To: to, Message: &msg})
 	}
 	return packets
 }
@@ -269,7 +270,7 @@
 	msg.Hello = !v.AnyHeard() || v.beat.Count == helloAgain
 	packets := make([]Packet, 0, len(targets)+len(v.seeds))
 	for _, m := range targets {
-		packets = append(packets, Packet{To: m.Peer, Message: msg})
+		packets = append(packets, Packet{To: m.Peer, Message: &msg})
 	}
 	if !msg.Hello {
 		return packets
@@ -277,7 +278,7 @@
 	for _, to := range v.seeds {
 		known := slices.ContainsFunc(targets, func(m *member) bool { return m.Peer == to })
 		if to != v.self.Peer && !known {
-			packets = append(packets, Packet{To: to, Message: msg})
+			packets = append(packets, Packet{To: to, Message: &msg})
 		}
 	}
 	return packets
@@ -289,7 +290,7 @@
 	msg := v.message(now)
 	var packets []Packet
 	for _, m := range v.sorted() {
-		packets = append(packets, Packet{To: m.Peer, Message: msg})
+		packets = append(packets, Packet{To: m.Peer, Message: &msg})
 	}
 	return packets
 }
@@ -429,7 +430,7 @@
 	msg := Message{From: v.self, News: news, Change: change, Operator: v.operator}
 	for _, i := range v.Group(now) {
 		if i.VM != v.self.VM {
-			packets = append(packets, Packet{To: i.Peer, Message: msg})
+			packets = append(packets, Packet{To: i.Peer, Message: &msg})
 		}
 	}
 	return packets
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -43,10 +43,10 @@
 
 func (w *network) deliver(packets []Packet) {
 	for _, p := range packets {
-		b := p.Message.Append(nil)
+		b := appendDatagram(nil, p.Message)
 		w.bytes[p.Message.From.Peer] += len(b)
 		if v := w.views[p.To]; v != nil && !w.down[p.To] && w.rnd.Float64() >= w.loss {
-			msg, err := DecodeMessage(b)
+			msg, err := decodeDatagram(b)
 			if err != nil {
 				panic(err) // the views only send what can be decoded
 			}
--- a/peers/run.go
+++ b/peers/run.go
@@ -83,7 +83,7 @@
 			s.countBad()
 			continue
 		}
-		msg, err := DecodeMessage(buf[:n])
+		msg, err := decodeDatagram(buf[:n])
 		if err != nil {
 			s.countBad()
 			continue
@@ -125,8 +125,11 @@
 }
 
 func (s *Service) send(packets []Packet) {
-	for _, p := range packets {
-		b := p.Message.Append(nil)
+	var b []byte
+	for i, p := range packets {
+		if i == 0 || p.Message != packets[i-1].Message {
+			b = appendDatagram(b[:0], p.Message)
+		}
 		addr, err := net.ResolveUDPAddr("udp", p.To)
 		if err != nil {
 			s.countBad()
