proto, region, mix: messages between VMs and regions' parts in packages of their own

Change: proto holds the messages between VMs and their encoding, region the parts of requests and objects that each region gets, mix the hash finalizer that three packages use. No behaviour changes; the tests moved along.

--- a/edge/announce.go
+++ b/edge/announce.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
 
@@ -66,7 +67,7 @@
 	alone, rank := false, 0
 	a.n.cfg.Peers.With(func(v *peers.View) {
 		alone = !v.AnyHeard()
-		rank = slices.IndexFunc(v.Group(now), func(i peers.Info) bool { return i.VM == a.n.cfg.Self.VM })
+		rank = slices.IndexFunc(v.Group(now), func(i proto.Info) bool { return i.VM == a.n.cfg.Self.VM })
 	})
 	return announceDue(alone, rank, a.written.Load(), sinceList)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -19,17 +19,18 @@
 	"github.com/currantpier/currantpier/inlet"
 	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
 
 // Directory lists the VMs in the platform's store.
 type Directory interface {
 	// Announce adds this VM or replaces its entry.
-	Announce(ctx context.Context, i peers.Info) error
+	Announce(ctx context.Context, i proto.Info) error
 	// Withdraw removes a VM's entry.
 	Withdraw(ctx context.Context, vm ident.VM) error
 	// List returns all VMs.
-	List(ctx context.Context) ([]peers.Info, error)
+	List(ctx context.Context) ([]proto.Info, error)
 }
 
 // Decoder turns rows of the store into what they say.
@@ -53,7 +54,7 @@
 
 // Config is what a Node is made of. All fields are required.
 type Config struct {
-	Self     peers.Info
+	Self     proto.Info
 	Carrier  *carry.Carrier
 	Peers    *peers.Service
 	Operator feed.Table
@@ -61,7 +62,7 @@
 	// OperatorFollower and RegistryFollower decide the calls to the two tables.
 	OperatorFollower, RegistryFollower *feed.Shared
 	// News are messages of other VMs that tell what they have read.
-	News      <-chan peers.Message
+	News      <-chan proto.Message
 	Directory Directory
 	Decoder   Decoder
 	Log       *trace.Log
@@ -137,7 +138,7 @@
 
 // Lookup returns the addresses that a caller at the given place may use for a host.
 func (n *Node) Lookup(now time.Time, from ident.Place, host string) []string {
-	var ready []peers.Info
+	var ready []proto.Info
 	n.cfg.Peers.With(func(v *peers.View) { ready = v.Ready(now) })
 	var homes []ident.Region
 	if cfg := n.cfg.Carrier.Snapshot().Config; cfg != nil {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
-	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 )
 
 func place(domain string) ident.Place {
@@ -19,16 +19,16 @@
 // Each case guards against a caller that is sent further than needed, to a region that may not see its requests, or
 // nowhere although a VM is ready.
 func TestLookup(t *testing.T) {
-	ready := func(domains ...string) []peers.Info {
-		var list []peers.Info
+	ready := func(domains ...string) []proto.Info {
+		var list []proto.Info
 		for _, d := range domains {
-			list = append(list, peers.Info{Caller: d, Place: place(d)})
+			list = append(list, proto.Info{Caller: d, Place: place(d)})
 		}
 		return list
 	}
 	tests := []struct {
 		name  string
-		ready []peers.Info
+		ready []proto.Info
 		from  string
 		homes []ident.Region
 		want  []string
--- a/edge/handover.go
+++ b/edge/handover.go
@@ -17,6 +17,7 @@
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
 
@@ -35,21 +36,21 @@
 )
 
 // handOver returns everything that this VM knows of the operators' table and the registry, or nil before it has read both.
-func (s *state) handOver(now time.Time) *peers.Message {
+func (s *state) handOver(now time.Time) *proto.Message {
 	if s.operatorRows == nil || !s.view.Read() {
 		return nil
 	}
-	change := &peers.Change{Whole: true}
+	change := &proto.Change{Whole: true}
 	for _, row := range s.operatorRows {
 		change.Rows = append(change.Rows, row)
 	}
-	news := &peers.News{From: s.cfg.Self.VM, Whole: true}
+	news := &proto.News{From: s.cfg.Self.VM, Whole: true}
 	for _, e := range s.view.Registered(now) {
 		news.Rows = append(news.Rows, fleet.Row{Entry: e})
 	}
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { change.Version = f.Known() })
 	s.cfg.RegistryFollower.With(func(f *feed.Follower) { news.Version = f.Known() })
-	return &peers.Message{From: s.cfg.Self, Change: change, News: news, Operator: s.operator}
+	return &proto.Message{From: s.cfg.Self, Change: change, News: news, Operator: s.operator}
 }
 
 // keepRows remembers the rows of the operators' table as the store has them.
@@ -67,7 +68,7 @@
 }
 
 // adopt takes what another VM knows, as far as this VM has read nothing yet. It reports whether anything was taken.
-func (s *state) adopt(now time.Time, m *peers.Message) bool {
+func (s *state) adopt(now time.Time, m *proto.Message) bool {
 	taken := false
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { taken = f.Adopt(now, m.Change.Version) })
 	if taken {
@@ -119,9 +120,9 @@
 
 // askOne asks a VM that is ready, of the own region if there is one.
 func (a *adopter) askOne(ctx context.Context) error {
-	var ready []peers.Info
+	var ready []proto.Info
 	a.n.cfg.Peers.With(func(v *peers.View) { ready = v.Ready(a.n.cfg.Clock()) })
-	near := slices.DeleteFunc(slices.Clone(ready), func(i peers.Info) bool { return i.Place.Region != a.n.cfg.Self.Place.Region })
+	near := slices.DeleteFunc(slices.Clone(ready), func(i proto.Info) bool { return i.Place.Region != a.n.cfg.Self.Place.Region })
 	if len(near) > 0 {
 		ready = near
 	}
@@ -140,7 +141,7 @@
 }
 
 // fetch returns the state of a VM.
-func (a *adopter) fetch(ctx context.Context, i peers.Info) (*peers.Message, error) {
+func (a *adopter) fetch(ctx context.Context, i proto.Info) (*proto.Message, error) {
 	ctx, cancel := context.WithTimeout(ctx, adoptFor)
 	defer cancel()
 	ip, _, err := net.SplitHostPort(i.Peer)
@@ -164,7 +165,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("%s answers %d", i.VM, resp.StatusCode)
 	}
-	m, err := peers.DecodeMessage(b)
+	m, err := proto.DecodeMessage(b)
 	if err != nil || m.Change == nil || m.News == nil || !m.Change.Whole || !m.News.Whole {
 		return nil, errors.Newf("answer of %s is no state: %v", i.VM, err)
 	}
@@ -175,7 +176,7 @@
 func (n *Node) State(ctx context.Context) []byte {
 	ctx, cancel := context.WithTimeout(ctx, handOverFor)
 	defer cancel()
-	reply := make(chan *peers.Message, 1)
+	reply := make(chan *proto.Message, 1)
 	select {
 	case n.state.asks <- reply:
 	case <-ctx.Done():
@@ -193,6 +194,6 @@
 
 // newAdopter returns the service for a node.
 func newAdopter(n *Node, seed ident.VM) *adopter {
-	src := rand.NewSource(int64(peers.KeyOf(seed)))
+	src := rand.NewSource(int64(proto.KeyOf(seed)))
 	return &adopter{n: n, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, rnd: rand.New(src)}
 }
--- a/edge/lookup.go
+++ b/edge/lookup.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/currantpier/currantpier/ident"
-	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 )
 
 // lookupFew is the number of VMs below which a lookup also names VMs that are further away, so that a caller has another
@@ -13,7 +13,7 @@
 
 // lookup returns the addresses of the VMs for a caller: those of its failure domain, then its region, then all others
 // that may receive the host's requests. Homes are the only regions for the host; empty means all.
-func lookup(ready []peers.Info, from ident.Place, homes []ident.Region) []string {
+func lookup(ready []proto.Info, from ident.Place, homes []ident.Region) []string {
 	groups := [3][]string{}
 	for _, vm := range ready {
 		d := from.To(vm.Place)
--- a/edge/share.go
+++ b/edge/share.go
@@ -7,6 +7,7 @@
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 )
 
 const (
@@ -71,7 +72,7 @@
 	if s.shared.rank > tellRank || r.rows.Whole || len(rows) > newsRows {
 		return
 	}
-	news := &peers.News{From: s.cfg.Self.VM, After: r.after, Version: r.rows.Version, Rows: rows}
+	news := &proto.News{From: s.cfg.Self.VM, After: r.after, Version: r.rows.Version, Rows: rows}
 	if !s.lost[operatorTopic] {
 		s.cfg.OperatorFollower.With(func(f *feed.Follower) {
 			if f.Waits() {
@@ -91,11 +92,11 @@
 	if s.shared.rank > tellChangeRank || r.rows.Whole || size == 0 || size > changeBytes {
 		return
 	}
-	s.cfg.Peers.Tell(nil, &peers.Change{After: r.after, Version: r.rows.Version, Rows: r.rows.Rows})
+	s.cfg.Peers.Tell(nil, &proto.Change{After: r.after, Version: r.rows.Version, Rows: r.rows.Rows})
 }
 
 // hear applies what another VM has read, and reports whether anything changed.
-func (s *state) hear(now time.Time, m peers.Message) bool {
+func (s *state) hear(now time.Time, m proto.Message) bool {
 	changed := false
 	if m.Change != nil {
 		changed = s.hearChange(now, m.Change)
@@ -106,7 +107,7 @@
 	return changed
 }
 
-func (s *state) hearNews(now time.Time, n *peers.News) bool {
+func (s *state) hearNews(now time.Time, n *proto.News) bool {
 	s.confirm(now, n.Operator)
 	taken := false
 	s.cfg.RegistryFollower.With(func(f *feed.Follower) { taken = f.Heard(now, n.After, n.Version) })
@@ -120,7 +121,7 @@
 	return len(changed) > 0
 }
 
-func (s *state) hearChange(now time.Time, c *peers.Change) bool {
+func (s *state) hearChange(now time.Time, c *proto.Change) bool {
 	taken := false
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { taken = f.Heard(now, c.After, c.Version) })
 	if !taken {
@@ -155,7 +156,7 @@
 }
 
 // setRank finds this VM's place in its group.
-func (s *state) setRank(now time.Time, group []peers.Info) {
+func (s *state) setRank(now time.Time, group []proto.Info) {
 	if now.Sub(s.started) < rankAfter {
 		return
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -9,6 +9,7 @@
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
 
@@ -51,8 +52,8 @@
 	behind chan struct{}
 
 	// adopted are states of other VMs, asks requests for this VM's own.
-	adopted chan *peers.Message
-	asks    chan chan<- *peers.Message
+	adopted chan *proto.Message
+	asks    chan chan<- *proto.Message
 
 	started time.Time
 	view    *fleet.View
@@ -80,7 +81,7 @@
 func newState(cfg Config, stopping func() bool) *state {
 	s := &state{
 		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsSize), behind: make(chan struct{}, 1),
-		adopted: make(chan *peers.Message), asks: make(chan chan<- *peers.Message),
+		adopted: make(chan *proto.Message), asks: make(chan chan<- *proto.Message),
 		view: fleet.NewView(), started: cfg.Clock(), shared: shared{rank: tellRank + 1},
 	}
 	s.summary.Store(&Summary{})
@@ -157,7 +158,7 @@
 	stopping := s.stopping()
 	ready := snap.Config != nil && snap.RegistryRead && !stopping
 	var vms []ident.VM
-	var group []peers.Info
+	var group []proto.Info
 	behind := false
 	s.cfg.Peers.With(func(v *peers.View) {
 		v.SetState(ready, stopping, s.operator)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -13,9 +13,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/currantpier/currantpier/feed"
-	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/proto"
 )
 
 const (
@@ -51,89 +50,27 @@
 	behindAfter = 400 * time.Millisecond
 )
 
-// Info is what a VM says of itself.
-type Info struct {
-	VM ident.VM `json:"vm"`
-	// Peer is host:port for messages between VMs, Caller host:port for callers.
-	Peer        string            `json:"peer"`
-	Caller      string            `json:"caller"`
-	Place       ident.Place       `json:"place"`
-	Incarnation ident.Incarnation `json:"incarnation"`
-}
-
-// Key is the hash of a VM's name. Heartbeats carry it in place of the name, which is longer.
-type Key uint64
-
-// KeyOf returns the key of a VM.
-func KeyOf(vm ident.VM) Key { return Key(xxhash.Sum64String(string(vm))) }
-
-// Beat is the newest heartbeat of one VM that the sender of a message knows.
-type Beat struct {
-	VM          Key
-	Incarnation ident.Incarnation
-	Count       uint64
-	// Ready says that the VM takes callers, Leaving that it is about to stop.
-	Ready, Leaving bool
-}
-
-// Message is what VMs send each other.
-type Message struct {
-	From Info
-	// Hello asks the receiver for everything that it knows.
-	Hello bool
-	Beats []Beat
-	// Infos introduce VMs that the receiver may not know.
-	Infos []Info
-	// Operator is the version of the newest change of the operators that the sender has seen.
-	Operator ident.Version
-	// News and Change are nil in most messages.
-	News   *News
-	Change *Change
-}
-
-// News is what one VM has read of the registry, for the others of its group.
-type News struct {
-	From ident.VM
-	// After and Version are the versions of the registry that the changes lie between.
-	After, Version ident.Version
-	// Rows are the targets that became usable, changed or ceased to be usable.
-	Rows []fleet.Row
-	// Operator is the version up to which the sender has read the operators' table; zero if its contact with it is lost.
-	Operator ident.Version
-	// Whole says that Rows is the whole registry.
-	Whole bool
-}
-
-// Change is what one VM has read of the operators' table, for the others of its group.
-type Change struct {
-	// After and Version are the versions that the rows lie between.
-	After, Version ident.Version
-	Rows           []feed.Row
-	// Whole says that Rows is the whole table.
-	Whole bool
-}
-
 // Packet is a message and where it goes.
 type Packet struct {
 	To string
 	// Message is shared by packets with the same content.
-	Message *Message
+	Message *proto.Message
 }
 
 // member is what is known of one VM.
 type member struct {
-	Info
-	beat Beat
+	proto.Info
+	beat proto.Beat
 	// heard is when the count last grew; zero if never. met is when the VM became known.
 	heard, met time.Time
 }
 
 // View is one VM's knowledge of the others. It is not safe for concurrent use.
 type View struct {
-	self    Info
+	self    proto.Info
 	started time.Time
-	beat    Beat
-	members map[Key]*member
+	beat    proto.Beat
+	members map[proto.Key]*member
 	rnd     *rand.Rand
 	// seeds are addresses to greet while no other VM is known.
 	seeds []string
@@ -144,10 +81,10 @@
 }
 
 // NewView returns a view that knows only its own VM.
-func NewView(now time.Time, self Info, seeds []string, src rand.Source) *View {
+func NewView(now time.Time, self proto.Info, seeds []string, src rand.Source) *View {
 	return &View{
-		self: self, started: now, seeds: seeds, members: map[Key]*member{}, rnd: rand.New(src),
-		beat: Beat{VM: KeyOf(self.VM), Incarnation: self.Incarnation},
+		self: self, started: now, seeds: seeds, members: map[proto.Key]*member{}, rnd: rand.New(src),
+		beat: proto.Beat{VM: proto.KeyOf(self.VM), Incarnation: self.Incarnation},
 	}
 }
 
@@ -167,7 +104,7 @@
 func (v *View) UpToDate() bool { return v.heardOperator <= v.operator }
 
 // Listed takes the VMs that the store lists.
-func (v *View) Listed(now time.Time, infos []Info) {
+func (v *View) Listed(now time.Time, infos []proto.Info) {
 	for _, i := range infos {
 		v.meet(now, i)
 	}
@@ -181,13 +118,13 @@
 	}
 }
 
-func (v *View) meet(now time.Time, i Info) {
+func (v *View) meet(now time.Time, i proto.Info) {
 	if i.VM == v.self.VM || i.VM == "" || i.Peer == "" {
 		return
 	}
-	m := v.members[KeyOf(i.VM)]
+	m := v.members[proto.KeyOf(i.VM)]
 	if m == nil {
-		v.members[KeyOf(i.VM)] = &member{Info: i, met: now}
+		v.members[proto.KeyOf(i.VM)] = &member{Info: i, met: now}
 		return
 	}
 	if i.Incarnation > m.Incarnation {
@@ -197,7 +134,7 @@
 }
 
 // Receive takes a message and returns the reply, if there is one.
-func (v *View) Receive(now time.Time, msg Message) []Packet {
+func (v *View) Receive(now time.Time, msg proto.Message) []Packet {
 	if msg.From.VM == v.self.VM {
 		return nil
 	}
@@ -224,7 +161,7 @@
 func (v *View) introduce(now time.Time, to string) []Packet {
 	var packets []Packet
 	for list := range slices.Chunk(v.sorted(), digestMost) {
-		msg := Message{From: v.self, Beats: []Beat{v.beat}, Operator: v.operator}
+		msg := proto.Message{From: v.self, Beats: []proto.Beat{v.beat}, Operator: v.operator}
 		for _, m := range list {
 			msg.Infos = append(msg.Infos, m.Info)
 			if !m.heard.IsZero() {
@@ -236,7 +173,7 @@
 	return packets
 }
 
-func (v *View) hear(now time.Time, b Beat) {
+func (v *View) hear(now time.Time, b proto.Beat) {
 	if b.VM == v.beat.VM {
 		v.outdo(b.Incarnation)
 		return
@@ -346,8 +283,8 @@
 
 // message returns what this VM knows: the newest heartbeats of its region and any of other regions, the addresses of VMs
 // that it met lately, and that of any other, so that every VM is met in the end.
-func (v *View) message(now time.Time) Message {
-	msg := Message{From: v.self, Beats: []Beat{v.beat}, Operator: v.operator}
+func (v *View) message(now time.Time) proto.Message {
+	msg := proto.Message{From: v.self, Beats: []proto.Beat{v.beat}, Operator: v.operator}
 	var near, far []*member
 	for _, m := range v.sorted() {
 		if now.Sub(m.met) < introduceFor && len(msg.Infos) < introduceMost {
@@ -396,8 +333,8 @@
 }
 
 // Ready returns the VMs that take callers, this one included, sorted by name.
-func (v *View) Ready(now time.Time) []Info {
-	var list []Info
+func (v *View) Ready(now time.Time) []proto.Info {
+	var list []proto.Info
 	if v.beat.Ready && !v.beat.Leaving {
 		list = append(list, v.self)
 	}
@@ -411,23 +348,23 @@
 
 // Group returns the VMs that share the reading of the registry with this one, in the order in which they take it on: those
 // of its region that are alive. The order is the same on all of them while they agree on who is alive.
-func (v *View) Group(now time.Time) []Info {
-	list := []Info{v.self}
+func (v *View) Group(now time.Time) []proto.Info {
+	list := []proto.Info{v.self}
 	for _, m := range v.sorted() {
 		if m.Place.Region == v.self.Place.Region && v.alive(now, m) {
 			list = append(list, m.Info)
 		}
 	}
-	slices.SortFunc(list, func(a, b Info) int { return cmp.Compare(order(a), order(b)) })
+	slices.SortFunc(list, func(a, b proto.Info) int { return cmp.Compare(order(a), order(b)) })
 	return list
 }
 
-func order(i Info) uint64 { return xxhash.Sum64String(string(i.VM)) }
+func order(i proto.Info) uint64 { return xxhash.Sum64String(string(i.VM)) }
 
 // Tell returns the messages that carry news or a change to the other VMs of the group. Either may be nil.
-func (v *View) Tell(now time.Time, news *News, change *Change) []Packet {
+func (v *View) Tell(now time.Time, news *proto.News, change *proto.Change) []Packet {
 	var packets []Packet
-	msg := Message{From: v.self, News: news, Change: change, Operator: v.operator}
+	msg := proto.Message{From: v.self, News: news, Change: change, Operator: v.operator}
 	for _, i := range v.Group(now) {
 		if i.VM != v.self.VM {
 			packets = append(packets, Packet{To: i.Peer, Message: &msg})
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/proto"
 )
 
 var start = time.Unix(1000, 0)
@@ -34,7 +35,7 @@
 
 func (w *network) add(i int, inc ident.Incarnation) {
 	r := string("abc"[i%3])
-	self := Info{VM: ident.VM(fmt.Sprint("vm", i)), Peer: address(i), Caller: "c" + fmt.Sprint(i), Incarnation: inc,
+	self := proto.Info{VM: ident.VM(fmt.Sprint("vm", i)), Peer: address(i), Caller: "c" + fmt.Sprint(i), Incarnation: inc,
 		Place: ident.Place{Region: ident.Region(r), Domain: ident.Domain(r + "1")}}
 	v := NewView(w.now, self, []string{address(0), address(1)}, rand.NewSource(int64(i)))
 	v.SetState(true, false, 0)
@@ -43,10 +44,10 @@
 
 func (w *network) deliver(packets []Packet) {
 	for _, p := range packets {
-		b := appendDatagram(nil, p.Message)
+		b := proto.AppendDatagram(nil, p.Message)
 		w.bytes[p.Message.From.Peer] += len(b)
 		if v := w.views[p.To]; v != nil && !w.down[p.To] && w.rnd.Float64() >= w.loss {
-			msg, err := decodeDatagram(b)
+			msg, err := proto.DecodeDatagram(b)
 			if err != nil {
 				panic(err) // the views only send what can be decoded
 			}
@@ -127,8 +128,8 @@
 
 // Guards against VMs that all think they are alone at their start and use the whole rate of cold targets each.
 func TestSharingErrsOnTooMany(t *testing.T) {
-	v := NewView(start, Info{VM: "vm0", Peer: address(0)}, nil, rand.NewSource(1))
-	v.Listed(start, []Info{{VM: "vm1", Peer: address(1)}, {VM: "vm2", Peer: address(2)}})
+	v := NewView(start, proto.Info{VM: "vm0", Peer: address(0)}, nil, rand.NewSource(1))
+	v.Listed(start, []proto.Info{{VM: "vm1", Peer: address(1)}, {VM: "vm2", Peer: address(2)}})
 	if n := len(v.Sharing(start)); n != 3 {
 		t.Errorf("%d VMs share at the start, want the 3 that the store lists", n)
 	}
@@ -163,8 +164,8 @@
 // Guards against a removed row that leaves every VM reading the operators' table again and again, since a full reading
 // does not show it.
 func TestCaughtUp(t *testing.T) {
-	v := NewView(start, Info{VM: "vm0", Peer: address(0)}, nil, rand.NewSource(1))
-	v.Receive(start, Message{From: Info{VM: "vm1", Peer: address(1)}, Operator: 9})
+	v := NewView(start, proto.Info{VM: "vm0", Peer: address(0)}, nil, rand.NewSource(1))
+	v.Receive(start, proto.Message{From: proto.Info{VM: "vm1", Peer: address(1)}, Operator: 9})
 	if !v.Behind(start.Add(behindAfter)) {
 		t.Error("a peer has seen version 9, but the VM does not think it is behind")
 	}
@@ -187,8 +188,30 @@
 	w.add(3, 1000)
 	w.run(2 * time.Second)
 	for a, v := range w.views {
-		if m := v.members[KeyOf("vm3")]; m != nil && m.beat.Incarnation <= 2000 {
+		if m := v.members[proto.KeyOf("vm3")]; m != nil && m.beat.Incarnation <= 2000 {
 			t.Errorf("%s still holds to incarnation %d", a, m.beat.Incarnation)
 		}
 	}
 }
+
+// Guards against heartbeats that grow beyond what a VM may spend on control, 16 KB a second each way, as JSON of all
+// members did. The bound is the users' target for 3,200 nodes; a VM's messages depend on the VMs of its region alone.
+func TestTrafficOfHeartbeats(t *testing.T) {
+	for _, n := range []int{12, 85, 300} {
+		t.Run(fmt.Sprint(n, " VMs"), func(t *testing.T) {
+			w := newNetwork(n, 0)
+			w.run(5 * time.Second)
+			w.bytes = map[string]int{}
+			const seconds = 10
+			w.run(seconds * time.Second)
+			most := 0
+			for _, sent := range w.bytes {
+				most = max(most, sent/seconds)
+			}
+			if limit := 16_000; most > limit {
+				t.Errorf("a VM sends %d bytes a second, want at most %d", most, limit)
+			}
+			t.Logf("%d VMs: at most %d bytes a second", n, most)
+		})
+	}
+}
--- a/peers/run.go
+++ b/peers/run.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/currantpier/currantpier/proto"
 )
 
 // datagramMost is the largest datagram that is read.
@@ -19,7 +21,7 @@
 	conn  net.PacketConn
 
 	// news takes messages of other VMs that tell what they have read.
-	news chan<- Message
+	news chan<- proto.Message
 
 	mu   sync.Mutex
 	view *View
@@ -29,7 +31,7 @@
 
 // NewService returns a service for a view that uses conn. News of other VMs goes to the channel; what does not fit is left
 // out, as if the datagram were lost.
-func NewService(view *View, conn net.PacketConn, news chan<- Message, clock func() time.Time) *Service {
+func NewService(view *View, conn net.PacketConn, news chan<- proto.Message, clock func() time.Time) *Service {
 	return &Service{view: view, conn: conn, news: news, clock: clock}
 }
 
@@ -83,7 +85,7 @@
 			s.countBad()
 			continue
 		}
-		msg, err := decodeDatagram(buf[:n])
+		msg, err := proto.DecodeDatagram(buf[:n])
 		if err != nil {
 			s.countBad()
 			continue
@@ -103,7 +105,7 @@
 }
 
 // Tell sends news or a change to the other VMs of the group. Either may be nil.
-func (s *Service) Tell(news *News, change *Change) {
+func (s *Service) Tell(news *proto.News, change *proto.Change) {
 	s.mu.Lock()
 	packets := s.view.Tell(s.clock(), news, change)
 	s.mu.Unlock()
@@ -128,7 +130,7 @@
 	var b []byte
 	for i, p := range packets {
 		if i == 0 || p.Message != packets[i-1].Message {
-			b = appendDatagram(b[:0], p.Message)
+			b = proto.AppendDatagram(b[:0], p.Message)
 		}
 		addr, err := net.ResolveUDPAddr("udp", p.To)
 		if err != nil {
@@ -144,9 +146,9 @@
 
 // State is the dump of a Service.
 type State struct {
-	Ready []Info `json:"ready"`
-	Known int    `json:"known"`
-	Bad   uint64 `json:"bad-datagrams"`
+	Ready []proto.Info `json:"ready"`
+	Known int          `json:"known"`
+	Bad   uint64       `json:"bad-datagrams"`
 }
 
 // Dump implements kernel.Service.
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -51,7 +51,7 @@
 		return
 	}
 	t.sent++
-	p.pools[t.Service].spread.count(now, c.wished, t.Place.Region)
+	p.pools[t.Service].spread.Count(now, c.wished, t.Place.Region)
 	if now.Before(t.ColdUntil) {
 		t.cold.take(now)
 	}
@@ -107,18 +107,18 @@
 		delete(t.known, a.Object)
 	case Moved:
 		t.gone = true
-		p.pools[t.Service].spread.failed(now)
+		p.pools[t.Service].spread.Failed(now)
 	case Unreachable:
 		t.failed(1)
 		t.hold(now)
-		p.pools[t.Service].spread.failed(now)
+		p.pools[t.Service].spread.Failed(now)
 	case Broken, Silent:
 		// One spoiled answer is no reason to leave a target that knows its objects.
 		t.failed(1)
 		t.failures++
 		if t.failures > 1 {
 			t.hold(now)
-			p.pools[t.Service].spread.failed(now)
+			p.pools[t.Service].spread.Failed(now)
 		}
 	case Cancelled:
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -14,6 +14,8 @@
 
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/mix"
+	"github.com/currantpier/currantpier/region"
 )
 
 const (
@@ -98,8 +100,8 @@
 // pool is the targets of one service, sorted by id.
 type pool struct {
 	targets []*target
-	spread  *spread
-	homes   homes
+	spread  *region.Spread
+	homes   region.Homes
 }
 
 // work is the mean time of a route's requests at a target, without waiting.
@@ -159,7 +161,7 @@
 	pools := p.pools
 	p.pools = make(map[ident.Service]*pool, len(s.Targets))
 	for svc, list := range s.Targets {
-		pl := &pool{targets: make([]*target, 0, len(list)), spread: &spread{}}
+		pl := &pool{targets: make([]*target, 0, len(list)), spread: &region.Spread{}}
 		if old := pools[svc]; old != nil {
 			pl.spread = old.spread
 		}
@@ -175,8 +177,8 @@
 			pl.targets = append(pl.targets, t)
 			slots[t.Place.Region] += float64(t.Slots)
 		}
-		pl.spread.setSlots(now, p.place.Region, slots)
-		pl.homes = newHomes(p.place.Region, slots)
+		pl.spread.SetSlots(now, p.place.Region, slots)
+		pl.homes = region.NewHomes(p.place.Region, slots)
 		slices.SortFunc(pl.targets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 		p.pools[svc] = pl
 	}
@@ -262,7 +264,7 @@
 		if wished == nil || c.cost < wished.cost {
 			wished = c
 		}
-		if (chosen == nil || c.cost < chosen.cost) && pl.spread.open(now, c.t.Place.Region) {
+		if (chosen == nil || c.cost < chosen.cost) && pl.spread.Open(now, c.t.Place.Region) {
 			chosen = c
 		}
 	}
@@ -289,7 +291,7 @@
 			reason = ColdOnly
 			continue
 		}
-		c := candidate{t: t, score: mix(uint64(a.Object) ^ t.hash)}
+		c := candidate{t: t, score: mix.Mix(uint64(a.Object) ^ t.hash)}
 		if now.Before(t.suspect) {
 			suspects = append(suspects, c)
 			continue
@@ -367,7 +369,7 @@
 	if len(a.Route.Regions) > 0 || a.Object == 0 {
 		return p.place.Region
 	}
-	return pl.homes.of(a.Object)
+	return pl.homes.Of(uint64(a.Object))
 }
 
 // estimate fills in how long the request would take at the candidate and what it costs.
@@ -467,12 +469,3 @@
 	}
 	return w
 }
-
-// mix spreads the bits of x. It is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/pick/split.go
+++ b/pick/split.go
@@ -5,6 +5,7 @@
 
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/mix"
 )
 
 const (
@@ -85,7 +86,7 @@
 }
 
 func (s *split) preferred(o Object) int {
-	x := float64(mix(uint64(o))>>11) / (1 << 53)
+	x := float64(mix.Mix(uint64(o))>>11) / (1 << 53)
 	for i := range s.parts {
 		if x -= s.weight(i); x < 0 {
 			return i
--- a/peers/codec.go
+++ b/proto/codec.go
@@ -1,4 +1,4 @@
-package peers
+package proto
 
 import (
 	"slices"
--- a/peers/codec_test.go
+++ b/proto/codec_test.go
@@ -1,4 +1,4 @@
-package peers
+package proto
 
 import (
 	"fmt"
@@ -52,8 +52,8 @@
 	large := fullMessage()
 	large.Change.Rows[0].Value = []byte(routes)
 	for name, m := range map[string]Message{"small": {From: Info{VM: "a"}}, "large": large} {
-		b := appendDatagram(nil, &m)
-		got, err := decodeDatagram(b)
+		b := AppendDatagram(nil, &m)
+		got, err := DecodeDatagram(b)
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
@@ -64,9 +64,9 @@
 			t.Errorf("%s: %d bytes of %d", name, len(b), plainSize)
 		}
 	}
-	whole := appendDatagram(nil, &large)
+	whole := AppendDatagram(nil, &large)
 	for n := range whole {
-		_, _ = decodeDatagram(whole[:n]) // none may panic
+		_, _ = DecodeDatagram(whole[:n]) // none may panic
 	}
 }
 
@@ -88,25 +88,3 @@
 		t.Error("text was accepted")
 	}
 }
-
-// Guards against heartbeats that grow beyond what a VM may spend on control, 16 KB a second each way, as JSON of all
-// members did. The bound is the users' target for 3,200 nodes; a VM's messages depend on the VMs of its region alone.
-func TestTrafficOfHeartbeats(t *testing.T) {
-	for _, n := range []int{12, 85, 300} {
-		t.Run(fmt.Sprint(n, " VMs"), func(t *testing.T) {
-			w := newNetwork(n, 0)
-			w.run(5 * time.Second)
-			w.bytes = map[string]int{}
-			const seconds = 10
-			w.run(seconds * time.Second)
-			most := 0
-			for _, sent := range w.bytes {
-				most = max(most, sent/seconds)
-			}
-			if limit := 16_000; most > limit {
-				t.Errorf("a VM sends %d bytes a second, want at most %d", most, limit)
-			}
-			t.Logf("%d VMs: at most %d bytes a second", n, most)
-		})
-	}
-}
--- a/peers/datagram.go
+++ b/proto/datagram.go
@@ -1,4 +1,4 @@
-package peers
+package proto
 
 import (
 	"bytes"
@@ -22,8 +22,8 @@
 	deflated
 )
 
-// appendDatagram appends a message as it is sent.
-func appendDatagram(b []byte, m *Message) []byte {
+// AppendDatagram appends a message as it is sent.
+func AppendDatagram(b []byte, m *Message) []byte {
 	start := len(b)
 	b = m.Append(append(b, plain))
 	if len(b)-start <= deflateLeast {
@@ -38,8 +38,8 @@
 	return append(b[:start], small.Bytes()...)
 }
 
-// decodeDatagram decodes what appendDatagram wrote.
-func decodeDatagram(b []byte) (Message, error) {
+// DecodeDatagram decodes what AppendDatagram wrote.
+func DecodeDatagram(b []byte) (Message, error) {
 	if len(b) == 0 {
 		return Message{}, errMalformed
 	}
--- a/pick/home.go
+++ b/region/home.go
@@ -1,17 +1,20 @@
-package pick
+// Package region decides how the requests and objects of one service are divided among regions. It has no I/O, no goroutines
+// and no clock of its own.
+package region
 
 import (
 	"slices"
 	"strings"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/mix"
 )
 
-// homes divides the objects of one service among the regions, so that each target holds about as many. Callers of each
+// Homes divides the objects of one service among the regions, so that each target holds about as many. Callers of each
 // region ask for objects of their own: in a region with few targets these would not fit into the targets' memory, while
 // targets elsewhere have room. The parts follow the slots alone and not the load: an object that moves is unknown to its
 // new target.
-type homes struct {
+type Homes struct {
 	own ident.Region
 	// local is the part of the objects that stays in the own region, at most 1.
 	local float64
@@ -24,9 +27,9 @@
 	part   float64
 }
 
-// newHomes divides by the slots of the service in each region. The demand of the regions is taken to be the same.
-func newHomes(own ident.Region, slots map[ident.Region]float64) homes {
-	h := homes{own: own, local: localPart(own, slots)}
+// NewHomes divides by the slots of the service in each region. The demand of the regions is taken to be the same.
+func NewHomes(own ident.Region, slots map[ident.Region]float64) Homes {
+	h := Homes{own: own, local: localPart(own, slots)}
 	elsewhere := total(slots) - slots[own]
 	for r, n := range slots {
 		if r != own && elsewhere > 0 {
@@ -61,10 +64,10 @@
 // homeSalt makes the choice of a region independent of that of a target.
 const homeSalt = 0x5bd1e995
 
-// of returns the region that holds an object. It is the same on all VMs of a region that know the same slots; if these
+// Of returns the region that holds an object. It is the same on all VMs of a region that know the same slots; if these
 // change a little, few objects move.
-func (h *homes) of(o Object) ident.Region {
-	x := float64(mix(uint64(o)^homeSalt)>>11)/(1<<53) - h.local
+func (h *Homes) Of(object uint64) ident.Region {
+	x := float64(mix.Mix(object^homeSalt)>>11)/(1<<53) - h.local
 	for _, p := range h.others {
 		if x < 0 {
 			break
--- a/pick/region.go
+++ b/region/spread.go
@@ -1,4 +1,4 @@
-package pick
+package region
 
 import (
 	"slices"
@@ -32,9 +32,9 @@
 	wished, got float64
 }
 
-// spread bounds how fast the requests of one service move between regions. The costs of targets can change at once for
+// Spread bounds how fast the requests of one service move between regions. The costs of targets can change at once for
 // all requests, for example while caches warm up; a sudden move would hit links and cold caches elsewhere.
-type spread struct {
+type Spread struct {
 	// shares are sorted by region.
 	shares []regionShare
 	at     time.Time
@@ -42,21 +42,21 @@
 	fault time.Time
 }
 
-// setSlots takes the slots of the service in each region. Until the first request it plans anew, since targets register
-// one after the other at the start of a deployment: as homes divides the objects.
-func (s *spread) setSlots(now time.Time, own ident.Region, slots map[ident.Region]float64) {
+// SetSlots takes the slots of the service in each region. Until the first request it plans anew, since targets register
+// one after the other at the start of a deployment: as Homes divides the objects.
+func (s *Spread) SetSlots(now time.Time, own ident.Region, slots map[ident.Region]float64) {
 	removed := s.update(slots)
 	switch {
 	case s.at.IsZero():
 		s.plan(own, slots)
 	case removed:
-		s.failed(now)
+		s.Failed(now)
 	}
 	s.normalize()
 }
 
 // update adds and removes regions and reports whether one was removed.
-func (s *spread) update(slots map[ident.Region]float64) (removed bool) {
+func (s *Spread) update(slots map[ident.Region]float64) (removed bool) {
 	n := len(s.shares)
 	s.shares = slices.DeleteFunc(s.shares, func(x regionShare) bool { return slots[x.region] == 0 })
 	removed = len(s.shares) < n
@@ -69,7 +69,7 @@
 	return removed
 }
 
-func (s *spread) plan(own ident.Region, slots map[ident.Region]float64) {
+func (s *Spread) plan(own ident.Region, slots map[ident.Region]float64) {
 	local, all := localPart(own, slots), total(slots)
 	for i := range s.shares {
 		x := &s.shares[i]
@@ -82,7 +82,7 @@
 }
 
 // normalize makes the planned shares sum to 1 after regions came or went.
-func (s *spread) normalize() {
+func (s *Spread) normalize() {
 	sum := 0.0
 	for _, x := range s.shares {
 		sum += x.planned
@@ -96,7 +96,7 @@
 	}
 }
 
-func (s *spread) of(r ident.Region) *regionShare {
+func (s *Spread) of(r ident.Region) *regionShare {
 	for i := range s.shares {
 		if s.shares[i].region == r {
 			return &s.shares[i]
@@ -105,18 +105,18 @@
 	return nil
 }
 
-// failed lets shares change at once for a while.
-func (s *spread) failed(now time.Time) { s.fault = now.Add(faultFor) }
+// Failed lets shares change at once for a while.
+func (s *Spread) Failed(now time.Time) { s.fault = now.Add(faultFor) }
 
-// open reports whether a region may get one more request.
-func (s *spread) open(now time.Time, r ident.Region) bool {
+// Open reports whether a region may get one more request.
+func (s *Spread) Open(now time.Time, r ident.Region) bool {
 	x := s.of(r)
 	return x == nil || now.Before(s.fault) || x.got < x.planned+shareSlack
 }
 
-// count records the region that the costs alone would have chosen and the one that the request goes to, and moves the
+// Count records the region that the costs alone would have chosen and the one that the request goes to, and moves the
 // planned shares with the time that has passed.
-func (s *spread) count(now time.Time, wished, to ident.Region) {
+func (s *Spread) Count(now time.Time, wished, to ident.Region) {
 	dt := max(now.Sub(s.at), 0)
 	if s.at.IsZero() {
 		dt = 0
