join: finding other VMs and starting without the store in a package of its own

Change: Announcer (the store's list of VMs) and Adopter (the state of another VM) move to join and take what they need as fields; edge wires them. No behaviour changes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,22 +17,13 @@
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/inlet"
+	"github.com/currantpier/currantpier/join"
 	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
 
-// Directory lists the VMs in the platform's store.
-type Directory interface {
-	// Announce adds this VM or replaces its entry.
-	Announce(ctx context.Context, i proto.Info) error
-	// Withdraw removes a VM's entry.
-	Withdraw(ctx context.Context, vm ident.VM) error
-	// List returns all VMs.
-	List(ctx context.Context) ([]proto.Info, error)
-}
-
 // Decoder turns rows of the store into what they say.
 type Decoder interface {
 	// Change decodes a row of the operators' table. A row that concerns nobody gives nil without an error.
@@ -63,7 +54,7 @@
 	OperatorFollower, RegistryFollower *feed.Shared
 	// News are messages of other VMs that tell what they have read.
 	News      <-chan proto.Message
-	Directory Directory
+	Directory join.Directory
 	Decoder   Decoder
 	Log       *trace.Log
 	Clock     func() time.Time
@@ -79,7 +70,7 @@
 	callers *inlet.Server
 	state   *state
 	// announce knows whether this VM may be in the store's list.
-	announce *announce
+	announce *join.Announcer
 
 	mu   sync.Mutex
 	stop *drain.Stop
@@ -90,7 +81,9 @@
 	n := &Node{cfg: cfg, kernel: kernel.New(), stop: drain.NewStop(cfg.Times.TTL, cfg.Times.Grace)}
 	n.callers = inlet.New(cfg.Carrier, n.limits, cfg.Clock)
 	n.state = newState(cfg, n.stopping)
-	n.announce = &announce{n: n}
+	n.announce = &join.Announcer{
+		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
+	}
 	services := []kernel.Service{
 		cfg.Peers,
 		n.state,
@@ -98,7 +91,10 @@
 			refresh: n.state.behind},
 		&follow{name: "registry-feed", table: cfg.Registry, follower: cfg.RegistryFollower, topic: registryTopic, n: n},
 		n.announce,
-		newAdopter(n, cfg.Self.VM),
+		&join.Adopter{
+			Self: cfg.Self, Peers: cfg.Peers, Port: cfg.StatePort, Log: cfg.Log, Clock: cfg.Clock, Ready: n.informed,
+			Adopted: n.state.adopted,
+		},
 		routing{n},
 		&listen{name: "callers", ln: ln, server: n.callers},
 	}
@@ -131,9 +127,12 @@
 }
 
 // Ready reports whether the node takes callers.
-func (n *Node) Ready() bool {
+func (n *Node) Ready() bool { return n.informed() && !n.stopping() }
+
+// informed reports whether the node knows enough to serve.
+func (n *Node) informed() bool {
 	s := n.cfg.Carrier.Snapshot()
-	return s.Config != nil && s.RegistryRead && !n.stopping()
+	return s.Config != nil && s.RegistryRead
 }
 
 // Lookup returns the addresses that a caller at the given place may use for a host.
@@ -220,7 +219,7 @@
 
 // withdraw removes the node from the store's list. An entry that stays is found dead by the other VMs.
 func (n *Node) withdraw() {
-	if !n.announce.tried.Load() {
+	if !n.announce.Listed() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawFor)
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/codec"
+	"github.com/currantpier/currantpier/join"
 	"github.com/currantpier/currantpier/meter"
 )
 
@@ -36,7 +37,7 @@
 	case "/dump":
 		kind = "application/json"
 		err = n.kernel.WriteDump(&b, arrived, services(r.URI())...)
-	case handOverPath:
+	case join.StatePath:
 		kind = "application/octet-stream"
 		state := n.State(ctx)
 		if state == nil {
--- a/edge/announce.go
+++ b/join/announce.go
@@ -1,4 +1,5 @@
-package edge
+// Package join is what a VM does to find the others, and to serve before the store has answered it.
+package join
 
 import (
 	"context"
@@ -6,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
@@ -24,22 +26,39 @@
 	listEvery = time.Minute
 )
 
-// announce keeps some VMs in the store's list, through which VMs meet that know no other address.
-type announce struct {
-	n *Node
+// Directory lists the VMs in the platform's store.
+type Directory interface {
+	// Announce adds this VM or replaces its entry.
+	Announce(ctx context.Context, i proto.Info) error
+	// Withdraw removes a VM's entry.
+	Withdraw(ctx context.Context, vm ident.VM) error
+	// List returns all VMs.
+	List(ctx context.Context) ([]proto.Info, error)
+}
+
+// Announcer keeps some VMs in the store's list, through which VMs meet that know no other address.
+type Announcer struct {
+	Self      proto.Info
+	Peers     *peers.Service
+	Directory Directory
+	Log       *trace.Log
+	Clock     func() time.Time
+	// Stopping reports whether a planned stop has begun.
+	Stopping func() bool
+
 	// written says that this VM is in the list, tried that it may be: the answer to a write can be lost.
 	written, tried atomic.Bool
 }
 
 // Name implements kernel.Service.
-func (*announce) Name() string { return "announce" }
+func (*Announcer) Name() string { return "announce" }
 
 // Dump implements kernel.Service.
-func (a *announce) Dump(time.Time) any { return map[string]bool{"listed": a.written.Load()} }
+func (a *Announcer) Dump(time.Time) any { return map[string]bool{"listed": a.written.Load()} }
 
 // Run implements kernel.Service.
-func (a *announce) Run(ctx context.Context) error {
-	listed := a.n.cfg.Clock()
+func (a *Announcer) Run(ctx context.Context) error {
+	listed := a.Clock()
 	for pause := announceAfter; ; {
 		select {
 		case <-time.After(pause):
@@ -47,14 +66,14 @@
 			return nil
 		}
 		pause = announceCheck
-		if a.n.stopping() {
+		if a.Stopping() {
 			<-ctx.Done()
 			return nil
 		}
-		now := a.n.cfg.Clock()
+		now := a.Clock()
 		write, list := a.due(now, now.Sub(listed))
 		if err := a.exchange(ctx, write, list); err != nil {
-			a.n.cfg.Log.Add(now, trace.Lost, "dependency", "store", "call", "list-vms", "err", err)
+			a.Log.Add(now, trace.Lost, "dependency", "store", "call", "list-vms", "err", err)
 			pause = announceRetry
 		} else if list {
 			listed = now
@@ -62,12 +81,15 @@
 	}
 }
 
+// Listed reports whether this VM may be in the list.
+func (a *Announcer) Listed() bool { return a.tried.Load() }
+
 // due looks at the other VMs and says which calls are due.
-func (a *announce) due(now time.Time, sinceList time.Duration) (write, list bool) {
+func (a *Announcer) due(now time.Time, sinceList time.Duration) (write, list bool) {
 	alone, rank := false, 0
-	a.n.cfg.Peers.With(func(v *peers.View) {
+	a.Peers.With(func(v *peers.View) {
 		alone = !v.AnyHeard()
-		rank = slices.IndexFunc(v.Group(now), func(i proto.Info) bool { return i.VM == a.n.cfg.Self.VM })
+		rank = slices.IndexFunc(v.Group(now), func(i proto.Info) bool { return i.VM == a.Self.VM })
 	})
 	return announceDue(alone, rank, a.written.Load(), sinceList)
 }
@@ -79,10 +101,10 @@
 	return needed && !written, alone || needed && sinceList >= listEvery
 }
 
-func (a *announce) exchange(ctx context.Context, write, list bool) error {
+func (a *Announcer) exchange(ctx context.Context, write, list bool) error {
 	if write {
 		a.tried.Store(true)
-		if err := a.n.cfg.Directory.Announce(ctx, a.n.cfg.Self); err != nil {
+		if err := a.Directory.Announce(ctx, a.Self); err != nil {
 			return err
 		}
 		a.written.Store(true)
@@ -90,11 +112,11 @@
 	if !list {
 		return nil
 	}
-	infos, err := a.n.cfg.Directory.List(ctx)
+	infos, err := a.Directory.List(ctx)
 	if err != nil {
 		return err
 	}
-	now := a.n.cfg.Clock()
-	a.n.cfg.Peers.With(func(v *peers.View) { v.Listed(now, infos) })
+	now := a.Clock()
+	a.Peers.With(func(v *peers.View) { v.Listed(now, infos) })
 	return nil
 }
