--- a/mix/mix.go
+++ b/hash/hash.go
@@ -1,5 +1,5 @@
-// Package mix spreads the bits of hashes.
-package mix
+// Package hash spreads the bits of hashes.
+package hash
 
 // Mix spreads the bits of x. It is the finalizer of splitmix64.
 func Mix(x uint64) uint64 {
--- a/pick/cold.go
+++ b/pick/cold.go
@@ -7,8 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/currantpier/currantpier/hash"
 	"github.com/currantpier/currantpier/ident"
-	"github.com/currantpier/currantpier/mix"
 )
 
 const (
@@ -52,7 +52,7 @@
 	h := xxhash.Sum64String(string(id))
 	list := make([]scored, 0, len(p.vms))
 	for _, vm := range p.vms {
-		list = append(list, scored{vm, mix.Mix(h ^ xxhash.Sum64String(string(vm)))})
+		list = append(list, scored{vm, hash.Mix(h ^ xxhash.Sum64String(string(vm)))})
 	}
 	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
 	list = list[:min(coldVMs, len(list))]
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/hash"
 	"github.com/currantpier/currantpier/ident"
-	"github.com/currantpier/currantpier/mix"
 	"github.com/currantpier/currantpier/region"
 )
 
@@ -291,7 +291,7 @@
 			reason = ColdOnly
 			continue
 		}
-		c := candidate{t: t, score: mix.Mix(uint64(a.Object) ^ t.hash)}
+		c := candidate{t: t, score: hash.Mix(uint64(a.Object) ^ t.hash)}
 		if now.Before(t.suspect) {
 			suspects = append(suspects, c)
 			continue
--- a/pick/split.go
+++ b/pick/split.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/hash"
 	"github.com/currantpier/currantpier/ident"
-	"github.com/currantpier/currantpier/mix"
 )
 
 const (
@@ -86,7 +86,7 @@
 }
 
 func (s *split) preferred(o Object) int {
-	x := float64(mix.Mix(uint64(o))>>11) / (1 << 53)
+	x := float64(hash.Mix(uint64(o))>>11) / (1 << 53)
 	for i := range s.parts {
 		if x -= s.weight(i); x < 0 {
 			return i
--- a/region/home.go
+++ b/region/home.go
@@ -6,8 +6,8 @@
 	"slices"
 	"strings"
 
+	"github.com/currantpier/currantpier/hash"
 	"github.com/currantpier/currantpier/ident"
-	"github.com/currantpier/currantpier/mix"
 )
 
 // Homes divides the objects of one service among the regions, so that each target holds about as many. Callers of each
@@ -67,7 +67,7 @@
 // Of returns the region that holds an object. It is the same on all VMs of a region that know the same slots; if these
 // change a little, few objects move.
 func (h *Homes) Of(object uint64) ident.Region {
-	x := float64(mix.Mix(object^homeSalt)>>11)/(1<<53) - h.local
+	x := float64(hash.Mix(object^homeSalt)>>11)/(1<<53) - h.local
 	for _, p := range h.others {
 		if x < 0 {
 			break
