--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -23,6 +23,7 @@
 		return p
 	}
 	settings := file("bad.ini", "[vm]\nname = riga 1\ncolour = red\n")
+	marked := file("marked.ini", "\ufeff[vm]\ncolour = red\n")
 	customers := file("customers.csv", "customer,plan\nshop-1,trade\nshop-1,trade\n")
 	uses := file("uses.csv", "plan,service,rate,weight,orders\ntrade,desk,0,10,yes\n")
 	logs := file("vm.log", "ts=10:00:00.500 vm=vm-a event=config version=7\n"+
@@ -45,6 +46,8 @@
 		{[]string{"drain"}, ExitUsage, []string{"--steer"}},
 		{[]string{"drain", "--steer", closed, "target"}, ExitUsage, []string{"NAME"}},
 		{[]string{"check"}, ExitUsage, []string{"nothing to check"}},
+		{[]string{"check", settings}, ExitUsage, []string{"unexpected argument", "--settings " + settings}},
+		{[]string{"check", "--settings", marked}, ExitUsage, []string{"line 1", "byte order mark", "line 2", "colour"}},
 		{[]string{"check", "--settings", settings}, ExitUsage, []string{"line 2", "[vm]", "name", "colour"}},
 		{[]string{"check", "--customers", customers}, ExitUsage, []string{"go together"}},
 		{[]string{"check", "--customers", customers, "--uses", uses}, ExitUsage,
--- a/cmds/operate.go
+++ b/cmds/operate.go
@@ -155,7 +155,11 @@
 }
 
 // Execute implements flags.Commander.
-func (c *checkCommand) Execute([]string) error {
+func (c *checkCommand) Execute(args []string) error {
+	if len(args) > 0 {
+		return kinds.Errorf(kinds.BadRequest, "unexpected argument %q: give a settings file with --settings %s, lists with "+
+			"--customers and --uses", args[0], args[0])
+	}
 	if c.Settings == "" && c.Customers == "" && c.Uses == "" {
 		return kinds.Errorf(kinds.BadRequest, "nothing to check: give --settings, or --customers and --uses")
 	}
--- a/config/parse.go
+++ b/config/parse.go
@@ -16,6 +16,9 @@
 // maxFile is the size of the largest settings file, in bytes. A larger file is certainly not a settings file.
 const maxFile = 1 << 20
 
+// byteOrderMark is what some editors put before UTF-8 text.
+const byteOrderMark = "\ufeff"
+
 // Problem is one error of a settings file.
 type Problem struct {
 	// Line counts from 1. It is 0 for something that is missing from the file.
@@ -97,7 +100,11 @@
 // Parse checks the content of a settings file. file appears in the errors. The error is a *Problems.
 func Parse(file string, data []byte) (*Settings, error) {
 	r := &reader{}
-	r.split(string(data))
+	text, marked := strings.CutPrefix(string(data), byteOrderMark)
+	if marked {
+		r.report(1, "", "", "(byte order mark)", "UTF-8 without a byte order mark at its start")
+	}
+	r.split(text)
 	s := r.fill()
 	r.cross(s)
 	if len(r.problems) > 0 {
