--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -82,6 +82,26 @@
 	}
 }
 
+// Guards against a late answer to another request that a caller gets in place of its own: it arrives on a kept connection
+// where the answer to the next request is expected.
+func TestStrayAnswer(t *testing.T) {
+	w := newWorld(t, 1)
+	spoils := &plat.Spoils{}
+	for _, tg := range w.targets {
+		tg.Share(spoils)
+	}
+	spoils.Set(plat.ExtraLate, 1)
+	if a := w.vms[0].send(look("first")); !a.whole("first") {
+		t.Errorf("first request: %+v", a)
+	}
+	r := look("second")
+	r.deadlineMS = 400
+	if a := w.vms[0].send(r); a.status == 200 && !a.whole("second") {
+		t.Errorf("second request got somebody else's answer: %+v", a)
+	}
+	w.calm(t)
+}
+
 var probes int
 
 // holder returns the target that has run a look, and will most likely run the next one.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -206,7 +206,7 @@
 	{"history lost", func(s *soaker) { s.w.store.Compact() }},
 	{"configuration", func(s *soaker) { s.w.configure([]string{"shop", "desk"}[s.rnd.Intn(2)]) }},
 	{"answers spoiled", func(s *soaker) {
-		kinds := []plat.Spoil{plat.LoseReset, plat.CutBody, plat.CutOpen, plat.Extra, plat.Garbage, plat.Unsigned, plat.Fail}
+		kinds := []plat.Spoil{plat.LoseReset, plat.CutBody, plat.CutOpen, plat.Extra, plat.ExtraLate, plat.Garbage, plat.Unsigned, plat.Fail}
 		s.target().Spoil(kinds[s.rnd.Intn(len(kinds))], 1+s.rnd.Intn(20))
 	}},
 	{"entry removed", func(s *soaker) {
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -34,6 +34,7 @@
 	CutBody   Spoil = "cut-body"   // ends the connection within the body
 	CutOpen   Spoil = "cut-open"   // has no length and resets the connection within the body
 	Extra     Spoil = "extra"      // sends a second answer, to a request of somebody else
+	ExtraLate Spoil = "extra-late" // sends it in place of the answer to the next request, which it does not run
 	Garbage   Spoil = "garbage"    // sends bytes that are no answer
 	Unsigned  Spoil = "unsigned"   // leaves out its signature
 	Fail      Spoil = "fail"       // answers 500
@@ -286,6 +287,13 @@
 	t.raw(nc, bw.Writer, s, id, body)
 }
 
+// strayAnswer is an answer to a request of somebody else.
+const strayAnswer = "HTTP/1.1 200 OK\r\n" + headerAttempt + ": other\r\n" + headerSignature + ": sig-other\r\n" +
+	"Content-Length: 5\r\n\r\nother"
+
+// strayFor is how long a target waits for the next request of a connection to send a stray answer to.
+const strayFor = 2 * time.Second
+
 // raw writes an answer that net/http would not write.
 func (t *Target) raw(nc net.Conn, bw *bufio.Writer, s Spoil, id, body string) {
 	head := "HTTP/1.1 200 OK\r\n" + headerAttempt + ": " + id + "\r\n" + headerSignature + ": sig-" + id + "\r\n"
@@ -302,13 +310,20 @@
 		_, _ = bw.WriteString("\x00\x01garbage\r\n\r\n")
 	case Extra:
 		_, _ = fmt.Fprintf(bw, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-		_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: sig-other\r\nContent-Length: 5\r\n\r\nother", headerAttempt, headerSignature)
+		_, _ = bw.WriteString(strayAnswer)
+	case ExtraLate:
+		_, _ = fmt.Fprintf(bw, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		_ = bw.Flush() // as below
+		_ = nc.SetReadDeadline(time.Now().Add(strayFor))
+		if _, err := nc.Read(make([]byte, 1)); err == nil {
+			_, _ = bw.WriteString(strayAnswer)
+		}
 	}
 	_ = bw.Flush() // the caller may have left
 	if tcp, ok := nc.(*net.TCPConn); ok && reset {
 		_ = tcp.SetLinger(0)
 	}
-	if s == Extra {
+	if s == Extra || s == ExtraLate {
 		time.Sleep(50 * time.Millisecond) // leaves the connection open with the second answer on it
 	}
 }
