edge: a confirmed version of the operators' table counts as applied

Change: the word moves both, if no newer change is known. Before: TestChangeContinuesWhatWasConfirmed fails. Conclusion: mended.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -176,6 +176,21 @@
 	}
 }
 
+// Guards against a change of the operators that is not taken although it continues what a peer has confirmed, so that it is
+// read from the store later and by every VM.
+func TestChangeContinuesWhatWasConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := newTestState(now)
+	first := readingOf(now, operatorTopic, 0, 4, true, "config")
+	s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.Done(now, now, first.rows, nil) })
+	s.apply(first)
+	s.hear(now, proto.Message{News: &proto.News{Operator: 7}})
+	s.hear(now, proto.Message{Change: &proto.Change{After: 7, Version: 9, Rows: []feed.Row{{Key: "config", Version: 9}}}})
+	if v := s.applied[operatorTopic]; v != 9 {
+		t.Errorf("the operators' table is applied up to %d, want 9", v)
+	}
+}
+
 // Guards against a VM that hands over a registry as of a version that it has read but not yet applied: the VM that starts
 // misses what lies between.
 func TestHandOverIsNotAheadOfWhatIsApplied(t *testing.T) {
--- a/edge/share.go
+++ b/edge/share.go
@@ -155,15 +155,17 @@
 	return taken
 }
 
-// confirm takes a peer's word that it knows the operators' table up to a version.
+// confirm takes a peer's word that it knows the operators' table up to a version. If no newer change is known than those
+// applied here, nothing has changed up to that version.
 func (s *state) confirm(now time.Time, version ident.Version) {
-	if version == 0 {
+	if version == 0 || s.operatorRows == nil {
 		return
 	}
 	upToDate := false
 	s.cfg.Peers.With(func(v *peers.View) { upToDate = v.UpToDate() })
 	if upToDate {
 		s.shared.confirmed = now
+		s.advance(operatorTopic, s.applied[operatorTopic], version, false)
 		s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.Confirmed(now, version) })
 	}
 }
