--- a/stubs/plat/deploy.go
+++ b/stubs/plat/deploy.go
@@ -63,6 +63,8 @@
 			}
 		}
 	}
+	// A VM that read the registry before the targets were in it would be ready and know none.
+	d.register(1)
 	return d, nil
 }
 
@@ -124,10 +126,8 @@
 func (d *Deployment) beat(ctx context.Context) {
 	tick := time.NewTicker(heartbeat)
 	defer tick.Stop()
-	for n := 1; ctx.Err() == nil; n++ {
-		for i, t := range d.Targets {
-			d.Store.Put("servers", t.ID, t.Entry(d.services[i], d.domains[i], "ready", n))
-		}
+	for n := 2; ctx.Err() == nil; n++ {
+		d.register(n)
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -135,6 +135,13 @@
 	}
 }
 
+// register writes the entries of all targets.
+func (d *Deployment) register(sequence int) {
+	for i, t := range d.Targets {
+		d.Store.Put("servers", t.ID, t.Entry(d.services[i], d.domains[i], "ready", sequence))
+	}
+}
+
 // TryCommand returns a shell command that sends a request as callers of the platform do.
 func TryCommand(method, address, host, path, attempt, object string) string {
 	return fmt.Sprintf("curl -si -X %s -H 'Host: %s' -H '%s: %s' -H 'X-Currantpier-Affinity-Key: %s' -H '%s: 2000' http://%s%s",
--- a/stubs/upstream_test.go
+++ b/stubs/upstream_test.go
@@ -18,7 +18,7 @@
 	"github.com/currantpier/currantpier/stubs"
 )
 
-// eventually waits for another goroutine. The time limit of go test reports a condition that never holds.
+// eventually waits for another goroutine. The timeout of go test reports a condition that never holds.
 func eventually(ok func() bool) {
 	for !ok() {
 		runtime.Gosched()
