peers, pick: parts of a partition agree on who sends to cold targets

Cause: a VM divided the rate of a cold target and the quota of further attempts among the VMs that it heard. Parts that do not hear each other named three senders each, so that n parts used n times the rate. A VM that was only cut off acted on a share of the bounds that others had taken over meanwhile. A second fault in the same place: heartbeats and addresses of dead VMs were passed on for as long as anybody knew them, so that a VM that had been killed counted as alive for a VM that started later, and was never forgotten by all. Ruled out: the burst of one sender (12 VMs in one part stay below 12 of 21.5). Change: a VM that has fallen silent counts among those that share a bound until it is forgotten or says that it leaves. A heartbeat is passed on for 1.5 s, an address for 30 s after the VM was heard. Who sends to a cold target is kept per target until the VMs change, instead of sorted for each request. Conclusion: membership for bounds and membership for lookups are two things; the first must not shrink because of silence.

--- /dev/null
+++ b/peers/parts_test.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/pick"
+	"github.com/currantpier/currantpier/proto"
+)
+
+// coldSnapshot has one cold target in each region.
+func coldSnapshot(rate float64, until time.Time) *fleet.Snapshot {
+	s := &fleet.Snapshot{
+		Config:  &fleet.Config{Services: map[ident.Service]fleet.Service{"s": {Name: "s", WarmupRate: rate}}},
+		Targets: map[ident.Service][]fleet.Target{},
+	}
+	for _, r := range []string{"a", "b", "c"} {
+		s.Targets["s"] = append(s.Targets["s"], fleet.Target{ColdUntil: until, Entry: fleet.Entry{
+			ID: ident.Target("cold-" + r), Service: "s", Slots: 6, Place: ident.Place{Region: ident.Region(r), Domain: ident.Domain(r + "1")}}})
+	}
+	return s
+}
+
+// Pattern: the VMs fall into parts that do not hear each other but reach all targets, while a failure domain's targets
+// return cold in a rush. Guards against parts that each use the whole rate of a cold target (kalnins-seti with its regions
+// cut from each other: 27 requests in a second of 21.5 allowed), and against cold targets that get nothing.
+func TestColdRateHoldsInParts(t *testing.T) {
+	const rate, factor, slack = 11, 1.5, 5
+	route := &fleet.Route{Name: "r", Aim: 300 * time.Millisecond}
+	for _, tt := range []struct{ vms, parts int }{{12, 1}, {12, 2}, {12, 3}, {12, 4}, {12, 12}, {85, 3}, {85, 9}} {
+		t.Run(fmt.Sprint(tt.vms, " VMs in ", tt.parts, " parts"), func(t *testing.T) {
+			w := newNetwork(tt.vms, 0)
+			w.run(5 * time.Second)
+			w.part = func(addr string) int { return w.number[addr] % tt.parts }
+			w.run(10 * time.Second)
+			var pickers []*pick.Picker
+			s := coldSnapshot(rate, w.now.Add(time.Minute))
+			for i := range tt.vms {
+				v := w.views[address(i)]
+				p := pick.New(v.self.VM, v.self.Place)
+				p.SetTargets(w.now, s)
+				p.SetVMs(v.Sharing(w.now))
+				pickers = append(pickers, p)
+			}
+			sent := map[ident.Target][]time.Duration{}
+			for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
+				for i, p := range pickers {
+					now := w.now.Add(at)
+					a := pick.Ask{Route: route, Service: "s", Object: pick.Object(i + 1), Deadline: now.Add(time.Second)}
+					if c, reason := p.Choose(now, a); reason == pick.Chosen {
+						p.Started(now, a, c)
+						sent[c.Target.ID] = append(sent[c.Target.ID], at)
+					}
+				}
+			}
+			for _, target := range s.Targets["s"] {
+				times := sent[target.ID]
+				if most := busiest(times); float64(most) > rate*factor+slack {
+					t.Errorf("%s got %d requests in a second, bound %.1f", target.ID, most, rate*factor+slack)
+				}
+				if len(times) < rate {
+					t.Errorf("%s got %d requests in 3 s, want %d or more", target.ID, len(times), rate)
+				}
+			}
+		})
+	}
+}
+
+// busiest returns the largest number of times within one second.
+func busiest(times []time.Duration) int {
+	most := 0
+	for i, first := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at < first+time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Guards against a VM that has said that it leaves and still holds a part of the bounds, and one that is remembered for
+// ever.
+func TestSharingEnds(t *testing.T) {
+	w := newNetwork(6, 0)
+	w.run(4 * time.Second)
+	w.views[address(1)].SetState(false, true, 0)
+	w.deliver(w.views[address(1)].Farewell(w.now))
+	w.down[address(1)], w.down[address(2)] = true, true
+	w.run(4 * time.Second)
+	if got := len(w.views[address(0)].Sharing(w.now)); got != 5 {
+		t.Errorf("%d VMs share after one left and one fell silent, want 5", got)
+	}
+	w.run(3 * forgetAfter)
+	if got := len(w.views[address(0)].Sharing(w.now)); got != 4 {
+		t.Errorf("%d VMs share long after both, want 4", got)
+	}
+}
+
+// Guards against a dead VM that the others introduce to each other again and again: with 480 VMs replaced a day, each would
+// be remembered, greeted and counted for ever.
+func TestDeadVMsAreForgotten(t *testing.T) {
+	w := newNetwork(12, 0)
+	w.run(4 * time.Second)
+	w.down[address(2)] = true
+	// VMs that start later learn of the dead one from those that still remember it.
+	for i := 12; i < 20; i++ {
+		w.run(forgetAfter / 4)
+		w.add(i, 1)
+	}
+	w.run(2 * forgetAfter)
+	for addr, v := range w.views {
+		if _, known := v.members[proto.KeyOf("vm2")]; known && addr != address(2) {
+			t.Errorf("%s knows vm2 %v after it was killed", v.self.VM, 4*forgetAfter)
+		}
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -38,14 +38,22 @@
 	helloAgain = 7
 	// forgetAfter is how long a failed VM is remembered.
 	forgetAfter = 60 * time.Second
+	// passOnFor is how long after its last heartbeat here a VM is made known to others. It is shorter than forgetAfter, so
+	// that a dead VM is not brought back by those that learnt of it last.
+	passOnFor = forgetAfter / 2
+	// beatFor is how long a heartbeat is passed on after it arrived. A VM that hears an old one takes it for a sign of life.
+	beatFor = failBase
 	// introduceFor is how long the address of a VM that was met recently is passed on, introduceMost bounds the addresses
 	// in one message, and introduceAny is the number of addresses of any VMs in each.
 	introduceFor  = 2 * time.Second
 	introduceMost = 10
 	introduceAny  = 1
-	// startTrust is how long after the start of this process VMs that the store lists share the bounds of targets before
-	// they were heard from.
-	startTrust = 6 * time.Second
+	// shareFor is how long a VM that is not heard any more still counts among those that share the bounds of targets. It may
+	// be cut off from here and send requests all the same: parts of the VMs that forget each other would each use the whole
+	// bound.
+	shareFor = forgetAfter
+	// startTrust is how long after the start of this process VMs that it only heard tell of count as well.
+	startTrust = shareFor
 	// behindAfter is how long after the first sign of a change a VM waits for a peer to tell what it is.
 	behindAfter = 400 * time.Millisecond
 )
@@ -65,6 +73,15 @@
 	heard, met time.Time
 }
 
+// passOn reports whether other VMs are told of the VM.
+func (m *member) passOn(now time.Time) bool { return now.Sub(m.heard) < passOnFor }
+
+// isNews reports whether the VM's heartbeat is passed on. That it leaves is news for longer.
+func (m *member) isNews(now time.Time) bool {
+	age := now.Sub(m.heard)
+	return age < beatFor || m.beat.Leaving && age < passOnFor
+}
+
 // View is one VM's knowledge of the others. It is not safe for concurrent use.
 type View struct {
 	self    proto.Info
@@ -163,8 +180,10 @@
 	for list := range slices.Chunk(v.sorted(), digestMost) {
 		msg := proto.Message{From: v.self, Beats: []proto.Beat{v.beat}, Operator: v.operator}
 		for _, m := range list {
-			msg.Infos = append(msg.Infos, m.Info)
-			if !m.heard.IsZero() {
+			if m.passOn(now) {
+				msg.Infos = append(msg.Infos, m.Info)
+			}
+			if m.isNews(now) {
 				msg.Beats = append(msg.Beats, m.beat)
 			}
 		}
@@ -287,11 +306,11 @@
 	msg := proto.Message{From: v.self, Beats: []proto.Beat{v.beat}, Operator: v.operator}
 	var near, far []*member
 	for _, m := range v.sorted() {
-		if now.Sub(m.met) < introduceFor && len(msg.Infos) < introduceMost {
+		if now.Sub(m.met) < introduceFor && m.passOn(now) && len(msg.Infos) < introduceMost {
 			msg.Infos = append(msg.Infos, m.Info)
 		}
 		switch {
-		case m.heard.IsZero():
+		case !m.isNews(now):
 		case m.Place.Region == v.self.Place.Region:
 			near = append(near, m)
 		default:
@@ -304,7 +323,9 @@
 		msg.Beats = append(msg.Beats, m.beat)
 	}
 	for _, m := range v.some(v.sorted(), introduceAny) {
-		msg.Infos = append(msg.Infos, m.Info)
+		if m.passOn(now) {
+			msg.Infos = append(msg.Infos, m.Info)
+		}
 	}
 	return msg
 }
@@ -374,12 +395,15 @@
 }
 
 // Sharing returns the VMs that may send requests to the same targets, this one included. It errs on the side of too
-// many: after a start, VMs that only the store lists count as well.
+// many, so that the parts of a partition have one view of the VMs: all count that did not say that they leave, whether
+// they are heard or not.
 func (v *View) Sharing(now time.Time) []ident.VM {
 	list := []ident.VM{v.self.VM}
 	for _, m := range v.sorted() {
-		heard := !m.heard.IsZero() && now.Sub(m.heard) < 2*v.failAfter()
-		if heard || m.heard.IsZero() && now.Sub(v.started) < startTrust {
+		if m.beat.Leaving {
+			continue
+		}
+		if now.Sub(m.heard) < shareFor || m.heard.IsZero() && now.Sub(v.started) < startTrust {
 			list = append(list, m.VM)
 		}
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -21,10 +21,13 @@
 	now   time.Time
 	// bytes counts what each VM has sent.
 	bytes map[string]int
+	// part tells the parts of a partition apart; nil means that there is none. number is the number of each VM.
+	part   func(addr string) int
+	number map[string]int
 }
 
 func newNetwork(n int, loss float64) *network {
-	w := &network{views: map[string]*View{}, down: map[string]bool{}, bytes: map[string]int{}, loss: loss, rnd: rand.New(rand.NewSource(1)), now: start}
+	w := &network{views: map[string]*View{}, down: map[string]bool{}, bytes: map[string]int{}, number: map[string]int{}, loss: loss, rnd: rand.New(rand.NewSource(1)), now: start}
 	for i := range n {
 		w.add(i, 1)
 	}
@@ -39,14 +42,15 @@
 		Place: ident.Place{Region: ident.Region(r), Domain: ident.Domain(r + "1")}}
 	v := NewView(w.now, self, []string{address(0), address(1)}, rand.NewSource(int64(i)))
 	v.SetState(true, false, 0)
-	w.views[address(i)] = v
+	w.views[address(i)], w.number[address(i)] = v, i
 }
 
 func (w *network) deliver(packets []Packet) {
 	for _, p := range packets {
 		b := proto.AppendDatagram(nil, p.Message)
 		w.bytes[p.Message.From.Peer] += len(b)
-		if v := w.views[p.To]; v != nil && !w.down[p.To] && w.rnd.Float64() >= w.loss {
+		cut := w.part != nil && w.part(p.To) != w.part(p.Message.From.Peer)
+		if v := w.views[p.To]; v != nil && !cut && !w.down[p.To] && w.rnd.Float64() >= w.loss {
 			msg, err := proto.DecodeDatagram(b)
 			if err != nil {
 				panic(err) // the views only send what can be decoded
--- a/pick/cold.go
+++ b/pick/cold.go
@@ -1,22 +1,17 @@
 package pick
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/currantpier/currantpier/hash"
-	"github.com/currantpier/currantpier/ident"
 )
 
 const (
 	// coldVMs is the number of VMs that may send requests to one cold target. The rate of a cold target is bounded in sum
 	// over all VMs, and a small fixed number of senders keeps the sum of their bursts small.
 	coldVMs = 3
-	// coldFill is the part of a cold target's rate that is used. Two halves of the VMs that see each other as failed name
-	// up to twice as many senders, so that the sum stays within 1.5 times the rate.
+	// coldFill is the part of a cold target's rate that is used. The rest covers VMs that name different senders for a
+	// moment, while one of them starts or leaves.
 	coldFill = 0.6
 )
 
@@ -25,6 +20,10 @@
 	// next is the earliest time of the next request.
 	next time.Time
 	gap  time.Duration
+	// round is the Picker's round of VMs for which senders holds.
+	round uint64
+	// senders is the number of VMs that may send to the target; zero if this VM is none of them.
+	senders int
 }
 
 func (g *coldGate) take(now time.Time) { g.next = now.Add(g.gap) }
@@ -35,30 +34,28 @@
 	if rate <= 0 || now.Before(t.cold.next) {
 		return false
 	}
-	senders := p.warmers(t.ID)
-	if !slices.Contains(senders, p.self) {
+	if t.cold.round != p.round {
+		t.cold.round, t.cold.senders = p.round, p.senders(t.hash)
+	}
+	if t.cold.senders == 0 {
 		return false
 	}
-	t.cold.gap = time.Duration(float64(len(senders)) / (rate * coldFill) * float64(time.Second))
+	t.cold.gap = time.Duration(float64(t.cold.senders) / (rate * coldFill) * float64(time.Second))
 	return true
 }
 
-// warmers returns the VMs that may send to a cold target, the same on every VM that knows the same VMs.
-func (p *Picker) warmers(id ident.Target) []ident.VM {
-	type scored struct {
-		vm    ident.VM
-		score uint64
-	}
-	h := xxhash.Sum64String(string(id))
-	list := make([]scored, 0, len(p.vms))
-	for _, vm := range p.vms {
-		list = append(list, scored{vm, hash.Mix(h ^ xxhash.Sum64String(string(vm)))})
+// senders returns the number of VMs that may send to the cold target with the given hash, or zero if this VM is none of
+// them. They are the first ones by rendezvous hashing: the same on every VM that knows the same VMs.
+func (p *Picker) senders(target uint64) int {
+	own := hash.Mix(target ^ p.selfHash)
+	before := 0
+	for _, h := range p.vmHashes {
+		if hash.Mix(target^h) < own {
+			before++
+		}
 	}
-	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
-	list = list[:min(coldVMs, len(list))]
-	vms := make([]ident.VM, 0, coldVMs)
-	for _, s := range list {
-		vms = append(vms, s.vm)
+	if before >= coldVMs {
+		return 0
 	}
-	return vms
+	return min(coldVMs, len(p.vmHashes))
 }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -125,31 +125,44 @@
 	trips  map[ident.Region]time.Duration
 	specs  map[ident.Service]fleet.Service
 	splits map[fleet.RouteName]*split
-	// vms are the VMs that share the rates of cold targets, this one included.
-	vms []ident.VM
+	// vms are the VMs that share the rates of cold targets, this one included, and vmHashes the hashes of their names. round
+	// grows whenever they change.
+	vms      []ident.VM
+	vmHashes []uint64
+	selfHash uint64
+	round    uint64
 	// list and suspects are memory for candidates; what is in them holds during one choice.
 	list, suspects []candidate
 }
 
 // New returns a picker for a VM at the given place, without targets.
 func New(self ident.VM, place ident.Place) *Picker {
-	return &Picker{
-		self: self, place: place,
+	p := &Picker{
+		self: self, place: place, selfHash: xxhash.Sum64String(string(self)),
 		byID:   map[ident.Target]*target{},
 		pools:  map[ident.Service]*pool{},
 		work:   map[fleet.RouteName]*work{},
 		trips:  map[ident.Region]time.Duration{},
 		splits: map[fleet.RouteName]*split{},
-		vms:    []ident.VM{self},
 	}
+	p.SetVMs(nil)
+	return p
 }
 
-// SetVMs tells which VMs send requests to the same targets.
+// SetVMs tells which VMs send requests to the same targets. This VM counts in any case.
 func (p *Picker) SetVMs(vms []ident.VM) {
+	if p.round > 0 && slices.Equal(vms, p.vms) {
+		return
+	}
 	p.vms = append(p.vms[:0], vms...)
 	if !slices.Contains(p.vms, p.self) {
 		p.vms = append(p.vms, p.self)
 	}
+	p.vmHashes = p.vmHashes[:0]
+	for _, vm := range p.vms {
+		p.vmHashes = append(p.vmHashes, xxhash.Sum64String(string(vm)))
+	}
+	p.round++
 }
 
 // SetTargets takes the targets and services of a snapshot and keeps what was learned about those that stay.
