carry, outlet, codec: answers without end, late copies, choices that are old

Five faults of one kind: what arrives from a target, or was decided some time ago, was trusted longer than it holds.

An answer without the request's id was taken for this request's if it said "not run". Cause: a target sends a second copy of a refusal, late, on a connection that is in use again. The order was then said not to have run, or was sent again, while the target ran it. Now an answer belongs to a request only if it carries the request's id.

Bytes without end. Each answer could grow to 16 MB, as many at once as there were requests, and a stated length of 16 MB was allocated before a byte of the body came; interim answers had no bound at all. A target that floods is held back at its first flood.

The request is now built when there is a connection, and not sent to a target that the newest registry does not allow. Nothing was sent, so that an order may go elsewhere.

Ruled out: the deadline of the exchange itself (it ends slow floods in time), the size of a head (fasthttp bounds it by the buffer). Conclusion: checks belong right before the write and right after the read.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -48,12 +48,7 @@
 		return pick.Choice{}, k.giveUp(now, kinds.DeadlineTooShort, "deadline reached")
 	}
 	ask := k.ask()
-	k.mu.Lock()
-	choice, reason := k.picker.Choose(now, ask)
-	if reason == pick.Chosen {
-		k.picker.Started(now, ask, choice)
-	}
-	k.mu.Unlock()
+	choice, reason := k.pick(now, ask)
 	switch reason {
 	case pick.Chosen:
 		k.sends++
@@ -64,6 +59,18 @@
 	return choice, k.giveUp(now, kinds.NoTarget, reason.String())
 }
 
+// pick takes a target and notes the snapshot that the choice rests on.
+func (k *call) pick(now time.Time, ask pick.Ask) (pick.Choice, pick.Reason) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.chosenFrom = k.snapshot.Load()
+	choice, reason := k.picker.Choose(now, ask)
+	if reason == pick.Chosen {
+		k.picker.Started(now, ask, choice)
+	}
+	return choice, reason
+}
+
 func (k *call) ask() pick.Ask {
 	return pick.Ask{Route: k.route, Service: k.service, Object: k.object, Deadline: k.deadline, Tried: k.tried}
 }
@@ -74,14 +81,7 @@
 	k.Counters.Sends.Add(1)
 	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(answerGrace))
 	defer cancel()
-	left := max(k.deadline.Sub(now), time.Millisecond)
-	msg := outlet.Message{
-		Method: k.r.Method(),
-		Bytes: k.r.Append(nil,
-			codec.Field{Name: k.headers.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
-			codec.Field{Name: k.headers.Expect, Value: string(t.ID)}),
-		Mine: k.mine,
-	}
+	msg := outlet.Message{Method: k.r.Method(), Build: func() ([]byte, error) { return k.build(k.clock(), t) }, Mine: k.mine}
 	a, err := k.pool.Do(ctx, k.outletTarget(t), msg)
 	done := k.clock()
 	result := k.result(ctx, a, err)
@@ -89,12 +89,37 @@
 	if a != nil {
 		outcome.Load = k.load(a)
 	}
-	k.mu.Lock()
-	k.picker.Finished(done, k.ask(), choice, outcome)
-	k.mu.Unlock()
+	k.finished(done, choice, outcome)
 	return a, result, err
 }
 
+func (k *call) finished(now time.Time, choice pick.Choice, o pick.Outcome) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.picker.Finished(now, k.ask(), choice, o)
+}
+
+// errWithdrawn says that a target that was chosen may not be used any more.
+var errWithdrawn = errors.New("the target may not be used any more")
+
+// errExpired says that the deadline came while a connection was opened.
+var errExpired = errors.New("deadline reached before the request was sent")
+
+// build returns the bytes of the request for a target. The choice may be old by now, since a connection was opened or the
+// process was paused meanwhile: what it rests on is checked again.
+func (k *call) build(now time.Time, t fleet.Target) ([]byte, error) {
+	left := k.deadline.Sub(now)
+	switch s := k.snapshot.Load(); {
+	case left < leastLeft:
+		return nil, errExpired
+	case s != k.chosenFrom && !s.Usable(&t):
+		return nil, errWithdrawn
+	}
+	return k.r.Append(nil,
+		codec.Field{Name: k.headers.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
+		codec.Field{Name: k.headers.Expect, Value: string(t.ID)}), nil
+}
+
 // outletTarget adds to a target what the connection to it needs. The bound of connections is divided among the VMs.
 func (k *call) outletTarget(t fleet.Target) outlet.Target {
 	k.mu.Lock()
@@ -106,14 +131,10 @@
 	return out
 }
 
-// mine reports whether an answer belongs to this request. Answers carry the id of their request; only a target that
-// refused a request may leave it out.
-func (k *call) mine(a *codec.Answer) bool {
-	if id := a.Field(k.headers.Attempt); id != "" {
-		return id == k.id
-	}
-	return k.notRun(a)
-}
+// mine reports whether an answer belongs to this request. Answers carry the id of their request. One without an id, a
+// refusal too, may be a late copy of an earlier answer on the connection: taken for this request's, it would promise that
+// an order has not run that has.
+func (k *call) mine(a *codec.Answer) bool { return a.Field(k.headers.Attempt) == k.id }
 
 // notRun reports whether a target says that it did not run the request.
 func (k *call) notRun(a *codec.Answer) bool {
@@ -136,6 +157,11 @@
 		return pick.Served
 	case errors.Is(err, outlet.ErrTooMany):
 		return pick.Full
+	case errors.Is(err, errWithdrawn), errors.Is(err, errExpired):
+		// It says nothing about the target.
+		return pick.Cancelled
+	case errors.Is(err, outlet.ErrAnswerTooLong):
+		return pick.Flooded
 	case errors.Is(ctx.Err(), context.Canceled):
 		return pick.Cancelled
 	case ctx.Err() != nil:
--- a/carry/carry.go
+++ b/carry/carry.go
@@ -87,6 +87,8 @@
 	Quota   retry.QuotaRules
 	Log     *trace.Log
 	Clock   func() time.Time
+	// AnswerMemory bounds the bytes of the targets' answers that are read at a time, but for small ones.
+	AnswerMemory int64
 }
 
 // New returns a carrier that knows no configuration and no targets.
@@ -95,7 +97,7 @@
 		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, meter: meter.New(),
 		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1,
 	}
-	c.pool = outlet.New(cfg.Clock, func(t outlet.Target, took time.Duration) {
+	c.pool = outlet.New(cfg.Clock, cfg.AnswerMemory, func(t outlet.Target, took time.Duration) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.picker.Trip(t.Region, took)
@@ -177,6 +179,8 @@
 	// deadline is when the answer must be on its way to the caller.
 	deadline time.Time
 	tried    []ident.Target
+	// chosenFrom is the snapshot from which the target of the present attempt was chosen.
+	chosenFrom *fleet.Snapshot
 	// sends counts the attempts.
 	sends int
 	// failure is a target's own answer that it failed; it is passed on if no other target answers.
@@ -201,13 +205,19 @@
 	if route.Affinity {
 		k.object = pick.NewObject(route.Name, []byte(r.Field(c.headers.Affinity)))
 	}
-	c.mu.Lock()
-	k.service = c.picker.Service(arrived, route, k.object)
-	c.quotaOf(k.service, arrived).Request(arrived, c.vms)
-	c.mu.Unlock()
+	k.service = c.serviceOf(k)
 	return k.run(ctx)
 }
 
+// serviceOf returns the service of a request and counts the request for its quota of further attempts.
+func (c *Carrier) serviceOf(k *call) ident.Service {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	svc := c.picker.Service(k.arrived, k.route, k.object)
+	c.quotaOf(svc, k.arrived).Request(k.arrived, c.vms)
+	return svc
+}
+
 // timeAllowed is the shorter of the caller's deadline and the route's timeout.
 func (c *Carrier) timeAllowed(r *codec.Request, route *fleet.Route) time.Duration {
 	allowed := route.Timeout
--- a/codec/answer.go
+++ b/codec/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,12 +43,23 @@
 	return ""
 }
 
-// ReadAnswer reads one answer to a request with the given method; interim answers are skipped. The answer is whole: a
-// body that ends early is an error. Limit bounds the body in bytes.
+const (
+	// interimMost bounds the interim answers before an answer.
+	interimMost = 16
+	// bodyStep is the length in bytes beyond which memory for a body is taken as its bytes arrive. A target may state a
+	// length and never send the body.
+	bodyStep = 64 << 10
+)
+
+// ReadAnswer reads one answer to a request with the given method; a few interim answers are skipped. The answer is whole:
+// a body that ends early is an error. Limit bounds the body in bytes.
 func ReadAnswer(br *bufio.Reader, method string, limit int) (*Answer, error) {
 	var resp fasthttp.Response
 	resp.Header.SetNoDefaultContentType(true)
-	for {
+	for n := 0; ; n++ {
+		if n > interimMost {
+			return nil, errors.Wrap(ErrMalformed, "interim answers without end")
+		}
 		if _, err := br.Peek(1); err != nil {
 			return nil, err
 		}
@@ -65,20 +77,36 @@
 	} else {
 		// An answer without a length ends with its connection.
 		a.Close = a.Close || resp.Header.ContentLength() == -2
-		if err := resp.ReadBody(br, limit); err != nil {
-			return nil, errors.Wrap(err, "read body")
-		}
-		if resp.Header.ContentLength() == -1 {
-			if err := resp.Header.ReadTrailer(br); err != nil {
-				return nil, errors.Wrap(err, "read trailer")
-			}
+		body, err := readBody(br, &resp, limit)
+		if err != nil {
+			return nil, err
 		}
-		a.Body = resp.Body()
+		a.Body = body
 	}
 	a.copyFields(&resp.Header)
 	return a, nil
 }
 
+// readBody reads the body that follows the header of resp.
+func readBody(br *bufio.Reader, resp *fasthttp.Response, limit int) ([]byte, error) {
+	if n := resp.Header.ContentLength(); n > bodyStep && n <= limit {
+		b, err := io.ReadAll(io.LimitReader(br, int64(n)))
+		if err == nil && len(b) < n {
+			err = io.ErrUnexpectedEOF
+		}
+		return b, errors.Wrap(err, "read body")
+	}
+	if err := resp.ReadBody(br, limit); err != nil {
+		return nil, errors.Wrap(err, "read body")
+	}
+	if resp.Header.ContentLength() == -1 {
+		if err := resp.Header.ReadTrailer(br); err != nil {
+			return nil, errors.Wrap(err, "read trailer")
+		}
+	}
+	return resp.Body(), nil
+}
+
 func (a *Answer) copyFields(h *fasthttp.ResponseHeader) {
 	connection := h.Peek("Connection")
 	for k, v := range h.All() {
--- /dev/null
+++ b/codec/fuzz_test.go
@@ -0,0 +1,56 @@
+package codec
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Guards against bytes of a target that take the process down, an answer whose body is beyond the limit, and one that reads
+// differently after it was passed on.
+func FuzzReadAnswer(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nabc", "HTTP/1.1 999 ?\r\nContent-Length: -2\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nKeep-Alive: timeout=-1\r\n\r\n", "\x00\xff\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	const limit = 64
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := ReadAnswer(reader(string(b)), "GET", limit)
+		if err != nil {
+			return
+		}
+		if len(a.Body) > limit {
+			t.Fatalf("a body of %d bytes, limit %d", len(a.Body), limit)
+		}
+		again, err := ReadAnswer(reader(string(a.Append(nil, false))), "GET", limit)
+		if err != nil {
+			t.Fatalf("what is passed on cannot be read: %v", err)
+		}
+		if !bytes.Equal(a.Body, again.Body) || a.Status != again.Status {
+			t.Errorf("%d %q became %d %q", a.Status, a.Body, again.Status, again.Body)
+		}
+	})
+}
+
+// Guards against bytes of a caller that take the process down.
+func FuzzReadRequest(f *testing.F) {
+	for _, s := range []string{
+		"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+		"PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", "GET  HTTP/1.1\r\n\r\n", "\x00",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := &Request{}
+		br := reader(string(b))
+		if r.ReadHeader(br) != nil || r.ReadBody(br, 64) != nil {
+			return
+		}
+		_, _, _ = r.Method(), r.Host(), r.Path()
+		if len(r.Append(nil)) == 0 {
+			t.Error("a request that was read is passed on as nothing")
+		}
+	})
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
@@ -43,6 +44,13 @@
 	RegistryRead bool
 }
 
+// Usable reports whether a target that was chosen from another snapshot may still get new requests.
+func (s *Snapshot) Usable(t *Target) bool {
+	return slices.ContainsFunc(s.Targets[t.Service], func(x Target) bool {
+		return x.ID == t.ID && x.Born == t.Born && x.Address == t.Address
+	})
+}
+
 // record is the state of one registered target.
 type record struct {
 	Entry
--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -31,8 +31,10 @@
 	unackedFor = 1500 * time.Millisecond
 	// answerBuffer holds the header of an answer.
 	answerBuffer = 8 << 10
-	// AnswerBytes bounds the body of an answer.
+	// AnswerBytes bounds the body of an answer, and all bytes that are read while one is awaited.
 	AnswerBytes = 16 << 20
+	// smallAnswer is the size in bytes up to which an answer needs no part of the memory for answers.
+	smallAnswer = 64 << 10
 	// strayMost bounds the answers to other requests that are skipped before a connection is given up.
 	strayMost = 4
 )
@@ -78,9 +80,14 @@
 // ErrTooMany says that the bound of connections to the target is reached.
 var ErrTooMany = errors.New("all connections to the target are in use")
 
+// ErrAnswerTooLong says that the target sends more than an answer may have, or than there is memory for.
+var ErrAnswerTooLong = errors.New("answer is too long")
+
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
+	// in bounds what is read from the connection, br buffers it.
+	in *bounded
 	br *bufio.Reader
 	// used is when it last carried a request; keep is how long it may stay unused.
 	used time.Time
@@ -106,6 +113,8 @@
 	clock func() time.Time
 	// dialed is told how long a new connection took.
 	dialed func(t Target, took time.Duration)
+	// memory bounds the answers in progress.
+	memory *memory
 
 	mu     sync.Mutex
 	groups map[key]*group
@@ -124,15 +133,21 @@
 	Opened, Reused, FoundDead, Failed uint64
 }
 
-// New returns an empty pool.
-func New(clock func() time.Time, dialed func(t Target, took time.Duration)) *Pool {
-	return &Pool{clock: clock, dialed: dialed, groups: map[key]*group{}, caution: map[ident.Service]caution{}}
+// New returns an empty pool. AnswerMemory bounds the bytes of all answers that are being read at a time, but for the small
+// ones.
+func New(clock func() time.Time, answerMemory int64, dialed func(t Target, took time.Duration)) *Pool {
+	return &Pool{
+		clock: clock, dialed: dialed, memory: &memory{most: answerMemory}, groups: map[key]*group{},
+		caution: map[ident.Service]caution{},
+	}
 }
 
 // Message is one request on the wire.
 type Message struct {
 	Method string
-	Bytes  []byte
+	// Build returns the bytes to send. It is called when there is a connection, which can take a while; an error says that
+	// the request must not be sent any more.
+	Build func() ([]byte, error)
 	// Mine reports whether an answer belongs to the request. Answers to earlier requests may arrive late.
 	Mine func(*codec.Answer) bool
 }
@@ -144,8 +159,15 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
+	b, err := m.Build()
+	if err != nil {
+		p.giveBack(t, c, reused)
+		return nil, &Error{Stage: NotSent, cause: err}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	a, e := c.exchange(m)
+	c.in.begin(p.memory)
+	a, e := c.exchange(b, m)
+	c.in.end()
 	if !stop() && e == nil {
 		// The deadline may strike at any time from now on.
 		p.discard(t, c)
@@ -155,7 +177,7 @@
 		e.Reused = reused
 		if ctx.Err() != nil {
 			e.cause = errors.WithSecondaryError(ctx.Err(), e.cause)
-		} else if reused && !e.Partial {
+		} else if reused && !e.Partial && !errors.Is(e, ErrAnswerTooLong) {
 			p.foundDead(t, c)
 		}
 		p.discard(t, c)
@@ -165,9 +187,9 @@
 	return a, nil
 }
 
-// exchange writes the message and reads its answer.
-func (c *conn) exchange(m Message) (*codec.Answer, *Error) {
-	if n, err := c.Write(m.Bytes); err != nil {
+// exchange writes the bytes of a message and reads its answer.
+func (c *conn) exchange(b []byte, m Message) (*codec.Answer, *Error) {
+	if n, err := c.Write(b); err != nil {
 		stage := Sent
 		if n == 0 {
 			stage = NotSent
@@ -272,7 +294,8 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	p.dialed(t, p.clock().Sub(start))
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, answerBuffer)}, nil
+	in := &bounded{r: nc}
+	return &conn{Conn: nc, in: in, br: bufio.NewReaderSize(in, answerBuffer)}, nil
 }
 
 // count records a new connection, or gives the room for it back.
@@ -306,6 +329,17 @@
 	g.idle = append(g.idle, c)
 }
 
+// giveBack keeps a connection on which nothing was sent.
+func (p *Pool) giveBack(t Target, c *conn, reused bool) {
+	if !reused {
+		c.used, c.keep = p.clock(), defaultIdle
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.group(t)
+	g.idle = append(g.idle, c)
+}
+
 func (p *Pool) discard(t Target, c *conn) {
 	_ = c.Close() // the connection is of no use whatever Close returns
 	p.mu.Lock()
@@ -335,6 +369,9 @@
 	}
 }
 
+// AnswerMemoryUsed returns the bytes of answers in progress that count towards their bound.
+func (p *Pool) AnswerMemoryUsed() int64 { return p.memory.used.Load() }
+
 // Stats returns the counts so far and the number of open connections.
 func (p *Pool) Stats() (s Stats, open int) {
 	p.mu.Lock()
--- a/pick/learn.go
+++ b/pick/learn.go
@@ -31,6 +31,8 @@
 	Broken
 	// Silent: the target did not answer in time.
 	Silent
+	// Flooded: the target sent more than an answer may have.
+	Flooded
 	// Cancelled: the caller left or the request was ended here for another reason that says nothing about the target.
 	Cancelled
 )
@@ -108,7 +110,7 @@
 	case Moved:
 		t.gone = true
 		p.pools[t.Service].spread.Failed(now)
-	case Unreachable:
+	case Unreachable, Flooded:
 		t.failed(1)
 		t.hold(now)
 		p.pools[t.Service].spread.Failed(now)
