fleet, join, edge: a VM that starts learns which targets have left, and no withdrawn configuration

Cause: a VM remembers for 60 s that a target has left, so that a heartbeat that is written late does not bring it back. A restart forgot that: the VM read the late heartbeat from the registry and used the target again. And a VM that started while the store was away took over the state of any other VM, also of one that had missed a change of the operators. Change: after its start a VM asks another one which targets have left lately (GET /departures), also if the store has answered. A state that is older than the newest change that any peer has seen is not taken. Ruled out: telling departures with each hello, which repeats them to VMs that know them; the rows of removed targets in the store, which it does not keep. Conclusion: what protects against late writes must outlive the process.

--- a/edge/handover.go
+++ b/edge/handover.go
@@ -26,6 +26,7 @@
 	for _, e := range s.view.Registered(now) {
 		news.Rows = append(news.Rows, fleet.Row{Entry: e})
 	}
+	news.Rows = append(news.Rows, s.view.Departures(now)...)
 	return &proto.Message{From: s.cfg.Self, Change: change, News: news, Operator: s.operator}
 }
 
@@ -43,34 +44,60 @@
 	}
 }
 
-// adopt takes what another VM knows, as far as this VM has read nothing yet. It reports whether anything was taken.
+// adopt takes what another VM knows, as far as this VM has read nothing yet, and in any case which targets have left. It
+// reports whether anything was taken.
 func (s *state) adopt(now time.Time, m *proto.Message) bool {
+	taken := m.Change != nil && s.adoptOperator(now, m.Change)
+	taken = m.News.Whole && s.adoptRegistry(now, m.News) || taken
+	left := s.view.Depart(now, m.News.Rows)
+	s.logTargets(now, left)
+	s.cfg.Log.Add(now, trace.Adopted, "from", m.From.VM, "version", s.view.Version(), "targets", len(m.News.Rows), "left", len(left),
+		"taken", taken)
+	return taken || len(left) > 0
+}
+
+func (s *state) adoptOperator(now time.Time, c *proto.Change) bool {
 	taken := false
-	s.cfg.OperatorFollower.With(func(f *feed.Follower) { taken = f.Adopt(now, m.Change.Version) })
+	s.cfg.OperatorFollower.With(func(f *feed.Follower) { taken = f.Adopt(now, c.Version) })
 	if taken {
-		s.applyOperator(reading{at: now, topic: operatorTopic,
-			rows: feed.Rows{Rows: m.Change.Rows, Version: m.Change.Version, Whole: true}})
+		s.applyOperator(reading{at: now, topic: operatorTopic, rows: feed.Rows{Rows: c.Rows, Version: c.Version, Whole: true}})
 	}
-	registry := false
-	s.cfg.RegistryFollower.With(func(f *feed.Follower) { registry = f.Adopt(now, m.News.Version) })
-	if registry {
-		s.view.Apply(now, fleet.Reading{Rows: m.News.Rows, Whole: true, Settled: true})
-		s.advance(registryTopic, 0, m.News.Version, true)
+	return taken
+}
+
+func (s *state) adoptRegistry(now time.Time, n *proto.News) bool {
+	taken := false
+	s.cfg.RegistryFollower.With(func(f *feed.Follower) { taken = f.Adopt(now, n.Version) })
+	if taken {
+		s.view.Apply(now, fleet.Reading{Rows: n.Rows, Whole: true, Settled: true})
+		s.advance(registryTopic, 0, n.Version, true)
 		s.step(now)
 	}
-	if taken || registry {
-		s.cfg.Log.Add(now, trace.Adopted, "from", m.From.VM, "version", s.view.Version(), "targets", len(m.News.Rows))
+	return taken
+}
+
+// question is what another VM wants to know: everything, or only which targets have left lately.
+type question struct {
+	departures bool
+	reply      chan<- *proto.Message
+}
+
+// answer returns what a question asks for; nil if this VM does not know it.
+func (s *state) answer(now time.Time, q question) *proto.Message {
+	if !q.departures {
+		return s.handOver(now)
 	}
-	return taken || registry
+	return &proto.Message{From: s.cfg.Self, News: &proto.News{From: s.cfg.Self.VM, Rows: s.view.Departures(now)}}
 }
 
-// State returns what this VM hands to one that starts, encoded; nil if it knows too little itself.
-func (n *Node) State(ctx context.Context) []byte {
+// State returns what this VM hands to one that starts, encoded: everything, or only the targets that have left lately. It is
+// nil if this VM knows too little itself.
+func (n *Node) State(ctx context.Context, departures bool) []byte {
 	ctx, cancel := context.WithTimeout(ctx, handOverFor)
 	defer cancel()
 	reply := make(chan *proto.Message, 1)
 	select {
-	case n.state.asks <- reply:
+	case n.state.asks <- question{departures, reply}:
 	case <-ctx.Done():
 		return nil
 	}
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -13,8 +13,8 @@
 	"github.com/currantpier/currantpier/meter"
 )
 
-// Inspect answers GET /metrics with the counters as text, GET /dump with the state of every service as JSON, and GET /state
-// with what another VM needs to start.
+// Inspect answers GET /metrics with the counters as text, GET /dump with the state of every service as JSON, GET /state
+// with what another VM needs to start, and GET /departures with the targets that have left lately.
 type Inspect struct {
 	// Node returns the node; nil while it is being built.
 	Node func() *Node
@@ -37,9 +37,9 @@
 	case "/dump":
 		kind = "application/json"
 		err = n.kernel.WriteDump(&b, arrived, services(r.URI())...)
-	case join.StatePath:
+	case join.StatePath, join.DeparturesPath:
 		kind = "application/octet-stream"
-		state := n.State(ctx)
+		state := n.State(ctx, r.Path() == join.DeparturesPath)
 		if state == nil {
 			return codec.NewAnswer(http.StatusServiceUnavailable, "")
 		}
--- a/edge/state.go
+++ b/edge/state.go
@@ -53,7 +53,7 @@
 
 	// adopted are states of other VMs, asks requests for this VM's own.
 	adopted chan *proto.Message
-	asks    chan chan<- *proto.Message
+	asks    chan question
 
 	started time.Time
 	view    *fleet.View
@@ -84,7 +84,7 @@
 func newState(cfg Config, stopping func() bool) *state {
 	s := &state{
 		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsSize), behind: make(chan struct{}, 1),
-		adopted: make(chan *proto.Message), asks: make(chan chan<- *proto.Message),
+		adopted: make(chan *proto.Message), asks: make(chan question),
 		view: fleet.NewView(), started: cfg.Clock(), shared: shared{rank: tellRank + 1},
 	}
 	s.summary.Store(&Summary{})
@@ -112,8 +112,8 @@
 		case m := <-s.adopted:
 			now := s.cfg.Clock()
 			s.take(now, "state", func() bool { return s.adopt(now, m) })
-		case reply := <-s.asks:
-			reply <- s.handOver(s.cfg.Clock())
+		case q := <-s.asks:
+			q.reply <- s.answer(s.cfg.Clock(), q)
 		case <-ticker.C:
 			now := s.cfg.Clock()
 			if s.view.Tick(now) {
--- /dev/null
+++ b/join/adopt_test.go
@@ -0,0 +1,34 @@
+package join
+
+import (
+	"testing"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/proto"
+)
+
+// Each case guards against a VM that starts while the store is away and takes over what the operators have withdrawn since,
+// or half of a state.
+func TestUsableStates(t *testing.T) {
+	change := func(v ident.Version, whole bool) *proto.Change { return &proto.Change{Version: v, Whole: whole} }
+	news := func(whole bool) *proto.News { return &proto.News{Whole: whole} }
+	for _, tt := range []struct {
+		name   string
+		m      proto.Message
+		path   string
+		newest ident.Version
+		ok     bool
+	}{
+		{"whole state", proto.Message{Change: change(7, true), News: news(true)}, StatePath, 7, true},
+		{"older than what a peer has seen", proto.Message{Change: change(6, true), News: news(true)}, StatePath, 7, false},
+		{"changes only", proto.Message{Change: change(7, false), News: news(true)}, StatePath, 7, false},
+		{"no configuration", proto.Message{News: news(true)}, StatePath, 0, false},
+		{"no registry", proto.Message{Change: change(7, true)}, StatePath, 7, false},
+		{"departures", proto.Message{News: news(false)}, DeparturesPath, 7, true},
+		{"empty message", proto.Message{}, DeparturesPath, 0, false},
+	} {
+		if err := usable(&tt.m, tt.path, tt.newest); (err == nil) != tt.ok {
+			t.Errorf("%s: %v", tt.name, err)
+		}
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -141,6 +141,9 @@
 // UpToDate reports whether no peer has seen a newer change of the operators.
 func (v *View) UpToDate() bool { return v.heardOperator <= v.operator }
 
+// Newest returns the version of the newest change of the operators that this VM or a peer has seen.
+func (v *View) Newest() ident.Version { return max(v.operator, v.heardOperator) }
+
 // Listed takes the VMs that the store lists.
 func (v *View) Listed(now time.Time, infos []proto.Info) {
 	for _, i := range infos {
