carry, edge: after a pause of the process, requests wait for the news of the pause

Cause: a VM that was frozen, or suspended by its host, served the requests that had gathered in its sockets with what it believed before: targets that had been told to leave and failure domains that were being evacuated. The next reading of the registry was up to a second away. After a gap, by the steady clock or the time of day, both tables are read at once, and requests wait for that, 0.3 s at most, since the store may be away. A line `resumed` says so. Ruled out: permissions that a VM shares with others (cold targets, further attempts): who holds them does not change with silence any more. Conclusion: an old belief is checked when the process finds that time has passed.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -68,6 +68,7 @@
 	quota   retry.QuotaRules
 
 	snapshot atomic.Pointer[fleet.Snapshot]
+	pulse    pulse
 	// Counters are exported by the metrics service.
 	Counters Counters
 	meter    *meter.Meter
@@ -191,6 +192,7 @@
 
 // Handle implements inlet.Handler.
 func (c *Carrier) Handle(ctx context.Context, r *codec.Request, arrived time.Time) *codec.Answer {
+	c.awaitConfirmation(ctx, c.clock())
 	cfg := c.snapshot.Load().Config
 	if cfg == nil {
 		return c.refuse(arrived, &call{Carrier: c, r: r, arrived: arrived}, kinds.Stopping, "no configuration yet")
--- a/carry/target_test.go
+++ b/carry/target_test.go
@@ -335,3 +335,33 @@
 		t.Errorf("the targets got %d and %d requests, want 0 and 1", a.requests.Load(), b.requests.Load())
 	}
 }
+
+// Guards against work that is given up or started again elsewhere since its target was only silent for a while: its entry in
+// the registry lapses, and the work goes on.
+func TestSilentTargetKeepsItsWork(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		entered, release := make(chan struct{}), make(chan struct{})
+		slow := newFakeTarget(t, func(nc net.Conn, n int, r *http.Request) bool {
+			entered <- struct{}{}
+			<-release
+			return whole(nc, n, r)
+		})
+		c := atTargets(t, idempotent, 5*time.Second, slow)
+		other := newFakeTarget(t, whole)
+		answer := make(chan int)
+		go func() { answer <- c.Handle(context.Background(), request(t, "Id: 1\r\n"), time.Now()).Status }()
+		<-entered
+		s := *c.Snapshot()
+		s.Targets = map[ident.Service][]fleet.Target{"s": {{Entry: fleet.Entry{ID: "other", Service: "s", Slots: 8, Ready: true,
+			Address: other.ln.Addr().String()}}}}
+		c.Update(time.Now(), &s)
+		c.Sweep(time.Now().Add(time.Minute))
+		close(release)
+		if status := <-answer; status != http.StatusOK {
+			t.Errorf("idempotent %v: the caller got %d", idempotent, status)
+		}
+		if n := other.requests.Load(); n != 0 {
+			t.Errorf("idempotent %v: the work was started again elsewhere", idempotent)
+		}
+	}
+}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
@@ -220,3 +221,35 @@
 func (plainDecoder) Entry(r feed.Row) (fleet.Entry, error) {
 	return fleet.Entry{ID: ident.Target(r.Key), Ready: true, Sequence: uint64(r.Version)}, nil
 }
+
+// Guards against a VM that goes on after a pause as if nothing had happened: it must look at both tables at once and let
+// requests wait until it has.
+func TestPauseAsksForNews(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := newTestState(now)
+	s.cfg.Carrier = carry.New(carry.Config{VM: "vm", Log: s.cfg.Log, Clock: func() time.Time { return now }})
+	first := readingOf(now, registryTopic, 0, 5, true, "t1")
+	s.done(first)
+	s.take(now, "reading", func() bool { return s.apply(first) })
+	s.checkPause(now)
+	s.checkPause(now.Add(tick))
+	if !s.resumed.IsZero() {
+		t.Fatal("an ordinary tick was taken for a pause")
+	}
+	woken := now.Add(5 * time.Second)
+	s.checkPause(woken)
+	if s.resumed.IsZero() || len(s.behind) != 1 {
+		t.Errorf("after a pause: resumed %v, %d readings of the operators' table asked for", s.resumed, len(s.behind))
+	}
+	s.cfg.RegistryFollower.With(func(f *feed.Follower) {
+		if next := f.Next().At; next.After(woken) {
+			t.Errorf("the registry is read %v after the pause, want at once", next.Sub(woken))
+		}
+	})
+	late := readingOf(woken, registryTopic, 5, 6, false, "t2")
+	s.done(late)
+	s.take(woken, "reading", func() bool { return s.apply(late) })
+	if !s.resumed.IsZero() {
+		t.Error("requests still wait after the registry was read")
+	}
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
@@ -67,6 +68,9 @@
 	operator ident.Version
 	lost     [2]bool
 	vms      int
+	// ticked is the time of the last tick, resumed that of the end of a pause after which the registry was not read yet; zero
+	// if there is none.
+	ticked, resumed time.Time
 	// usable is the number of targets in the last snapshot.
 	usable int
 	// summary is for dumps.
@@ -116,6 +120,7 @@
 			q.reply <- s.answer(s.cfg.Clock(), q)
 		case <-ticker.C:
 			now := s.cfg.Clock()
+			s.checkPause(now)
 			if s.view.Tick(now) {
 				s.publish(now)
 			}
@@ -143,6 +148,31 @@
 	if apply() {
 		s.publish(now)
 	}
+	if s.resumed.IsZero() {
+		s.cfg.Carrier.Confirm(now)
+	}
+}
+
+// pausedAfter is the time between two ticks from which the process must have been paused.
+const pausedAfter = time.Second
+
+// checkPause asks for the news of both tables at once after a pause of the process, and otherwise confirms to the carrier
+// that the news is followed.
+func (s *state) checkPause(now time.Time) {
+	gap := time.Duration(0)
+	if !s.ticked.IsZero() {
+		gap = carry.Gap(s.ticked, now)
+	}
+	s.ticked = now
+	if gap >= pausedAfter {
+		s.resumed = now
+		s.cfg.Log.Add(now, trace.Resumed, "gap", gap)
+		s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.Hurry(now) })
+		s.askRefresh()
+	}
+	if s.resumed.IsZero() {
+		s.cfg.Carrier.Confirm(now)
+	}
 }
 
 // publish hands the present state to the carrier.
@@ -225,6 +255,10 @@
 // contact logs when a table is lost and regained.
 func (s *state) contact(r reading) {
 	ok := r.err == nil
+	if r.topic == registryTopic {
+		// A failed call ends the wait as well: there is no news to be had.
+		s.resumed = time.Time{}
+	}
 	if r.topic == registryTopic && !ok {
 		s.view.Failed()
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -189,6 +189,13 @@
 	return d/2 + time.Duration(f.rnd.Int63n(int64(d/2)+1))
 }
 
+// Hurry asks for the next call at once, unless calls are failing.
+func (f *Follower) Hurry(now time.Time) {
+	if f.failures == 0 && f.next.After(now) {
+		f.next = now
+	}
+}
+
 // Refresh asks for a full reading at once, or after the present pause if calls are failing.
 func (f *Follower) Refresh(now time.Time) {
 	f.full = true
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -30,6 +30,7 @@
 	Adopted    Event = "adopted"
 	Targets    Event = "targets"
 	Registry   Event = "registry"
+	Resumed    Event = "resumed"
 	Members    Event = "members"
 	BadEntry   Event = "bad-entry"
 	Refused    Event = "refused"
