carry: TestPausedProcessWaitsForNews fails without the wait

When run, the test passed without the wait, since the news came before the requests had begun. It now waits until the requests have found out about the pause or were sent.

--- a/carry/pulse_test.go
+++ b/carry/pulse_test.go
@@ -14,7 +14,10 @@
 // after the pause and go to a target that was told to leave meanwhile, or whose failure domain is evacuated.
 func TestPausedProcessWaitsForNews(t *testing.T) {
 	old, rest := newFakeTarget(t, whole), newFakeTarget(t, whole)
-	c := atTargets(t, false, 5*time.Second, old, rest)
+	c := atTargets(t, false, 5*time.Second, old)
+	s := *c.Snapshot()
+	s.Targets = map[ident.Service][]fleet.Target{"s": {{Entry: fleet.Entry{ID: "rest", Service: "s", Slots: 8, Ready: true,
+		Address: rest.ln.Addr().String()}}}}
 	// The clock of the last confirmation was read before the pause.
 	c.Confirm(time.Now().Add(-3 * time.Second))
 	answers := make(chan int)
@@ -23,8 +26,12 @@
 			answers <- c.Handle(context.Background(), request(t, "Id: 1\r\n"), time.Now()).Status
 		}()
 	}
-	s := *c.Snapshot()
-	s.Targets = map[ident.Service][]fleet.Target{"s": s.Targets["s"][1:]}
+	// The news comes when the requests have found out about the pause, or were sent without it.
+	for waits := false; !waits && old.requests.Load() == 0; time.Sleep(time.Millisecond) {
+		c.pulse.mu.Lock()
+		waits = c.pulse.next != nil
+		c.pulse.mu.Unlock()
+	}
 	c.Update(time.Now(), &s)
 	c.Confirm(time.Now())
 	for range 8 {
