edge: news of up to 240 rows, and word of the operators' table without rows

Counted by path and reason: with more than 60 changed targets in a reading the reader told nothing, so that the 64 other VMs of its region read the registry (1,564 calls for changes), and, since word of the operators' table travels with the news, that table as well (1,200 full readings, 189 of them 4 s after the start, 378 during a release beside evacuations). After an outage every VM that had lost contact read it once more (up to 177 in one second), although only a call that waits at the store can hang. Change: news has up to 240 rows; with more, it still says that the operators' table is followed. Only VMs that keep a call waiting read it after an outage; the others learn of a newer version from heartbeats. Ruled out: pages of the first reading (390 of 3,474 calls), writes to the list of VMs (29). Before: TestManyChangesAreTold, nothing told of 200 targets; TestOnlyWaitersReadAgainAfterAnOutage, rank 5 read. After: both pass. Conclusion: a limit on news must not silence the rest of the message.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"math/rand"
 	"net"
 	"testing"
@@ -253,3 +254,60 @@
 		t.Error("requests still wait after the registry was read")
 	}
 }
+
+// Pattern: hundreds of targets register, leave or turn cold at once (a release beside two evacuations, 200 rows a reading on
+// kalnins-seti-large). Guards against VMs of a region that then read both tables themselves, since they are told nothing.
+func TestManyChangesAreTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	keys := func(n int) []string {
+		var list []string
+		for i := range n {
+			list = append(list, fmt.Sprint("target-", i))
+		}
+		return list
+	}
+	for _, tt := range []struct {
+		targets int
+		told    int
+	}{{1, 1}, {200, 200}, {newsRows + 1, 0}} {
+		teller, sent := newTestState(now)
+		teller.cfg.OperatorFollower = feed.Share(feed.NewFollower(0, time.Second, rand.NewSource(1)))
+		teller.cfg.OperatorFollower.With(func(f *feed.Follower) { f.SetRank(now, 0) })
+		teller.apply(readingOf(now, operatorTopic, 0, 4, true, "config"))
+		teller.apply(readingOf(now, registryTopic, 0, 5, true))
+		teller.apply(readingOf(now, registryTopic, 5, 9, false, keys(tt.targets)...))
+		if len(sent.messages) != 1 || sent.messages[0].News == nil {
+			t.Fatalf("%d targets: %d messages were sent", tt.targets, len(sent.messages))
+		}
+		hearer, _ := newTestState(now)
+		hearer.cfg.OperatorFollower.With(func(f *feed.Follower) { f.Done(now, now, feed.Rows{Version: 4, Whole: true}, nil) })
+		hearer.apply(readingOf(now, operatorTopic, 0, 4, true, "config"))
+		first := readingOf(now, registryTopic, 0, 5, true)
+		hearer.done(first)
+		hearer.apply(first)
+		hearer.shared.confirmed = now.Add(-time.Hour)
+		hearer.hear(now, sent.messages[0])
+		if hearer.shared.confirmed != now {
+			t.Errorf("%d targets: that the operators' table is followed was not told", tt.targets)
+		}
+		if got := len(hearer.view.Registered(now)); got != tt.told {
+			t.Errorf("%d targets: the other VM knows %d, want %d", tt.targets, got, tt.told)
+		}
+	}
+}
+
+// Guards against every VM of a region reading the operators' table when the store is back: only a call that waits there can
+// hang since before the outage.
+func TestOnlyWaitersReadAgainAfterAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, rank := range []int{0, 5} {
+		s, _ := newTestState(now)
+		s.cfg.OperatorFollower = feed.Share(feed.NewFollower(0, time.Second, rand.NewSource(1)))
+		s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.SetRank(now, rank) })
+		s.contact(reading{at: now, topic: registryTopic, err: net.ErrClosed})
+		s.contact(reading{at: now, topic: registryTopic})
+		if asked := len(s.behind) == 1; asked != (rank == 0) {
+			t.Errorf("rank %d: asked for a reading: %v", rank, asked)
+		}
+	}
+}
--- a/edge/share.go
+++ b/edge/share.go
@@ -13,8 +13,9 @@
 const (
 	// NewsSize is the number of pieces of news that wait to be applied.
 	NewsSize = 16
-	// newsRows bounds the rows in one piece of news. With more, the other VMs read the registry themselves.
-	newsRows = 60
+	// newsRows bounds the rows in one piece of news: compressed they take about 10 KB, and the news goes to each VM of a region
+	// at once. With more, the other VMs read the registry themselves, each as much from the store.
+	newsRows = 240
 	// tellRank is the rank up to which a VM tells others what it has read. Were all of them to do so, a reader that fails
 	// would cause a message from each VM to each other.
 	tellRank = 2
@@ -81,16 +82,16 @@
 // news was taken: a VM that missed that news would skip its rows.
 func (s *state) tell(r reading) {
 	rows, after := s.step(r.at)
-	if s.shared.rank > tellRank || r.rows.Whole || len(rows) > newsRows {
+	if s.shared.rank > tellRank || r.rows.Whole {
 		return
 	}
-	news := &proto.News{From: s.cfg.Self.VM, After: after, Version: s.applied[registryTopic], Rows: rows}
-	if !s.lost[operatorTopic] {
-		s.cfg.OperatorFollower.With(func(f *feed.Follower) {
-			if f.Waits() {
-				news.Operator = s.applied[operatorTopic]
-			}
-		})
+	news := &proto.News{From: s.cfg.Self.VM}
+	// With too many rows, the others are still told that the operators' table is followed: they would all read it again.
+	if len(rows) <= newsRows {
+		news.After, news.Version, news.Rows = after, s.applied[registryTopic], rows
+	}
+	if !s.lost[operatorTopic] && s.waits() {
+		news.Operator = s.applied[operatorTopic]
 	}
 	s.cfg.Peers.Tell(news, nil)
 }
@@ -121,6 +122,9 @@
 
 func (s *state) hearNews(now time.Time, n *proto.News) bool {
 	s.confirm(now, n.Operator)
+	if n.Version == 0 {
+		return false
+	}
 	if !s.continues(now, s.cfg.RegistryFollower, registryTopic, n.After, n.Version) {
 		return false
 	}
@@ -170,11 +174,16 @@
 	}
 }
 
-// checkOperator reads the operators' table if no peer that follows it was heard from lately.
-func (s *state) checkOperator(now time.Time) {
+// waits reports whether this VM keeps a call for the operators' changes waiting at the store.
+func (s *state) waits() bool {
 	waits := false
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { waits = f.Waits() })
-	if !waits && !s.shared.confirmed.IsZero() && now.Sub(s.shared.confirmed) > s.cfg.Times.OperatorTrust {
+	return waits
+}
+
+// checkOperator reads the operators' table if no peer that follows it was heard from lately.
+func (s *state) checkOperator(now time.Time) {
+	if !s.waits() && !s.shared.confirmed.IsZero() && now.Sub(s.shared.confirmed) > s.cfg.Times.OperatorTrust {
 		s.shared.confirmed = now
 		s.askRefresh()
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -266,8 +266,9 @@
 		return
 	}
 	s.lost[r.topic] = !ok
-	if ok && r.topic == registryTopic {
-		// A call that waits for the operators' changes may hang since before the outage.
+	if ok && r.topic == registryTopic && s.waits() {
+		// A call that waits for the operators' changes may hang since before the outage. The other VMs are told, and find out
+		// from heartbeats if they were not.
 		s.askRefresh()
 	}
 	if ok {
