inlet: a stop that is asked for again does not keep unused connections open

Cause: the daemon calls StopAccepting every 20 ms while it stops, and since "a stop answers what was already sent" each call gave an unused connection another 50 ms. Such connections stayed until the end of the stop. Ruled out: the new listener deadline, which is set once.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -163,14 +163,14 @@
 
 // end ends the connection after the answers to the requests in progress. Requests that a caller sends ahead of them are not
 // taken: they would keep the connection for as long as they come. Without any in progress one more is taken, which may have
-// been sent just before, and soon the connection ends.
+// been sent just before, and soon the connection ends. Further calls change nothing.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = true
-	if c.queued == 0 && !c.ended && !c.reading {
+	if !c.closing && c.queued == 0 && !c.ended && !c.reading {
 		c.waitUntil(closeFor)
 	}
+	c.closing = true
 }
 
 // waitUntil bounds the wait for the next bytes of the caller.
--- a/inlet/inlet_test.go
+++ b/inlet/inlet_test.go
@@ -136,8 +136,22 @@
 				t.Errorf("answer %q, last: %v, want it to end the connection", body, last)
 			}
 		}
-		if _, err := br.ReadByte(); err != io.EOF {
-			t.Errorf("busy %v: %v, want the end of the connection", busy, err)
+		// A planned stop asks again and again.
+		ended := make(chan error, 1)
+		go func() {
+			_, err := br.ReadByte()
+			ended <- err
+		}()
+		for again := true; again; {
+			select {
+			case err := <-ended:
+				again = false
+				if err != io.EOF {
+					t.Errorf("busy %v: %v, want the end of the connection", busy, err)
+				}
+			case <-time.After(closeFor / 4):
+				s.StopAccepting()
+			}
 		}
 	}
 }
