edge, join, feed: a region that the store turns away follows through VMs of other regions

Cause: the operators' changes and the registry reached a region only through its own calls to the store. When the store turned away all VMs of one region, that region went on with the old configuration, evacuations and targets, although its VMs heard from heartbeats that others knew newer ones. From 3.9 to 12.1 s the three VMs of vychod stayed at version 3 of the configuration while the others were at 7 (2.9 s), 9 (7.0 s) and 12 (11.7 s). A follower whose full reading is due and fails takes news that continues what it knows. Ruled out: telling changes to VMs of all regions, which sends each change twice to every region that is well; rows of the store's list (it is what is out of reach). Before: TestRegionCutFromTheStoreCatchesUp without the call: both VMs of the region keep t1, versions 4 and 5, and do not hear of the evacuation. After: t2, 8 and 10. Conclusion: contact with the store is one way to learn, not the only one.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,7 +94,7 @@
 		n.announce,
 		&join.Adopter{
 			Self: cfg.Self, Peers: cfg.Peers, Port: cfg.StatePort, Log: cfg.Log, Clock: cfg.Clock, Ready: n.informed,
-			Adopted: n.state.adopted,
+			Adopted: n.state.adopted, CutOff: n.state.asking.Load,
 		},
 		routing{n},
 		&listen{name: "callers", ln: ln, server: n.callers},
--- a/edge/handover.go
+++ b/edge/handover.go
@@ -47,8 +47,12 @@
 // adopt takes what another VM knows, as far as this VM has read nothing yet, and in any case which targets have left. It
 // reports whether anything was taken.
 func (s *state) adopt(now time.Time, m *proto.Message) bool {
-	taken := m.Change != nil && s.adoptOperator(now, m.Change)
-	taken = m.News.Whole && s.adoptRegistry(now, m.News) || taken
+	taken := false
+	if m.Change != nil && m.News.Whole {
+		taken = s.adoptOperator(now, m.Change)
+		taken = s.adoptRegistry(now, m.News) || taken
+		taken = s.catchUp(now, m) || taken
+	}
 	left := s.view.Depart(now, m.News.Rows)
 	s.logTargets(now, left)
 	s.cfg.Log.Add(now, trace.Adopted, "from", m.From.VM, "version", s.view.Version(), "targets", len(m.News.Rows), "left", len(left),
--- a/edge/state.go
+++ b/edge/state.go
@@ -75,6 +75,8 @@
 	usable int
 	// summary is for dumps.
 	summary atomic.Pointer[Summary]
+	// asking says that other VMs should be asked for what the store does not tell.
+	asking atomic.Bool
 }
 
 // Summary is the dump of what the store said.
@@ -126,6 +128,7 @@
 			}
 			s.tellPeers(now)
 			s.checkOperator(now)
+			s.asking.Store(s.cutOff())
 			if now.Sub(swept) >= sweepEvery {
 				swept = now
 				s.cfg.Carrier.Sweep(now)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -123,7 +123,7 @@
 // Heard takes a peer's news of the changes after one version up to another. It reports whether they continue what is
 // known; otherwise the table is read soon.
 func (f *Follower) Heard(now time.Time, after, version ident.Version) bool {
-	if f.full || version < f.version {
+	if f.version == 0 || version < f.version {
 		return false
 	}
 	if after > f.version {
@@ -131,11 +131,25 @@
 		return false
 	}
 	f.version = version
+	if f.full {
+		// The full reading that was asked for is still due, and may fail for long.
+		return true
+	}
 	f.failures = 0
 	f.next = now.Add(f.interval())
 	return true
 }
 
+// CaughtUp takes a peer's whole reading as of a version while this VM's own calls fail. It reports whether that is news; the
+// calls go on.
+func (f *Follower) CaughtUp(version ident.Version) bool {
+	if f.version == 0 || version <= f.version {
+		return false
+	}
+	f.full, f.version = false, version
+	return true
+}
+
 // Missed asks for a reading soon if the changes up to a version are not known.
 func (f *Follower) Missed(now time.Time, version ident.Version) {
 	if f.full || version <= f.version {
--- a/join/adopt.go
+++ b/join/adopt.go
@@ -25,6 +25,10 @@
 	// adoptEvery is the pause between two such questions, adoptFor bounds one.
 	adoptEvery = 300 * time.Millisecond
 	adoptFor   = time.Second
+	// catchUpEvery and catchUpMost bound the pause between two questions of a VM that is cut off from the store. It grows
+	// while they bring nothing, since the store may be away for all.
+	catchUpEvery = time.Second
+	catchUpMost  = 8 * time.Second
 	// stateMost bounds the state of a VM in bytes.
 	stateMost = 16 << 20
 )
@@ -49,6 +53,8 @@
 	Clock func() time.Time
 	// Ready reports whether the VM knows enough to serve.
 	Ready func() bool
+	// CutOff reports whether the store is out of reach for this VM, which then learns from others what has changed.
+	CutOff func() bool
 	// Adopted takes states of other VMs.
 	Adopted chan<- *proto.Message
 }
@@ -71,8 +77,7 @@
 			return nil
 		}
 		if a.Ready() && (asked || n >= asksMost) {
-			<-ctx.Done()
-			return nil
+			return a.followOthers(ctx, client, rnd)
 		}
 		ok, err := a.askOne(ctx, client, rnd)
 		if err != nil {
@@ -82,31 +87,70 @@
 	}
 }
 
-// askOne asks a VM that is ready, of the own region if there is one. It reports whether it got an answer.
-func (a *Adopter) askOne(ctx context.Context, client *http.Client, rnd *rand.Rand) (bool, error) {
-	var ready []proto.Info
+// followOthers asks for the state of others whenever this VM is cut off from the store.
+func (a *Adopter) followOthers(ctx context.Context, client *http.Client, rnd *rand.Rand) error {
+	pause, known := catchUpEvery, ident.Version(0)
+	for {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil
+		}
+		if !a.CutOff() {
+			pause = catchUpEvery
+			continue
+		}
+		pause = min(2*pause, catchUpMost)
+		m, err := a.ask(ctx, client, rnd, StatePath, a.others(false))
+		switch {
+		case err != nil:
+			a.Log.Add(a.Clock(), trace.Lost, "dependency", "peer", "call", "state", "err", err)
+		case m != nil && max(m.News.Version, m.Change.Version) > known:
+			pause, known = catchUpEvery, max(m.News.Version, m.Change.Version)
+		}
+	}
+}
+
+// others returns the VMs that are ready, of the own region only if near is set and there are some.
+func (a *Adopter) others(near bool) []proto.Info {
+	var ready, own []proto.Info
 	a.Peers.With(func(v *peers.View) { ready = v.Ready(a.Clock()) })
-	near := slices.DeleteFunc(slices.Clone(ready), func(i proto.Info) bool { return i.Place.Region != a.Self.Place.Region })
-	if len(near) > 0 {
-		ready = near
+	ready = slices.DeleteFunc(ready, func(i proto.Info) bool { return i.VM == a.Self.VM })
+	for _, i := range ready {
+		if i.Place.Region == a.Self.Place.Region {
+			own = append(own, i)
+		}
 	}
-	ready = slices.DeleteFunc(slices.Clone(ready), func(i proto.Info) bool { return i.VM == a.Self.VM })
-	if len(ready) == 0 {
-		return false, nil
+	if near && len(own) > 0 {
+		return own
 	}
+	return ready
+}
+
+// askOne asks a VM that is ready, of the own region if there is one. It reports whether it got an answer.
+func (a *Adopter) askOne(ctx context.Context, client *http.Client, rnd *rand.Rand) (bool, error) {
 	path := StatePath
 	if a.Ready() {
 		path = DeparturesPath
 	}
-	m, err := a.fetch(ctx, client, ready[rnd.Intn(len(ready))], path)
+	m, err := a.ask(ctx, client, rnd, path, a.others(true))
+	return m != nil, err
+}
+
+// ask asks one of the VMs and hands its answer on. It returns nil if there is none to ask.
+func (a *Adopter) ask(ctx context.Context, client *http.Client, rnd *rand.Rand, path string, vms []proto.Info) (*proto.Message, error) {
+	if len(vms) == 0 {
+		return nil, nil
+	}
+	m, err := a.fetch(ctx, client, vms[rnd.Intn(len(vms))], path)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
 	select {
 	case a.Adopted <- m:
 	case <-ctx.Done():
 	}
-	return true, nil
+	return m, nil
 }
 
 // fetch returns what a VM tells on a path.
@@ -140,7 +184,10 @@
 	}
 	newest := ident.Version(0)
 	a.Peers.With(func(v *peers.View) { newest = v.Newest() })
-	return &m, errors.Wrapf(usable(&m, path, newest), "answer of %s", i.VM)
+	if err := usable(&m, path, newest); err != nil {
+		return nil, errors.Wrapf(err, "answer of %s", i.VM)
+	}
+	return &m, nil
 }
 
 // usable reports why an answer may not be taken. The state of a VM that has missed a change of the operators would bring
