state, edge, fleet, proto: lapsed entries are told as such; what a VM believes in a package of its own

Cause: a VM that reads the registry after an outage keeps targets whose entries may only have lapsed. The others were not told that these entries were missing. When another VM became the reader and the entries came back, that was no change for it, and its news left them out: the first one dropped the targets after 2.1 s for good. As the next reader it told nobody that one of them was leaving. The same was possible within one reading, with an entry that went and came back. Change: news names each target that its reading has changed, also one that looks as before, and a missing entry that may have lapsed, which the others keep for as long as the reader does. Conclusion: a difference between two moments is no description of what happened between them.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/drain"
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
@@ -21,45 +20,26 @@
 	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
+	"github.com/currantpier/currantpier/state"
 	"github.com/currantpier/currantpier/trace"
 )
 
-// Decoder turns rows of the store into what they say.
-type Decoder interface {
-	// Change decodes a row of the operators' table. A row that concerns nobody gives nil without an error.
-	Change(r feed.Row) (*fleet.Change, error)
-	// Entry decodes a row of the registry of targets.
-	Entry(r feed.Row) (fleet.Entry, error)
-}
-
 // Times are the periods of a node.
 type Times struct {
 	// TTL is how long callers may cache a lookup.
 	TTL time.Duration
 	// Grace bounds a planned stop.
 	Grace time.Duration
-	// OperatorTrust is how long a VM that is told of the operators' changes goes without word of a VM that follows them
-	// before it looks for itself.
-	OperatorTrust time.Duration
 }
 
 // Config is what a Node is made of. All fields are required.
 type Config struct {
-	Self     proto.Info
-	Carrier  *carry.Carrier
-	Peers    *peers.Service
-	Operator feed.Table
-	Registry feed.Table
-	// OperatorFollower and RegistryFollower decide the calls to the two tables.
-	OperatorFollower, RegistryFollower *feed.Shared
-	// News are messages of other VMs that tell what they have read.
-	News      <-chan proto.Message
-	Directory join.Directory
-	Decoder   Decoder
-	Log       *trace.Log
-	Clock     func() time.Time
-	Times     Times
-	// StatePort is the port, the same on all VMs, on which a VM hands its state to one that starts.
+	// Config is that of the state, whose parts the daemon uses as well.
+	state.Config
+	Operator, Registry feed.Table
+	Directory          join.Directory
+	Times              Times
+	// StatePort is the port, the same on all VMs, on which a VM hands its state to others.
 	StatePort int
 }
 
@@ -68,7 +48,7 @@
 	cfg     Config
 	kernel  *kernel.Kernel
 	callers *inlet.Server
-	state   *state
+	state   *state.State
 	// announce knows whether this VM may be in the store's list.
 	announce *join.Announcer
 
@@ -81,20 +61,20 @@
 	n := &Node{cfg: cfg, kernel: kernel.New(), stop: drain.NewStop(cfg.Times.TTL, cfg.Times.Grace)}
 	onPanic := inlet.OnPanic(func(v any) { cfg.Log.Panicked(cfg.Clock(), "inlet", v) })
 	n.callers = inlet.New(cfg.Carrier, n.limits, cfg.Clock, onPanic)
-	n.state = newState(cfg, n.stopping)
+	n.state = state.New(cfg.Config, n.stopping)
 	n.announce = &join.Announcer{
 		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
 	}
 	services := []kernel.Service{
 		cfg.Peers,
 		n.state,
-		&follow{name: "operator-feed", table: cfg.Operator, follower: cfg.OperatorFollower, topic: operatorTopic, n: n,
-			refresh: n.state.behind},
-		&follow{name: "registry-feed", table: cfg.Registry, follower: cfg.RegistryFollower, topic: registryTopic, n: n},
+		&follow{name: "operator-feed", table: cfg.Operator, follower: cfg.OperatorFollower, topic: state.Operator, n: n,
+			refresh: n.state.Behind()},
+		&follow{name: "registry-feed", table: cfg.Registry, follower: cfg.RegistryFollower, topic: state.Registry, n: n},
 		n.announce,
 		&join.Adopter{
 			Self: cfg.Self, Peers: cfg.Peers, Port: cfg.StatePort, Log: cfg.Log, Clock: cfg.Clock, Ready: n.informed,
-			Adopted: n.state.adopted, CutOff: n.state.asking.Load,
+			Adopted: n.state.Adopted(), CutOff: n.state.CutOff,
 		},
 		routing{n},
 		&listen{name: "callers", ln: ln, server: n.callers},
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -39,11 +39,11 @@
 		err = n.kernel.WriteDump(&b, arrived, services(r.URI())...)
 	case join.StatePath, join.DeparturesPath:
 		kind = "application/octet-stream"
-		state := n.State(ctx, r.Path() == join.DeparturesPath)
-		if state == nil {
+		encoded := n.state.Encoded(ctx, r.Path() == join.DeparturesPath)
+		if encoded == nil {
 			return codec.NewAnswer(http.StatusServiceUnavailable, "")
 		}
-		b.Write(state)
+		b.Write(encoded)
 	default:
 		return codec.NewAnswer(http.StatusNotFound, "")
 	}
@@ -80,7 +80,7 @@
 		{"target_connections_found_dead_total", pool.FoundDead},
 		{"sends_total", n.cfg.Carrier.Counters.Sends.Load()}, {"retries_total", n.cfg.Carrier.Counters.Retries.Load()},
 		{"log_lines_total", lines.Sent}, {"log_lines_dropped_total", lines.Full},
-		{"config_version", n.state.summary.Load().Version},
+		{"config_version", n.state.Version()},
 	} {
 		if err := meter.WriteValue(b, v.name, v.value); err != nil {
 			return err
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
-	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/inlet"
+	"github.com/currantpier/currantpier/state"
 )
 
 const (
@@ -20,9 +20,9 @@
 	name     string
 	table    feed.Table
 	follower *feed.Shared
-	topic    topic
+	topic    state.Topic
 	n        *Node
-	refresh  chan struct{}
+	refresh  <-chan struct{}
 }
 
 // Name implements kernel.Service.
@@ -33,13 +33,7 @@
 
 // Run implements kernel.Service.
 func (f *follow) Run(ctx context.Context) error {
-	sink := func(now time.Time, after ident.Version, rows feed.Rows, err error) {
-		select {
-		case f.n.state.readings <- reading{at: now, topic: f.topic, after: after, rows: rows, err: err}:
-		case <-ctx.Done():
-		}
-	}
-	return feed.Run(ctx, f.table, f.follower, sink, f.refresh, f.n.cfg.Clock)
+	return feed.Run(ctx, f.table, f.follower, f.n.state.Sink(ctx, f.topic), f.refresh, f.n.cfg.Clock)
 }
 
 // listen is the service of one listener.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -148,6 +148,9 @@
 type Row struct {
 	Entry
 	Removed bool
+	// Lapsed says of a removed entry that it may only have lapsed while the store was away. Its target is used for
+	// RegistryGrace.
+	Lapsed bool
 }
 
 // Reading is what one call returned of the registry.
@@ -213,13 +216,23 @@
 		v.resume(now, removed)
 	}
 	for _, id := range removed {
-		if v.remove(now, id) {
+		keepUntil := v.graceUntil
+		if row := rows[id]; row != nil && row.Lapsed {
+			keepUntil = now.Add(RegistryGrace)
+		}
+		if v.remove(now, id, keepUntil) {
 			changed = append(changed, id)
 		}
 	}
 	return changed
 }
 
+// Lapsed reports whether the entry of a target is missing and the target is used all the same.
+func (v *View) Lapsed(now time.Time, id ident.Target) bool {
+	r := v.records[id]
+	return r != nil && !r.vanished.IsZero() && r.usable(now)
+}
+
 // resume decides at the first reading after failed calls whether the store itself was away: then targets could not write
 // and a large part of all entries has lapsed at once. If only this VM was cut off, the few entries that are missing
 // belong to targets that are gone.
@@ -287,14 +300,14 @@
 	return now.Add(e.WarmupLeft)
 }
 
-// remove takes note that an entry is missing and reports whether that is news.
-func (v *View) remove(now time.Time, id ident.Target) bool {
+// remove takes note that an entry is missing and reports whether that is news. Its target is used until keepUntil.
+func (v *View) remove(now time.Time, id ident.Target, keepUntil time.Time) bool {
 	r := v.records[id]
 	if r == nil || !r.vanished.IsZero() {
 		return false
 	}
 	r.vanished = now
-	r.keepUntil = v.graceUntil
+	r.keepUntil = keepUntil
 	if now.Before(r.keepUntil) {
 		v.wake(r.keepUntil)
 	}
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -78,6 +78,7 @@
 	rowWarmupLeft // microseconds
 	rowSequence
 	rowBorn
+	rowLapsed
 )
 
 // The flags of a heartbeat; its age takes the rest of their byte.
@@ -185,7 +186,8 @@
 	b = appendBool(b, rowReady, r.Ready)
 	b = appendUint(b, rowWarmupLeft, uint64(r.WarmupLeft.Microseconds()))
 	b = appendUint(b, rowSequence, r.Sequence)
-	return appendUint(b, rowBorn, uint64(r.Born))
+	b = appendUint(b, rowBorn, uint64(r.Born))
+	return appendBool(b, rowLapsed, r.Lapsed)
 }
 
 // appendMessage, appendText, appendBool and appendUint append one field; empty and zero ones are left out.
@@ -417,6 +419,8 @@
 			r.WarmupLeft = time.Duration(x.num) * time.Microsecond
 		case rowSequence:
 			r.Sequence = x.num
+		case rowLapsed:
+			r.Lapsed = x.num != 0
 		case rowBorn:
 			r.Born = int64(x.num)
 		}
--- a/edge/catchup.go
+++ b/state/catchup.go
@@ -1,4 +1,4 @@
-package edge
+package state
 
 import (
 	"bytes"
@@ -15,45 +15,45 @@
 const catchUpRank = 1
 
 // cutOff reports whether this VM should ask other VMs for what the store does not tell it.
-func (s *state) cutOff() bool {
-	return s.shared.rank <= catchUpRank && (s.lost[registryTopic] || s.lost[operatorTopic])
+func (s *State) cutOff() bool {
+	return s.shared.rank <= catchUpRank && (s.lost[Registry] || s.lost[Operator])
 }
 
 // catchUp takes what another VM has read of the tables that this VM cannot read, and passes it on in its region as if it had
 // read it itself. The store can be out of reach for one region and change for the others. It reports whether anything changed.
-func (s *state) catchUp(now time.Time, m *proto.Message) bool {
+func (s *State) catchUp(now time.Time, m *proto.Message) bool {
 	changed := false
-	if s.lost[operatorTopic] && s.operatorRows != nil {
+	if s.lost[Operator] && s.operatorRows != nil {
 		changed = s.catchUpOperator(now, m.Change)
 	}
-	if s.lost[registryTopic] && s.view.Read() {
+	if s.lost[Registry] && s.view.Read() {
 		changed = s.catchUpRegistry(now, m.News, m.Change.Version) || changed
 	}
 	return changed
 }
 
-func (s *state) catchUpOperator(now time.Time, c *proto.Change) bool {
-	after := s.applied[operatorTopic]
+func (s *State) catchUpOperator(now time.Time, c *proto.Change) bool {
+	after := s.applied[Operator]
 	if c.Version <= after || !caughtUp(s.cfg.OperatorFollower, c.Version) {
 		return false
 	}
-	r := reading{at: now, topic: operatorTopic, after: after,
+	r := reading{at: now, topic: Operator, after: after,
 		rows: feed.Rows{Rows: changedRows(s.operatorRows, c.Rows), Version: c.Version}}
 	changed := s.applyOperator(r)
 	s.tellChange(r)
 	return changed
 }
 
-func (s *state) catchUpRegistry(now time.Time, n *proto.News, operator ident.Version) bool {
-	after := s.applied[registryTopic]
+func (s *State) catchUpRegistry(now time.Time, n *proto.News, operator ident.Version) bool {
+	after := s.applied[Registry]
 	if n.Version <= after || !caughtUp(s.cfg.RegistryFollower, n.Version) {
 		return false
 	}
 	// What was not told before goes with the news: it continues the last telling.
 	changed := s.view.Apply(now, fleet.Reading{Rows: n.Rows, Whole: true, Settled: true})
-	s.advance(registryTopic, after, n.Version, false)
+	s.advance(Registry, after, n.Version, false)
 	s.logTargets(now, changed)
-	rows, told := s.step(now)
+	rows, told := s.step(now, changed)
 	if len(rows) <= newsRows {
 		s.cfg.Peers.Tell(&proto.News{From: s.cfg.Self.VM, After: told, Version: n.Version, Rows: rows, Operator: operator}, nil)
 	}
--- a/edge/handover.go
+++ b/state/handover.go
@@ -1,4 +1,4 @@
-package edge
+package state
 
 import (
 	"context"
@@ -14,15 +14,15 @@
 const handOverFor = 500 * time.Millisecond
 
 // handOver returns everything that this VM knows of the operators' table and the registry, or nil before it has read both.
-func (s *state) handOver(now time.Time) *proto.Message {
+func (s *State) handOver(now time.Time) *proto.Message {
 	if s.operatorRows == nil || !s.view.Read() {
 		return nil
 	}
-	change := &proto.Change{Whole: true, Version: s.applied[operatorTopic]}
+	change := &proto.Change{Whole: true, Version: s.applied[Operator]}
 	for _, row := range s.operatorRows {
 		change.Rows = append(change.Rows, row)
 	}
-	news := &proto.News{From: s.cfg.Self.VM, Whole: true, Version: s.applied[registryTopic]}
+	news := &proto.News{From: s.cfg.Self.VM, Whole: true, Version: s.applied[Registry]}
 	for _, e := range s.view.Registered(now) {
 		news.Rows = append(news.Rows, fleet.Row{Entry: e})
 	}
@@ -31,7 +31,7 @@
 }
 
 // keepRows remembers the rows of the operators' table as the store has them.
-func (s *state) keepRows(rows feed.Rows) {
+func (s *State) keepRows(rows feed.Rows) {
 	if rows.Whole || s.operatorRows == nil {
 		s.operatorRows = map[string]feed.Row{}
 	}
@@ -46,7 +46,7 @@
 
 // adopt takes what another VM knows, as far as this VM has read nothing yet, and in any case which targets have left. It
 // reports whether anything was taken.
-func (s *state) adopt(now time.Time, m *proto.Message) bool {
+func (s *State) adopt(now time.Time, m *proto.Message) bool {
 	taken := false
 	if m.Change != nil && m.News.Whole {
 		taken = s.adoptOperator(now, m.Change)
@@ -60,22 +60,22 @@
 	return taken || len(left) > 0
 }
 
-func (s *state) adoptOperator(now time.Time, c *proto.Change) bool {
+func (s *State) adoptOperator(now time.Time, c *proto.Change) bool {
 	taken := false
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { taken = f.Adopt(now, c.Version) })
 	if taken {
-		s.applyOperator(reading{at: now, topic: operatorTopic, rows: feed.Rows{Rows: c.Rows, Version: c.Version, Whole: true}})
+		s.applyOperator(reading{at: now, topic: Operator, rows: feed.Rows{Rows: c.Rows, Version: c.Version, Whole: true}})
 	}
 	return taken
 }
 
-func (s *state) adoptRegistry(now time.Time, n *proto.News) bool {
+func (s *State) adoptRegistry(now time.Time, n *proto.News) bool {
 	taken := false
 	s.cfg.RegistryFollower.With(func(f *feed.Follower) { taken = f.Adopt(now, n.Version) })
 	if taken {
 		s.view.Apply(now, fleet.Reading{Rows: n.Rows, Whole: true, Settled: true})
-		s.advance(registryTopic, 0, n.Version, true)
-		s.step(now)
+		s.advance(Registry, 0, n.Version, true)
+		s.step(now, nil)
 	}
 	return taken
 }
@@ -87,21 +87,21 @@
 }
 
 // answer returns what a question asks for; nil if this VM does not know it.
-func (s *state) answer(now time.Time, q question) *proto.Message {
+func (s *State) answer(now time.Time, q question) *proto.Message {
 	if !q.departures {
 		return s.handOver(now)
 	}
 	return &proto.Message{From: s.cfg.Self, News: &proto.News{From: s.cfg.Self.VM, Rows: s.view.Departures(now)}}
 }
 
-// State returns what this VM hands to one that starts, encoded: everything, or only the targets that have left lately. It is
-// nil if this VM knows too little itself.
-func (n *Node) State(ctx context.Context, departures bool) []byte {
+// Encoded returns what this VM hands to another one: everything, or only the targets that have left lately. It is nil if this
+// VM knows too little itself.
+func (s *State) Encoded(ctx context.Context, departures bool) []byte {
 	ctx, cancel := context.WithTimeout(ctx, handOverFor)
 	defer cancel()
 	reply := make(chan *proto.Message, 1)
 	select {
-	case n.state.asks <- question{departures, reply}:
+	case s.asks <- question{departures, reply}:
 	case <-ctx.Done():
 		return nil
 	}
--- a/edge/share.go
+++ b/state/share.go
@@ -1,4 +1,4 @@
-package edge
+package state
 
 import (
 	"time"
@@ -61,43 +61,65 @@
 	return rows
 }
 
-// step returns the change of the registry since the last call.
-func (s *shared) step(now time.Time, v *fleet.View) []fleet.Row {
+// step returns the change of the registry since the last call, and the targets in touched whether they look changed or not. It
+// tells which entries are missing and may only have lapsed: all VMs must know, or a return of the entry is news for some of
+// them and not for the one that tells it.
+func (s *shared) step(now time.Time, v *fleet.View, touched []ident.Target) []fleet.Row {
 	present := v.Registered(now)
 	rows := diff(s.known, present, now.Sub(s.at))
+	told := map[ident.Target]bool{}
+	for i := range rows {
+		told[rows[i].ID] = true
+	}
+	for _, id := range touched {
+		e, ok := present[id]
+		if told[id] {
+			continue
+		}
+		switch {
+		case v.Lapsed(now, id):
+			rows = append(rows, fleet.Row{Entry: fleet.Entry{ID: id}, Removed: true, Lapsed: true})
+		case ok:
+			rows = append(rows, fleet.Row{Entry: e})
+		default:
+			rows = append(rows, fleet.Row{Entry: fleet.Entry{ID: id}, Removed: true})
+		}
+	}
 	s.known, s.at = present, now
 	return rows
 }
 
-// step returns the changes of the registry since the last call and the version that they follow.
-func (s *state) step(now time.Time) (rows []fleet.Row, after ident.Version) {
+// step returns the changes of the registry since the last call and the version that they follow. Touched are targets that
+// were changed by what was just read. Some look as before, since they went and came back: a VM that has read the registry in
+// between has seen them go.
+func (s *State) step(now time.Time, touched []ident.Target) (rows []fleet.Row, after ident.Version) {
 	after = s.shared.version
-	rows = s.shared.step(now, s.view)
-	s.shared.version = s.applied[registryTopic]
+	rows = s.shared.step(now, s.view, touched)
+	s.shared.version = s.applied[Registry]
 	return rows, after
 }
 
 // tell passes on what has changed in the registry since this VM last told it, and that it follows the operators' table. The
 // changes follow the version of the last time and not that of the reading, which may have been on its way while a peer's
 // news was taken: a VM that missed that news would skip its rows.
-func (s *state) tell(r reading) {
-	rows, after := s.step(r.at)
+func (s *State) tell(r reading, touched []ident.Target) {
+	rows, after := s.step(r.at, touched)
 	if s.shared.rank > tellRank || r.rows.Whole {
 		return
 	}
 	news := &proto.News{From: s.cfg.Self.VM}
 	// With too many rows, the others are still told that the operators' table is followed: they would all read it again.
 	if len(rows) <= newsRows {
-		news.After, news.Version, news.Rows = after, s.applied[registryTopic], rows
+		news.After, news.Version, news.Rows = after, s.applied[Registry], rows
 	}
-	if !s.lost[operatorTopic] && s.waits() {
-		news.Operator = s.applied[operatorTopic]
+	if !s.lost[Operator] && s.waits() {
+		news.Operator = s.applied[Operator]
 	}
 	s.cfg.Peers.Tell(news, nil)
 }
 
 // tellChange passes on what this VM has read of the operators' table.
-func (s *state) tellChange(r reading) {
+func (s *State) tellChange(r reading) {
 	size := 0
 	for _, row := range r.rows.Rows {
 		size += len(row.Key) + len(row.Value)
@@ -109,7 +131,7 @@
 }
 
 // hear applies what another VM has read, and reports whether anything changed.
-func (s *state) hear(now time.Time, m proto.Message) bool {
+func (s *State) hear(now time.Time, m proto.Message) bool {
 	changed := false
 	if m.Change != nil {
 		changed = s.hearChange(now, m.Change)
@@ -120,34 +142,34 @@
 	return changed
 }
 
-func (s *state) hearNews(now time.Time, n *proto.News) bool {
+func (s *State) hearNews(now time.Time, n *proto.News) bool {
 	s.confirm(now, n.Operator)
 	if n.Version == 0 {
 		return false
 	}
-	if !s.continues(now, s.cfg.RegistryFollower, registryTopic, n.After, n.Version) {
+	if !s.continues(now, s.cfg.RegistryFollower, Registry, n.After, n.Version) {
 		return false
 	}
-	s.contact(reading{at: now, topic: registryTopic})
+	s.contact(reading{at: now, topic: Registry})
 	changed := s.view.Apply(now, fleet.Reading{Rows: n.Rows, Settled: true})
-	s.advance(registryTopic, n.After, n.Version, false)
+	s.advance(Registry, n.After, n.Version, false)
 	s.logTargets(now, changed)
-	s.step(now)
+	s.step(now, nil)
 	return len(changed) > 0
 }
 
-func (s *state) hearChange(now time.Time, c *proto.Change) bool {
-	if !s.continues(now, s.cfg.OperatorFollower, operatorTopic, c.After, c.Version) {
+func (s *State) hearChange(now time.Time, c *proto.Change) bool {
+	if !s.continues(now, s.cfg.OperatorFollower, Operator, c.After, c.Version) {
 		return false
 	}
-	r := reading{at: now, topic: operatorTopic, after: c.After, rows: feed.Rows{Rows: c.Rows, Version: c.Version}}
+	r := reading{at: now, topic: Operator, after: c.After, rows: feed.Rows{Rows: c.Rows, Version: c.Version}}
 	s.contact(r)
 	return s.applyOperator(r)
 }
 
 // continues reports whether what a peer tells follows what is applied here; otherwise the table is read soon. The follower
 // alone can't tell: it is ahead while a reading waits to be applied.
-func (s *state) continues(now time.Time, shared *feed.Shared, t topic, after, version ident.Version) bool {
+func (s *State) continues(now time.Time, shared *feed.Shared, t Topic, after, version ident.Version) bool {
 	taken := false
 	shared.With(func(f *feed.Follower) {
 		if after > s.applied[t] {
@@ -161,7 +183,7 @@
 
 // confirm takes a peer's word that it knows the operators' table up to a version. If no newer change is known than those
 // applied here, nothing has changed up to that version.
-func (s *state) confirm(now time.Time, version ident.Version) {
+func (s *State) confirm(now time.Time, version ident.Version) {
 	if version == 0 || s.operatorRows == nil {
 		return
 	}
@@ -169,28 +191,28 @@
 	s.cfg.Peers.With(func(v *peers.View) { upToDate = v.UpToDate() })
 	if upToDate {
 		s.shared.confirmed = now
-		s.advance(operatorTopic, s.applied[operatorTopic], version, false)
+		s.advance(Operator, s.applied[Operator], version, false)
 		s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.Confirmed(now, version) })
 	}
 }
 
 // waits reports whether this VM keeps a call for the operators' changes waiting at the store.
-func (s *state) waits() bool {
+func (s *State) waits() bool {
 	waits := false
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { waits = f.Waits() })
 	return waits
 }
 
 // checkOperator reads the operators' table if no peer that follows it was heard from lately.
-func (s *state) checkOperator(now time.Time) {
-	if !s.waits() && !s.shared.confirmed.IsZero() && now.Sub(s.shared.confirmed) > s.cfg.Times.OperatorTrust {
+func (s *State) checkOperator(now time.Time) {
+	if !s.waits() && !s.shared.confirmed.IsZero() && now.Sub(s.shared.confirmed) > s.cfg.OperatorTrust {
 		s.shared.confirmed = now
 		s.askRefresh()
 	}
 }
 
 // setRank finds this VM's place in its group.
-func (s *state) setRank(now time.Time, group []proto.Info) {
+func (s *State) setRank(now time.Time, group []proto.Info) {
 	if now.Sub(s.started) < rankAfter {
 		return
 	}
--- a/edge/state.go
+++ b/state/state.go
@@ -1,4 +1,7 @@
-package edge
+// Package state owns what a VM believes of the platform: the operators' table and the registry of targets, as the store, the
+// other VMs of its region and, if need be, VMs of other regions tell them. It publishes them to the carrier and tells other
+// VMs. All changes pass through one goroutine.
+package state
 
 import (
 	"context"
@@ -23,29 +26,57 @@
 	readingsSize = 8
 )
 
-// topic is a table of the store that the node follows.
-type topic uint8
+// Decoder turns rows of the store into what they say.
+type Decoder interface {
+	// Change decodes a row of the operators' table. A row that concerns nobody gives nil without an error.
+	Change(r feed.Row) (*fleet.Change, error)
+	// Entry decodes a row of the registry of targets.
+	Entry(r feed.Row) (fleet.Entry, error)
+}
+
+// Config is what a State is made of. All fields are required.
+type Config struct {
+	Self    proto.Info
+	Carrier *carry.Carrier
+	Peers   *peers.Service
+	// OperatorFollower and RegistryFollower decide the calls to the two tables.
+	OperatorFollower, RegistryFollower *feed.Shared
+	// News are messages of other VMs that tell what they have read.
+	News    <-chan proto.Message
+	Decoder Decoder
+	Log     *trace.Log
+	Clock   func() time.Time
+	// OperatorTrust is how long a VM that is told of the operators' changes goes without word of a VM that follows them
+	// before it looks for itself.
+	OperatorTrust time.Duration
+}
 
+// Topic is a table of the store that a VM follows.
+type Topic uint8
+
+// The tables.
 const (
-	operatorTopic topic = iota
-	registryTopic
+	// Operator is the operators' table: configurations and evacuations.
+	Operator Topic = iota
+	// Registry is that of the targets.
+	Registry
 )
 
 // String returns the name of the table's content.
-func (t topic) String() string { return [...]string{"operator", "registry"}[t] }
+func (t Topic) String() string { return [...]string{"operator", "registry"}[t] }
 
 // reading is the result of one call to the store.
 type reading struct {
 	at    time.Time
-	topic topic
+	topic Topic
 	// after is the version that the rows follow.
 	after ident.Version
 	rows  feed.Rows
 	err   error
 }
 
-// state owns what the store said and publishes it to the carrier. All changes pass through its one goroutine.
-type state struct {
+// State is the service that owns what the VM believes.
+type State struct {
 	cfg      Config
 	stopping func() bool
 	readings chan reading
@@ -87,8 +118,9 @@
 	Outage    bool           `json:"store-outage"`
 }
 
-func newState(cfg Config, stopping func() bool) *state {
-	s := &state{
+// New returns a state that has read nothing. Stopping reports whether a planned stop has begun.
+func New(cfg Config, stopping func() bool) *State {
+	s := &State{
 		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsSize), behind: make(chan struct{}, 1),
 		adopted: make(chan *proto.Message), asks: make(chan question),
 		view: fleet.NewView(), started: cfg.Clock(), shared: shared{rank: tellRank + 1},
@@ -98,13 +130,35 @@
 }
 
 // Name implements kernel.Service.
-func (s *state) Name() string { return "state" }
+func (s *State) Name() string { return "state" }
 
 // Dump implements kernel.Service.
-func (s *state) Dump(time.Time) any { return s.summary.Load() }
+func (s *State) Dump(time.Time) any { return s.summary.Load() }
+
+// Sink returns what takes the readings of a table.
+func (s *State) Sink(ctx context.Context, t Topic) feed.Sink {
+	return func(now time.Time, after ident.Version, rows feed.Rows, err error) {
+		select {
+		case s.readings <- reading{at: now, topic: t, after: after, rows: rows, err: err}:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Behind delivers requests for a full reading of the operators' table.
+func (s *State) Behind() <-chan struct{} { return s.behind }
+
+// Adopted takes what other VMs tell of their state.
+func (s *State) Adopted() chan<- *proto.Message { return s.adopted }
+
+// CutOff reports whether other VMs should be asked for what the store does not tell.
+func (s *State) CutOff() bool { return s.asking.Load() }
+
+// Version returns the version of the operators' configuration.
+func (s *State) Version() ident.Version { return s.summary.Load().Version }
 
 // Run implements kernel.Service.
-func (s *state) Run(ctx context.Context) error {
+func (s *State) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	swept := s.cfg.Clock()
@@ -141,7 +195,7 @@
 
 // take applies something from outside and publishes the state if that changed it. What makes this process panic is left out:
 // the VM goes on with what it knew, and a later reading repairs it.
-func (s *state) take(now time.Time, what string, apply func() bool) {
+func (s *State) take(now time.Time, what string, apply func() bool) {
 	defer func() {
 		if v := recover(); v != nil {
 			s.cfg.Log.Panicked(now, what, v)
@@ -161,7 +215,7 @@
 
 // checkPause asks for the news of both tables at once after a pause of the process, and otherwise confirms to the carrier
 // that the news is followed.
-func (s *state) checkPause(now time.Time) {
+func (s *State) checkPause(now time.Time) {
 	gap := time.Duration(0)
 	if !s.ticked.IsZero() {
 		gap = carry.Gap(s.ticked, now)
@@ -179,7 +233,7 @@
 }
 
 // publish hands the present state to the carrier.
-func (s *state) publish(now time.Time) {
+func (s *State) publish(now time.Time) {
 	snap := s.view.Snapshot(now)
 	s.cfg.Carrier.Update(now, snap)
 	s.tellPeers(now)
@@ -197,7 +251,7 @@
 }
 
 // tellPeers exchanges with the peers' view: what this VM knows, and which VMs are alive.
-func (s *state) tellPeers(now time.Time) {
+func (s *State) tellPeers(now time.Time) {
 	snap := s.cfg.Carrier.Snapshot()
 	stopping := s.stopping()
 	ready := snap.Config != nil && snap.RegistryRead && !stopping
@@ -222,7 +276,7 @@
 }
 
 // askRefresh asks for a full reading of the operators' table.
-func (s *state) askRefresh() {
+func (s *State) askRefresh() {
 	select {
 	case s.behind <- struct{}{}:
 	default:
@@ -230,7 +284,7 @@
 }
 
 // apply takes a reading and reports whether anything changed.
-func (s *state) apply(r reading) bool {
+func (s *State) apply(r reading) bool {
 	s.contact(r)
 	if r.err != nil || r.rows.Compacted {
 		return false
@@ -239,7 +293,7 @@
 		// A peer has told more than this while it was on its way.
 		return false
 	}
-	if r.topic == operatorTopic {
+	if r.topic == Operator {
 		changed := s.applyOperator(r)
 		s.tellChange(r)
 		return changed
@@ -249,27 +303,27 @@
 
 // advance notes that everything after one version of a table up to another is applied. A part that does not continue what
 // is applied says nothing about what lies between.
-func (s *state) advance(t topic, after, version ident.Version, whole bool) {
+func (s *State) advance(t Topic, after, version ident.Version, whole bool) {
 	if whole || after <= s.applied[t] {
 		s.applied[t] = max(s.applied[t], version)
 	}
 }
 
 // contact logs when a table is lost and regained.
-func (s *state) contact(r reading) {
+func (s *State) contact(r reading) {
 	ok := r.err == nil
-	if r.topic == registryTopic {
+	if r.topic == Registry {
 		// A failed call ends the wait as well: there is no news to be had.
 		s.resumed = time.Time{}
 	}
-	if r.topic == registryTopic && !ok {
+	if r.topic == Registry && !ok {
 		s.view.Failed()
 	}
 	if ok == !s.lost[r.topic] {
 		return
 	}
 	s.lost[r.topic] = !ok
-	if ok && r.topic == registryTopic && s.waits() {
+	if ok && r.topic == Registry && s.waits() {
 		// A call that waits for the operators' changes may hang since before the outage. The other VMs are told, and find out
 		// from heartbeats if they were not.
 		s.askRefresh()
@@ -281,9 +335,9 @@
 	s.cfg.Log.Add(r.at, trace.Lost, "dependency", "store", "table", r.topic, "err", r.err)
 }
 
-func (s *state) applyOperator(r reading) bool {
+func (s *State) applyOperator(r reading) bool {
 	s.shared.confirmed = r.at
-	s.advance(operatorTopic, r.after, r.rows.Version, r.rows.Whole)
+	s.advance(Operator, r.after, r.rows.Version, r.rows.Whole)
 	s.keepRows(r.rows)
 	changed := false
 	present := map[ident.Domain]bool{}
@@ -313,7 +367,7 @@
 	return changed
 }
 
-func (s *state) change(now time.Time, c *fleet.Change) bool {
+func (s *State) change(now time.Time, c *fleet.Change) bool {
 	if c.Config != nil {
 		if !s.view.SetConfig(c.Config) {
 			return false
@@ -328,7 +382,7 @@
 	return true
 }
 
-func (s *state) applyRegistry(r reading) bool {
+func (s *State) applyRegistry(r reading) bool {
 	in := fleet.Reading{Whole: r.rows.Whole}
 	for _, row := range r.rows.Rows {
 		out := fleet.Row{Entry: fleet.Entry{ID: ident.Target(row.Key)}, Removed: true}
@@ -340,19 +394,32 @@
 		in.Rows = append(in.Rows, out)
 	}
 	changed := s.view.Apply(r.at, in)
-	s.advance(registryTopic, r.after, r.rows.Version, r.rows.Whole)
+	s.advance(Registry, r.after, r.rows.Version, r.rows.Whole)
 	s.logTargets(r.at, changed)
-	s.tell(r)
+	s.tell(r, append(changed, returned(r.rows.Rows)...))
 	return len(changed) > 0 || r.rows.Whole
 }
 
-func (s *state) logTargets(now time.Time, changed []ident.Target) {
+// returned names the targets whose entries were removed and written again in one reading.
+func returned(rows []feed.Row) []ident.Target {
+	removed := map[string]bool{}
+	var ids []ident.Target
+	for _, r := range rows {
+		if !r.Removed && removed[r.Key] {
+			ids = append(ids, ident.Target(r.Key))
+		}
+		removed[r.Key] = r.Removed
+	}
+	return ids
+}
+
+func (s *State) logTargets(now time.Time, changed []ident.Target) {
 	for _, id := range changed {
 		s.cfg.Log.Add(now, trace.Targets, s.view.Describe(now, id)...)
 	}
 }
 
-func (s *state) entry(now time.Time, row feed.Row) (fleet.Entry, bool) {
+func (s *State) entry(now time.Time, row feed.Row) (fleet.Entry, bool) {
 	e, err := s.cfg.Decoder.Entry(row)
 	if err != nil {
 		s.cfg.Log.Add(now, trace.BadEntry, "key", row.Key, "err", err)
