--- a/inlet/inlet_test.go
+++ b/inlet/inlet_test.go
@@ -35,13 +35,13 @@
 func (g *gate) MayOverlap(*codec.Request) bool { return true }
 
 // serve starts a server and returns a connection to it.
-func serve(t *testing.T, h Handler) (*Server, net.Conn) {
+func serve(t *testing.T, h Handler, options ...Option) (*Server, net.Conn) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(h, func() *fleet.Limits { return nil }, time.Now)
+	s := New(h, func() *fleet.Limits { return nil }, time.Now, options...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ctx, ln) }()
--- a/inlet/stop_test.go
+++ b/inlet/stop_test.go
@@ -124,19 +124,7 @@
 // Guards against one request that takes the whole process down, and against a fault that nobody is told of.
 func TestPanicEndsOneRequest(t *testing.T) {
 	var panics atomic.Int64
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := New(echo{}, func() *fleet.Limits { return nil }, time.Now, OnPanic(func(any) { panics.Add(1) }))
-	ctx, cancel := context.WithCancel(context.Background())
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(ctx, ln) }()
-	nc, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+	_, nc := serve(t, echo{}, OnPanic(func(any) { panics.Add(1) }))
 	br := bufio.NewReader(nc)
 	ask(t, nc, "/panic")
 	resp, err := http.ReadResponse(br, nil)
@@ -151,11 +139,6 @@
 	if panics.Load() != 1 {
 		t.Errorf("%d panics were reported", panics.Load())
 	}
-	_ = nc.Close()
-	cancel()
-	if err := <-served; err != nil {
-		t.Error(err)
-	}
 }
 
 // Guards against bytes of a caller that take the process down: each case is sent on a connection of its own, after which the
