carry, peers, feed, inlet: usual names

Read as a newcomer: pulse, stranger, Hurry, deadliner and spokesmen (a test) named things by a picture or a word of our own. They are confirmation, unmet, CallNow, deadlineListener and bridging now.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -67,8 +67,8 @@
 	clock   func() time.Time
 	quota   retry.QuotaRules
 
-	snapshot atomic.Pointer[fleet.Snapshot]
-	pulse    pulse
+	snapshot     atomic.Pointer[fleet.Snapshot]
+	confirmation confirmation
 	// Counters are exported by the metrics service.
 	Counters Counters
 	meter    *meter.Meter
--- a/carry/pulse.go
+++ b/carry/pause.go
@@ -14,9 +14,9 @@
 	confirmFor = 300 * time.Millisecond
 )
 
-// pulse shows whether the process was paused since its owner last looked at the store's news. Which targets may be used can
+// confirmation shows whether the process was paused since its owner last looked at the store's news. Which targets may be used can
 // have changed meanwhile; requests that waited in the sockets would otherwise be the first to act on it.
-type pulse struct {
+type confirmation struct {
 	mu sync.Mutex
 	// at is the time of the last confirmation; zero before the first one.
 	at time.Time
@@ -25,7 +25,7 @@
 }
 
 // confirm notes that what is known was confirmed.
-func (p *pulse) confirm(now time.Time) {
+func (p *confirmation) confirm(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.at = now
@@ -36,7 +36,7 @@
 }
 
 // paused returns a channel that is closed at the next confirmation if the process was paused, otherwise nil.
-func (p *pulse) paused(now time.Time) <-chan struct{} {
+func (p *confirmation) paused(now time.Time) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.at.IsZero() || Gap(p.at, now) < pausedAfter {
@@ -56,11 +56,11 @@
 
 // Confirm says that the snapshot is up to date as far as the VM can know. It must be called several times a second. After a
 // pause of the process requests wait for it, for a short while.
-func (c *Carrier) Confirm(now time.Time) { c.pulse.confirm(now) }
+func (c *Carrier) Confirm(now time.Time) { c.confirmation.confirm(now) }
 
 // awaitConfirmation lets a request that finds the process just resumed wait for the news of the pause.
 func (c *Carrier) awaitConfirmation(ctx context.Context, now time.Time) {
-	next := c.pulse.paused(now)
+	next := c.confirmation.paused(now)
 	if next == nil {
 		return
 	}
--- a/carry/pulse_test.go
+++ b/carry/pause_test.go
@@ -28,9 +28,9 @@
 	}
 	// The news comes when the requests have found out about the pause, or were sent without it.
 	for waits := false; !waits && old.requests.Load() == 0; time.Sleep(time.Millisecond) {
-		c.pulse.mu.Lock()
-		waits = c.pulse.next != nil
-		c.pulse.mu.Unlock()
+		c.confirmation.mu.Lock()
+		waits = c.confirmation.next != nil
+		c.confirmation.mu.Unlock()
 	}
 	c.Update(time.Now(), &s)
 	c.Confirm(time.Now())
@@ -45,9 +45,9 @@
 }
 
 // Guards against requests that wait although nothing was paused, or for ever while the store is away.
-func TestPulse(t *testing.T) {
+func TestConfirmation(t *testing.T) {
 	start := time.Unix(1000, 0)
-	var p pulse
+	var p confirmation
 	if p.paused(start) != nil {
 		t.Error("paused before the first confirmation")
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -203,8 +203,8 @@
 	return d/2 + time.Duration(f.rnd.Int63n(int64(d/2)+1))
 }
 
-// Hurry asks for the next call at once, unless calls are failing.
-func (f *Follower) Hurry(now time.Time) {
+// CallNow asks for the next call at once, unless calls are failing.
+func (f *Follower) CallNow(now time.Time) {
 	if f.failures == 0 && f.next.After(now) {
 		f.next = now
 	}
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -108,8 +108,8 @@
 	return g.Wait()
 }
 
-// deadliner is a listener whose Accept can be given a deadline.
-type deadliner interface {
+// deadlineListener is a listener whose Accept can be given a deadline.
+type deadlineListener interface {
 	net.Listener
 	SetDeadline(t time.Time) error
 }
@@ -120,7 +120,7 @@
 	woken := false
 	for {
 		nc, err := ln.Accept()
-		l, ok := ln.(deadliner)
+		l, ok := ln.(deadlineListener)
 		switch {
 		case err == nil:
 			g.Go(func() error {
@@ -158,7 +158,7 @@
 func (s *Server) StopAccepting() {
 	s.mu.Lock()
 	for _, ln := range s.listeners {
-		if l, ok := ln.(deadliner); !ok || l.SetDeadline(time.Unix(1, 0)) != nil {
+		if l, ok := ln.(deadlineListener); !ok || l.SetDeadline(time.Unix(1, 0)) != nil {
 			_ = ln.Close() // it may be closed already
 		}
 	}
--- a/peers/parts_test.go
+++ b/peers/parts_test.go
@@ -128,13 +128,13 @@
 // although a third one hears both.
 func TestPartialCuts(t *testing.T) {
 	domain := func(w *network, addr string) ident.Domain { return w.views[addr].self.Place.Domain }
-	spokesmen := map[string]bool{}
+	bridging := map[string]bool{}
 	for _, tt := range []struct {
 		name string
 		cut  func(w *network, from, to string) bool
 	}{
 		{"the bridges of a1 are cut from other domains", func(w *network, from, to string) bool {
-			return domain(w, from) != domain(w, to) && (spokesmen[from] || spokesmen[to])
+			return domain(w, from) != domain(w, to) && (bridging[from] || bridging[to])
 		}},
 		{"a1 and b1 are cut from each other", func(w *network, from, to string) bool {
 			a, b := domain(w, from), domain(w, to)
@@ -155,15 +155,15 @@
 				}
 			}
 			slices.SortFunc(a1, func(a, b *View) int { return cmp.Compare(a.beat.VM, b.beat.VM) })
-			clear(spokesmen)
+			clear(bridging)
 			for _, v := range a1[:bridges] {
-				spokesmen[v.self.Peer] = true
+				bridging[v.self.Peer] = true
 			}
 			w.cut = func(from, to string) bool { return tt.cut(w, from, to) }
 			for range 15 {
 				w.run(time.Second)
 				for addr, v := range w.views {
-					if got := len(v.Ready(w.now)); got < 60-bridges && !spokesmen[addr] {
+					if got := len(v.Ready(w.now)); got < 60-bridges && !bridging[addr] {
 						t.Fatalf("%s names %d of 60 VMs that all run", v.self.VM, got)
 					}
 				}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -107,9 +107,9 @@
 	// list are the members sorted by name, so that a seeded source gives the same choices.
 	list []*member
 	rnd  *rand.Rand
-	// stranger says that a heartbeat of a VM has arrived whose address is not known, asked is when that was last asked for.
-	stranger bool
-	asked    time.Time
+	// unmet says that a heartbeat of a VM has arrived whose address is not known, asked is when that was last asked for.
+	unmet bool
+	asked time.Time
 	// seeds are addresses to greet while no other VM is known.
 	seeds []string
 	// operator is the newest version that this VM has seen, heardOperator the newest that a peer has seen, and heardAt when
@@ -197,12 +197,12 @@
 		v.heardOperator = msg.Operator
 	}
 	var reply []Packet
-	if v.stranger && now.Sub(v.asked) >= askAgain {
+	if v.unmet && now.Sub(v.asked) >= askAgain {
 		v.asked = now
 		ask := proto.Message{From: v.self, Hello: true, Beats: []proto.Beat{v.beat}, Operator: v.operator}
 		reply = append(reply, Packet{To: msg.From.Peer, Message: &ask})
 	}
-	v.stranger = false
+	v.unmet = false
 	if msg.Hello {
 		reply = append(reply, v.introduce(now, msg.From.Peer)...)
 	}
@@ -234,7 +234,7 @@
 	}
 	m := v.members[b.VM]
 	if m == nil {
-		v.stranger = true
+		v.unmet = true
 		return
 	}
 	if b.Incarnation < m.beat.Incarnation || b.Incarnation == m.beat.Incarnation && b.Count <= m.beat.Count {
--- a/state/state.go
+++ b/state/state.go
@@ -224,7 +224,7 @@
 	if gap >= pausedAfter {
 		s.resumed = now
 		s.cfg.Log.Add(now, trace.Resumed, "gap", gap)
-		s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.Hurry(now) })
+		s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.CallNow(now) })
 		s.askRefresh()
 	}
 	if s.resumed.IsZero() {
