--- a/state/share.go
+++ b/state/share.go
@@ -13,7 +13,7 @@
 const (
 	// NewsSize is the number of pieces of news that wait to be applied.
 	NewsSize = 16
-	// newsRows bounds the rows in one piece of news: compressed they take about 10 KB, and the news goes to each VM of a region
+	// newsRows bounds the rows in one piece of news: compressed they take about 5 KB, and the news goes to each VM of a region
 	// at once. With more, the other VMs read the registry themselves, each as much from the store.
 	newsRows = 240
 	// tellRank is the rank up to which a VM tells others what it has read. Were all of them to do so, a reader that fails
