--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -141,3 +141,13 @@
 		t.Error(d)
 	}
 }
+
+// Guards against interim answers without end: only a few are skipped before an answer.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	const interim, answer = "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+	for n, ok := range map[int]bool{1: true, 1000: false} {
+		if _, err := ReadAnswer(reader(strings.Repeat(interim, n)+answer), "GET", 100); (err == nil) != ok {
+			t.Errorf("%d interim answers: error %v", n, err)
+		}
+	}
+}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -280,3 +280,22 @@
 		})
 	}
 }
+
+// Guards against a target that floods its callers and stays the first choice. One broken answer alone does not hold a target
+// back, one without end does.
+func TestFloodHoldsATargetBack(t *testing.T) {
+	for result, held := range map[Result]bool{Broken: false, Flooded: true} {
+		p := New("vm", here)
+		p.SetTargets(start, snapshot(5, 10))
+		a := ask(start, "k")
+		first, _ := p.Choose(start, a)
+		p.Started(start, a, first)
+		p.Finished(start, a, first, Outcome{Result: result})
+		targets, _ := p.Dump(start)
+		for _, x := range targets {
+			if x.Suspect != (held && x.ID == first.Target.ID) {
+				t.Errorf("result %d at %s: %s is held back: %v", result, first.Target.ID, x.ID, x.Suspect)
+			}
+		}
+	}
+}
