procs: TestPausedEntry waits until the other entry has slots of its own

Cause: an entry is ready as soon as it has a plan, also one that grants it nothing. If the second entry starts after plan 1, all slots belong to the first; paused, that entry never acknowledges the decrease of plans 2 to 5 and, by design, keeps its slots for share.DeadAfter (60 s). The second entry's request waited its 10 s for a slot: deadline-too-short. Change: the test waits for the second entry's own slots before the pause. What it checks is unchanged.

--- a/procs/fault_test.go
+++ b/procs/fault_test.go
@@ -253,11 +253,13 @@
 }
 
 // Guards R2 and the slot counts: an entry whose process was paused for longer than share.PauseLimit must confirm the
-// plan before it uses its slots again, and must then serve requests.
+// plan before it uses its slots again, and must then serve requests. Meanwhile another entry serves from its own slots. It
+// has none yet if it started after the first plan, and a paused entry keeps its slots, so the test waits for them.
 func TestPausedEntry(t *testing.T) {
 	t.Parallel()
 	tc := startCluster(t, 2, 2, deskTargets()...)
 	paused := tc.vms[0]
+	tc.waitUntil("the other entry has slots of its own", func() bool { return tc.holdsSlots(tc.vms[1]) })
 	paused.entry.signal(syscall.SIGSTOP)
 	pause := time.NewTimer(share.MaxLoopInterval + time.Second) // the pause is the fault under test, not a wait for a condition
 	<-pause.C
--- a/procs/procs_test.go
+++ b/procs/procs_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +23,8 @@
 	"github.com/currantpier/currantpier/front"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/local"
+	"github.com/currantpier/currantpier/sched"
+	"github.com/currantpier/currantpier/share"
 	"github.com/currantpier/currantpier/store"
 	"github.com/currantpier/currantpier/stubs"
 )
@@ -315,6 +318,22 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// holdsSlots reports whether the plan that the VM's entry applies grants it slots of its own.
+func (tc *testCluster) holdsSlots(v vm) bool {
+	resp, err := controlClient.Get("http://" + v.Control + "/dump?service=scheduler")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var dump struct {
+		Scheduler sched.Status `json:"scheduler"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&dump); err != nil {
+		tc.t.Fatalf("decode the scheduler's dump of %s: %v", v.VM, err)
+	}
+	return slices.ContainsFunc(dump.Scheduler.Slots, func(u share.Usage) bool { return u.Granted > 0 })
+}
+
 // waitUntil polls until cond holds. Polling is the only way to observe the state of another process.
 func (tc *testCluster) waitUntil(what string, cond func() bool) {
 	tc.t.Helper()
