peers, pick, retry: VMs that never met don't act on shared sums without a quorum

Cause: a VM divides the rate of a cold target and the retry slack by the VMs that it knows. VMs that started while the network was partitioned know only their part, so each part uses the whole sum. The memory of 60 s that covers VMs that met (TestColdRateHoldsInParts) doesn't help them. Ruled out as a bound: VMs of the target's region or failure domain alone (12 VMs in one domain can be 12 parts); sending one third of the rate at most (7 lone VMs fill it, a healthy fleet gets less); the store (must hold without it). Change: a VM sends to cold targets and uses retry slack only if it has had heartbeats from most of the deployment's failure domains, which its settings list, within 60 s; half of them count with the first one. Of parts that never met at most one has that, unless parts share failure domains. Without it a cold target gets nothing until it is warm (3 s), and retries follow from the VM's own requests only.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -291,5 +291,5 @@
 func (k *call) takeRetry(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.quotaOf(k.service, now).Take(now, k.vms)
+	return k.quotaOf(k.service, now).Take(now, k.quotaVMs)
 }
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -76,8 +76,9 @@
 	mu     sync.Mutex
 	picker *pick.Picker
 	quotas map[ident.Service]*retry.Quota
-	// vms is the number of VMs that share the connection limits and the retry quotas, at least 1.
-	vms int
+	// vms is the number of VMs that share the connection limits, at least 1, and quotaVMs of those that share the retry quotas,
+	// zero without a quorum.
+	vms, quotaVMs int
 }
 
 // Config holds the parameters of a Forwarder.
@@ -97,7 +98,7 @@
 func New(cfg Config) *Forwarder {
 	c := &Forwarder{
 		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, meter: meter.New(),
-		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1,
+		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1, quotaVMs: 1,
 	}
 	c.pool = outlet.New(cfg.Clock, cfg.MaxResponseMemory, func(t outlet.Target, took time.Duration) {
 		c.mu.Lock()
@@ -116,12 +117,16 @@
 	c.snapshot.Store(s)
 }
 
-// SetVMs sets the VMs that use the same targets.
-func (c *Forwarder) SetVMs(vms []ident.VM) {
+// SetVMs sets the VMs that use the same targets, and whether this VM has a quorum. Without one, it does not know with how many
+// VMs it shares: it sends nothing to cold targets, and has no part of the retries that do not follow from its own requests.
+func (c *Forwarder) SetVMs(vms []ident.VM, quorum bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.picker.SetVMs(vms)
-	c.vms = max(len(vms), 1)
+	c.picker.SetVMs(vms, quorum)
+	c.vms, c.quotaVMs = max(len(vms), 1), 0
+	if quorum {
+		c.quotaVMs = c.vms
+	}
 }
 
 // Snapshot returns the snapshot in use.
@@ -217,7 +222,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	svc := c.picker.Service(k.arrived, k.route, k.object)
-	c.quotaOf(svc, k.arrived).Request(k.arrived, c.vms)
+	c.quotaOf(svc, k.arrived).Request(k.arrived, c.quotaVMs)
 	return svc
 }
 
@@ -240,7 +245,7 @@
 func (c *Forwarder) quotaOf(svc ident.Service, now time.Time) *retry.Quota {
 	q := c.quotas[svc]
 	if q == nil {
-		q = retry.NewQuota(c.quota, now, c.vms)
+		q = retry.NewQuota(c.quota, now, c.quotaVMs)
 		c.quotas[svc] = q
 	}
 	return q
--- a/peers/partition_test.go
+++ b/peers/partition_test.go
@@ -32,46 +32,103 @@
 // second where 21.5 were allowed.
 func TestColdRateHoldsInParts(t *testing.T) {
 	const rate, factor, slack = 11, 1.5, 5
-	route := &fleet.Route{Name: "r", LatencyTarget: 300 * time.Millisecond}
 	for _, tt := range []struct{ vms, parts int }{{12, 1}, {12, 2}, {12, 3}, {12, 4}, {12, 12}, {85, 3}, {85, 9}} {
 		t.Run(fmt.Sprint(tt.vms, " VMs in ", tt.parts, " parts"), func(t *testing.T) {
 			w := newNetwork(tt.vms, 0)
 			w.run(5 * time.Second)
 			w.cut = func(from, to string) bool { return w.number[from]%tt.parts != w.number[to]%tt.parts }
 			w.run(10 * time.Second)
-			var pickers []*pick.Picker
-			s := coldSnapshot(rate, w.now.Add(time.Minute))
-			for i := range tt.vms {
-				v := w.views[address(i)]
-				p := pick.New(v.self.VM, v.self.Place)
-				p.SetTargets(w.now, s)
-				p.SetVMs(v.SharingVMs(w.now))
-				pickers = append(pickers, p)
+			for target, times := range sendCold(w, rate) {
+				if most := maxPerSecond(times); float64(most) > rate*factor+slack {
+					t.Errorf("%s got %d requests in a second, bound %.1f", target, most, rate*factor+slack)
+				}
+				if len(times) < rate {
+					t.Errorf("%s got %d requests in 3 s, want %d or more", target, len(times), rate)
+				}
 			}
-			sent := map[ident.Target][]time.Duration{}
-			for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
-				for i, p := range pickers {
-					now := w.now.Add(at)
-					a := pick.Request{Route: route, Service: "s", Object: pick.Object(i + 1), Deadline: now.Add(time.Second)}
-					if c, reason := p.Choose(now, a); reason == pick.Chosen {
-						p.RecordStart(now, a, c)
-						sent[c.Target.ID] = append(sent[c.Target.ID], at)
-					}
+		})
+	}
+}
+
+// Guards against VMs that never met, because they started while the network was partitioned, and that each use the rate of a
+// cold target for the VMs that they know. Regions are parts, or failure domains are, or each VM is alone; a part in which some
+// VMs have known the others before may exist beside one that has started anew. The bound must hold for any number of parts.
+func TestColdRateHoldsForVMsThatNeverMet(t *testing.T) {
+	const rate, factor, slack = 11, 1.5, 5
+	byRegion := func(v *View) string { return string(v.self.Place.Region) }
+	byDomain := func(v *View) string { return string(v.self.Place.Domain) }
+	alone := func(v *View) string { return string(v.self.VM) }
+	for _, tt := range []struct {
+		name      string
+		vms       int
+		part      func(v *View) string
+		restarted func(i int) bool
+	}{
+		{"regions, all started apart", 12, byRegion, func(int) bool { return true }},
+		{"regions, two of three started apart", 12, byRegion, func(i int) bool { return i%3 > 0 }},
+		{"failure domains, all started apart", 12, byDomain, func(int) bool { return true }},
+		{"failure domains, half started apart", 12, byDomain, func(i int) bool { return i%2 == 0 }},
+		{"each VM alone", 12, alone, func(int) bool { return true }},
+		{"regions of a large deployment", 85, byRegion, func(int) bool { return true }},
+		{"failure domains of a large deployment", 85, byDomain, func(int) bool { return true }},
+		{"each VM of a large deployment alone", 85, alone, func(int) bool { return true }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newNetwork(tt.vms, 0)
+			w.run(5 * time.Second)
+			w.cut = func(from, to string) bool { return tt.part(w.views[from]) != tt.part(w.views[to]) }
+			for i := range tt.vms {
+				if tt.restarted(i) {
+					w.add(i, 2)
 				}
 			}
-			for _, target := range s.Targets["s"] {
-				times := sent[target.ID]
+			w.run(10 * time.Second)
+			for target, times := range sendCold(w, rate) {
 				if most := maxPerSecond(times); float64(most) > rate*factor+slack {
-					t.Errorf("%s got %d requests in a second, bound %.1f", target.ID, most, rate*factor+slack)
+					t.Errorf("%s got %d requests in a second, bound %.1f", target, most, rate*factor+slack)
 				}
+			}
+			w.cut = nil
+			w.run(10 * time.Second)
+			for target, times := range sendCold(w, rate) {
 				if len(times) < rate {
-					t.Errorf("%s got %d requests in 3 s, want %d or more", target.ID, len(times), rate)
+					t.Errorf("%s got %d requests in 3 s after the partition, want %d or more", target, len(times), rate)
 				}
 			}
 		})
 	}
 }
 
+// sendCold lets all VMs of the network send to cold targets as often as they may for 3 s, and returns the times at which each
+// target gets requests.
+func sendCold(w *network, rate float64) map[ident.Target][]time.Duration {
+	route := &fleet.Route{Name: "r", LatencyTarget: 300 * time.Millisecond}
+	var pickers []*pick.Picker
+	s := coldSnapshot(rate, w.now.Add(time.Minute))
+	for i := range len(w.views) {
+		v := w.views[address(i)]
+		p := pick.New(v.self.VM, v.self.Place)
+		p.SetTargets(w.now, s)
+		p.SetVMs(v.SharingVMs(w.now), v.HasQuorum(w.now))
+		pickers = append(pickers, p)
+	}
+	sent := map[ident.Target][]time.Duration{}
+	for _, target := range s.Targets["s"] {
+		sent[target.ID] = nil
+	}
+	for at := time.Duration(0); at < 3*time.Second; at += 10 * time.Millisecond {
+		for i, p := range pickers {
+			now := w.now.Add(at)
+			a := pick.Request{Route: route, Service: "s", Object: pick.Object(i + 1), Deadline: now.Add(time.Second)}
+			if c, reason := p.Choose(now, a); reason == pick.Chosen {
+				p.RecordStart(now, a, c)
+				sent[c.Target.ID] = append(sent[c.Target.ID], at)
+			}
+		}
+	}
+	return sent
+}
+
 // maxPerSecond returns the largest number of times within one second. times is sorted.
 func maxPerSecond(times []time.Duration) int {
 	most := 0
--- a/peers/view.go
+++ b/peers/view.go
@@ -120,6 +120,8 @@
 	// addresses were last requested.
 	unknownHeartbeat   bool
 	lastMembersRequest time.Time
+	// domains are the deployment's failure domains, sorted; none if they are unknown.
+	domains []ident.Domain
 	// seeds are the addresses that receive requests for all members while no other VM is known.
 	seeds []string
 	// operatorVersion is the newest version of the operators' table that this VM has read, peerOperatorVersion the
@@ -128,12 +130,24 @@
 	behindSince                          time.Time
 }
 
+// Option changes a setting of a View.
+type Option func(*View)
+
+// WithDomains sets the failure domains of the deployment, which HasQuorum counts.
+func WithDomains(domains []ident.Domain) Option {
+	return func(v *View) { v.domains = slices.Sorted(slices.Values(domains)) }
+}
+
 // NewView returns a view that contains only its own VM.
-func NewView(now time.Time, self proto.VMInfo, seeds []string, source rand.Source) *View {
-	return &View{
+func NewView(now time.Time, self proto.VMInfo, seeds []string, source rand.Source, opts ...Option) *View {
+	v := &View{
 		self: self, started: now, seeds: seeds, members: map[proto.Key]*member{}, rnd: rand.New(source),
 		heartbeat: proto.Heartbeat{VM: proto.KeyOf(self.VM), Incarnation: self.Incarnation},
 	}
+	for _, opt := range opts {
+		opt(v)
+	}
+	return v
 }
 
 // SetState sets whether this VM takes callers, whether it is stopping, and the version of the operators' table that it
@@ -505,3 +519,23 @@
 	}
 	return list
 }
+
+// HasQuorum reports whether this VM has received heartbeats from most of the deployment's failure domains, its own included,
+// within sharingTimeout. VMs that met then agree on SharingVMs, whichever parts a partition has. VMs that started in different
+// parts of a partition don't, and at most one of these parts has a quorum: half of the failure domains are one only with the
+// first of them. Without known failure domains, it is true.
+func (v *View) HasQuorum(now time.Time) bool {
+	seen := map[ident.Domain]bool{v.self.Place.Domain: true}
+	for _, m := range v.sorted {
+		if !m.lastHeartbeat.IsZero() && now.Sub(m.lastHeartbeat) < sharingTimeout {
+			seen[m.Place.Domain] = true
+		}
+	}
+	n := 0
+	for _, d := range v.domains {
+		if seen[d] {
+			n++
+		}
+	}
+	return 2*n > len(v.domains) || 2*n == len(v.domains) && (n == 0 || seen[v.domains[0]])
+}
--- a/pick/cold_pacer.go
+++ b/pick/cold_pacer.go
@@ -31,7 +31,7 @@
 // maySendCold reports whether this VM may send a request to a cold target now.
 func (p *Picker) maySendCold(now time.Time, t *target) bool {
 	rate := p.services[t.Service].WarmupRate
-	if rate <= 0 || now.Before(t.pacer.nextAt) {
+	if rate <= 0 || !p.quorum || now.Before(t.pacer.nextAt) {
 		return false
 	}
 	if t.pacer.vmsVersion != p.vmsVersion {
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -131,8 +131,10 @@
 	services     map[ident.Service]fleet.Service
 	splits       map[fleet.RouteName]*split
 	// vms are the VMs that share the warm-up rates of cold targets, this one included, and vmHashes the hashes of their names.
-	// vmsVersion increases whenever they change.
+	// vmsVersion increases whenever they change. Without a quorum, other VMs may have another list, and this VM sends nothing to
+	// cold targets.
 	vms        []ident.VM
+	quorum     bool
 	vmHashes   []uint64
 	selfHash   uint64
 	vmsVersion uint64
@@ -150,12 +152,14 @@
 		regionRTT:    map[ident.Region]time.Duration{},
 		splits:       map[fleet.RouteName]*split{},
 	}
-	p.SetVMs(nil)
+	p.SetVMs(nil, true)
 	return p
 }
 
-// SetVMs sets the VMs that send requests to the same targets. This VM is always included.
-func (p *Picker) SetVMs(vms []ident.VM) {
+// SetVMs sets the VMs that send requests to the same targets, and whether this VM has a quorum and may send to cold targets.
+// This VM is always included.
+func (p *Picker) SetVMs(vms []ident.VM, quorum bool) {
+	p.quorum = quorum
 	if p.vmsVersion > 0 && slices.Equal(vms, p.vms) {
 		return
 	}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -184,7 +184,7 @@
 						view = names[half:]
 					}
 				}
-				p.SetVMs(view)
+				p.SetVMs(view, true)
 				pickers = append(pickers, p)
 			}
 			sent := map[ident.Target][]time.Duration{}
--- a/retry/quota.go
+++ b/retry/quota.go
@@ -17,7 +17,7 @@
 
 // Quota is one VM's part of the retries at one service. It is a token bucket: each request adds tokens, and so, slowly,
 // does the passage of time. The sum over all VMs stays within the rules in every window. It is not safe for concurrent
-// use. The zero value allows no retry.
+// use. The zero value allows no retry. The methods take the number of VMs; with zero, it is unknown, and only requests add tokens.
 type Quota struct {
 	rules  QuotaLimits
 	tokens float64
@@ -34,7 +34,10 @@
 
 // burst returns the capacity in tokens: half of a VM's slack. The other half is refilled within one window.
 func (q *Quota) burst(vms int) float64 {
-	return quotaUtilization * q.rules.Slack / float64(max(vms, 1)) / 2
+	if vms <= 0 {
+		return 0
+	}
+	return quotaUtilization * q.rules.Slack / float64(vms) / 2
 }
 
 // Request adds the tokens of one request and of the time since the last refill.
--- a/retry/quota_test.go
+++ b/retry/quota_test.go
@@ -14,11 +14,15 @@
 		name      string
 		vms       int
 		perSecond int // requests at each VM
-	}{{"12 idle VMs", 12, 0}, {"12 VMs", 12, 50}, {"85 VMs", 85, 25}, {"one VM", 1, 600}} {
+		known     int // VMs that each VM counts, zero without a quorum
+	}{
+		{"12 idle VMs", 12, 0, 12}, {"12 VMs", 12, 50, 12}, {"85 VMs", 85, 25, 85}, {"one VM", 1, 600, 1},
+		{"12 idle VMs that never met", 12, 0, 0}, {"12 VMs that never met", 12, 50, 0},
+	} {
 		t.Run(tt.name, func(t *testing.T) {
 			quotas := make([]*Quota, tt.vms)
 			for i := range quotas {
-				quotas[i] = NewQuota(rules, begin, tt.vms)
+				quotas[i] = NewQuota(rules, begin, tt.known)
 			}
 			const seconds = 40
 			var taken, requests [seconds]int
@@ -27,10 +31,10 @@
 					now := begin.Add(time.Duration(s)*time.Second + time.Duration(step)*10*time.Millisecond)
 					for _, q := range quotas {
 						if tt.perSecond > 0 && step%(max(100/tt.perSecond, 1)) == 0 {
-							q.Request(now, tt.vms)
+							q.Request(now, tt.known)
 							requests[s]++
 						}
-						for q.Take(now, tt.vms) {
+						for q.Take(now, tt.known) {
 							taken[s]++
 						}
 					}
--- a/state/state.go
+++ b/state/state.go
@@ -100,8 +100,9 @@
 	operatorVersion ident.Version
 	// unreachable says for each table that the last call to the store failed and no delta was applied since.
 	unreachable [2]bool
-	// sharingVMs is the last logged number of VMs that share the limits.
+	// sharingVMs and quorum are the last logged number of VMs that share the limits and whether this VM has a quorum.
 	sharingVMs int
+	quorum     bool
 	// lastTick is the time of the last tick. resumedAt is the end of a pause of the process; zero if there was none or
 	// the registry was read after it.
 	lastTick, resumedAt time.Time
@@ -260,19 +261,19 @@
 	ready := snap.Config != nil && snap.RegistryRead && !stopping
 	var vms []ident.VM
 	var group []proto.VMInfo
-	behind := false
+	behind, quorum := false, false
 	s.cfg.Peers.With(func(v *peers.View) {
 		v.SetState(ready, stopping, s.operatorVersion)
-		vms = v.SharingVMs(now)
+		vms, quorum = v.SharingVMs(now), v.HasQuorum(now)
 		behind = v.OperatorTableBehind(now)
 		group = v.RegionGroup(now)
 	})
 	s.setRank(now, group)
-	if len(vms) != s.sharingVMs {
-		s.cfg.Log.Add(now, trace.Members, "sharing", len(vms), "before", s.sharingVMs)
-		s.sharingVMs = len(vms)
+	if len(vms) != s.sharingVMs || quorum != s.quorum {
+		s.cfg.Log.Add(now, trace.Members, "sharing", len(vms), "before", s.sharingVMs, "quorum", quorum)
+		s.sharingVMs, s.quorum = len(vms), quorum
 	}
-	s.cfg.Forwarder.SetVMs(vms)
+	s.cfg.Forwarder.SetVMs(vms, quorum)
 	if behind {
 		s.requestRefresh()
 	}
