--- a/retry/quota.go
+++ b/retry/quota.go
@@ -17,7 +17,8 @@
 
 // Quota is one VM's part of the retries at one service. It is a token bucket: each request adds tokens, and so, slowly,
 // does the passage of time. The sum over all VMs stays within the rules in every window. It is not safe for concurrent
-// use. The zero value allows no retry. The methods take the number of VMs; with zero, it is unknown, and only requests add tokens.
+// use. The zero value allows no retry. The methods take the number of VMs. With zero, it is unknown: the quota starts with one
+// token, and only requests add others.
 type Quota struct {
 	rules  QuotaLimits
 	tokens float64
@@ -29,6 +30,9 @@
 func NewQuota(rules QuotaLimits, now time.Time, vms int) *Quota {
 	q := &Quota{rules: rules, refilledAt: now}
 	q.tokens = q.burst(vms)
+	if vms <= 0 {
+		q.tokens = 1
+	}
 	return q
 }
 
