pick: a target without a recent report has half of its service's mean load, not none

Hypothesis: the load of other VMs at a target decays to zero in some seconds. In an overload a VM hears from the targets that it sends to only; all others look idle, so that it sends its overload on to targets that are as full and know nothing. Change: the estimate goes to half of the mean of all reports of the service. The cost of a target moved to cost.go as a table of terms with one method each; its values did not change.

--- a/pick/burst_test.go
+++ b/pick/burst_test.go
@@ -112,3 +112,33 @@
 	}
 	return kept
 }
+
+// Guards against targets that count as idle because their last report is old. In a lasting overload all targets are full, and a
+// VM has recent reports from those only that it sends to; if the others looked idle, it would send its overload on to them, and
+// every cache would learn every object. The targets without a recent report must be estimated at half of their load or more.
+func TestUnreportedTargetsAreNotIdleInOverload(t *testing.T) {
+	m := newModel(27, currentPicker)
+	m.objectsPerRegion, m.timeouts = true, true
+	estimated, actual := 0.0, 0.0
+	for at := 6 * time.Second; at < 12*time.Second; at += 500 * time.Millisecond {
+		m.after(at, func() {
+			for _, p := range m.vms {
+				for id, mt := range m.targets {
+					if x := p.byID[id]; start.Add(m.now).Sub(x.reportedAt) > reportDecay {
+						estimated += x.load(start.Add(m.now))
+						actual += float64(mt.running + len(mt.queue))
+					}
+				}
+			}
+		})
+	}
+	m.run(constantRate(12, 1400))
+	if actual == 0 {
+		t.Fatal("every target has a recent report")
+	}
+	if ratio := estimated / actual; ratio < 0.5 {
+		t.Errorf("the estimated load of targets without a recent report is %.2f of the actual one, want half", ratio)
+	} else {
+		t.Logf("estimated %.2f of the actual load", ratio)
+	}
+}
--- a/pick/outcome.go
+++ b/pick/outcome.go
@@ -96,6 +96,7 @@
 	if o.Load != nil {
 		t.othersLoad = max(0, float64(o.Load.Running+o.Load.Waiting-t.inFlight))
 		t.reportedAt = now
+		t.pool.othersPerSlot += reportWeight * (t.othersLoad/float64(max(t.Slots, 1)) - t.pool.othersPerSlot)
 	}
 	if o.Status != 0 {
 		t.respondedAt = now
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -5,7 +5,6 @@
 package pick
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -19,44 +18,24 @@
 )
 
 const (
-	// reportDecay is the time constant with which the load of other VMs at a target decays after a report.
-	reportDecay = 1500 * time.Millisecond
-	// defaultRegionRTT is the round trip to another region until one was measured, defaultDomainRTT the round trip to another
-	// failure domain of the same region, which isn't measured.
-	defaultRegionRTT = 100 * time.Millisecond
-	defaultDomainRTT = 3 * time.Millisecond
-	// regionPenalty and domainPenalty express the cost of traffic between regions and between failure domains as time.
-	regionPenalty = 40 * time.Millisecond
-	domainPenalty = 3 * time.Millisecond
-	// initialServiceTime is the least initial value of a route's mean service time for unknown objects.
-	initialServiceTime = 200 * time.Millisecond
 	// serviceTimeWeight is the weight of a new sample in a route's mean service times.
 	serviceTimeWeight = 0.05
 	// minSamples is the number of samples of a route from which on its mean service times may lead to refusals.
 	minSamples = 8
-	// unknownObjectWeight multiplies the extra service time of an unknown object in the cost: the request delays those
-	// queued behind it and evicts another object from the target's cache. With 1, a burst spread every object over all targets
-	// and kept all caches cold.
-	unknownObjectWeight = 8.0
+	// reportWeight is the weight of a load report in the mean of its service.
+	reportWeight = 0.02
 	// suspectPeriod is how long a target gets no requests after a connection to it failed; the time doubles with each
 	// consecutive failure up to maxSuspectPeriod.
 	suspectPeriod    = 500 * time.Millisecond
 	maxSuspectPeriod = 4 * time.Second
-	// failRateWeight is the weight of a new outcome in a target's failure rate, failPenalty the time that a failure rate of 1
-	// adds to its cost.
+	// failRateWeight is the weight of a new outcome in a target's failure rate.
 	failRateWeight = 0.1
-	failPenalty    = 3 * time.Second
-	// toleratedFailRate is the failure rate up to which a target has no penalty.
-	toleratedFailRate = 0.05
 	// slowdownWeight is the weight of a new sample in a target's slowdown.
 	slowdownWeight = 0.1
 	// knownPeriod is how long a target counts as knowing an object after this VM's last request for it there.
 	knownPeriod = 3 * time.Second
-	// preferredTargets is the number of targets per group that an object is ranked on. Any other target costs the extra time of
-	// an unknown object twice.
+	// preferredTargets is the number of targets per group that an object is ranked on.
 	preferredTargets = 2
-	// coldSlowdown is the ratio of a cold target's service time to the mean for unknown objects.
-	coldSlowdown = 2
 )
 
 // Object is the hash of the affinity key of a request. Zero stands for a request without a key.
@@ -78,6 +57,7 @@
 // target is the state of one upstream target as observed by this VM.
 type target struct {
 	fleet.Target
+	pool *pool
 	hash uint64
 	// distance is measured from this VM.
 	distance ident.Distance
@@ -106,20 +86,11 @@
 // pool holds the targets of one service, sorted by id.
 type pool struct {
 	targets []*target
-	homes   *region.Homes
+	// othersPerSlot is the exponential mean of the reports of other VMs' requests per slot.
+	othersPerSlot float64
+	homes         *region.Homes
 }
 
-// serviceTimes holds the mean service times of a route's requests: the times at a target without queueing and round trip.
-type serviceTimes struct {
-	// known is the mean for objects that the target has processed recently, unknown the mean for all others.
-	known, unknown time.Duration
-	// knownSamples and unknownSamples are the numbers of samples in the means.
-	knownSamples, unknownSamples int
-}
-
-// learned reports whether the means have enough samples to refuse requests by them.
-func (w *serviceTimes) learned() bool { return w.knownSamples+w.unknownSamples >= minSamples }
-
 // Picker selects targets for the requests of one VM. It is not safe for concurrent use.
 type Picker struct {
 	self         ident.VM
@@ -187,14 +158,14 @@
 		slots := map[ident.Region]float64{}
 		pl := &pool{targets: make([]*target, 0, len(list)), homes: region.NewHomes(p.place.Region)}
 		if old := pools[svc]; old != nil {
-			pl.homes = old.homes
+			pl.homes, pl.othersPerSlot = old.homes, old.othersPerSlot
 		}
 		for _, ft := range list {
 			t := p.byID[ft.ID]
 			if t == nil || t.StartedUnixMS != ft.StartedUnixMS || t.Address != ft.Address {
 				t = &target{hash: xxhash.Sum64String(string(ft.ID)), slowdown: 1, lastRequest: map[Object]time.Time{}}
 			}
-			t.Target = ft
+			t.Target, t.pool = ft, pl
 			t.distance = p.place.To(ft.Place)
 			byID[ft.ID] = t
 			pl.targets = append(pl.targets, t)
@@ -278,15 +249,16 @@
 		return Choice{}, reason
 	}
 	left := a.Deadline.Sub(now)
-	learned := p.serviceTimesOf(a.Route).learned()
+	e := p.newEstimator(now, a)
+	learned := e.times.learned()
 	// Of the candidates that are expected to respond in time, cheapest has the least cost, atHome the least in the home region
 	// and allowed the least in the regions that the request may move to now.
 	var cheapest, atHome, allowed *candidate
 	homeEligible := false
 	for i := range list {
 		c := &list[i]
-		p.estimate(now, a, c)
-		isHome := c.t.Place.Region == home
+		e.estimate(c)
+		isHome := c.group == homeGroup
 		homeEligible = homeEligible || isHome
 		if c.expected >= left && learned {
 			continue
@@ -416,72 +388,6 @@
 	return pl.homes.RegionOf(uint64(a.Object))
 }
 
-// estimate sets the candidate's expected time, its cost and whether it knows the object.
-func (p *Picker) estimate(now time.Time, a Request, c *candidate) {
-	w := p.serviceTimesOf(a.Route)
-	_, seen := c.t.lastRequest[a.Object]
-	first := c.rank == 0 && c.group != lastGroup
-	c.known = a.Object != 0 && (first || seen && now.Sub(c.t.lastRequest[a.Object]) < knownPeriod)
-	need := w.unknown
-	if c.known {
-		need = w.known
-	}
-	if now.Before(c.t.ColdUntil) {
-		need = coldSlowdown * w.unknown
-	}
-	wait := scale(w.known, c.t.queueLength(now)/float64(max(c.t.Slots, 1)))
-	c.expected = p.rtt(c.t) + scale(need+wait, c.t.slowdown)
-	c.cost = c.expected + p.penalty(c)
-	if !c.known {
-		c.cost += scale(w.unknown-w.known, unknownObjectWeight)
-	}
-	if a.Object != 0 && !c.known && c.rank >= preferredTargets {
-		c.cost += scale(w.unknown-w.known, unknownObjectWeight)
-	}
-}
-
-func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
-
-// penalty returns the cost of a target's failure rate and distance.
-func (p *Picker) penalty(c *candidate) time.Duration {
-	cost := scale(failPenalty, max(c.t.failRate-toleratedFailRate, 0))
-	switch d := c.t.distance; {
-	case d == ident.OtherRegion && c.group != homeGroup:
-		cost += regionPenalty
-	case d != ident.OtherRegion && c.group == secondGroup:
-		// A target in the VM's own region is as far from the object's home region as the VM is.
-		cost += 2*p.nearestRegionRTT() + regionPenalty
-	case d == ident.SameRegion:
-		cost += domainPenalty
-	}
-	return cost
-}
-
-// nearestRegionRTT returns the shortest measured round trip to another region, at most defaultRegionRTT.
-func (p *Picker) nearestRegionRTT() time.Duration {
-	nearest := defaultRegionRTT
-	for r, d := range p.regionRTT {
-		if r != p.place.Region {
-			nearest = min(nearest, d)
-		}
-	}
-	return nearest
-}
-
-// rtt returns the estimated round trip to a target. It is zero within a failure domain.
-func (p *Picker) rtt(t *target) time.Duration {
-	switch t.distance {
-	case ident.OtherRegion:
-		if d, ok := p.regionRTT[t.Place.Region]; ok {
-			return d
-		}
-		return defaultRegionRTT
-	case ident.SameRegion:
-		return defaultDomainRTT
-	}
-	return 0
-}
-
 // RecordRTT records the time that it took to open a connection to a region. A shorter time replaces the estimate, a longer one
 // moves it by an eighth of the difference.
 func (p *Picker) RecordRTT(r ident.Region, d time.Duration) {
@@ -490,27 +396,3 @@
 	}
 	p.regionRTT[r] = d
 }
-
-// load returns the estimated number of requests of all VMs at the target.
-func (t *target) load(now time.Time) float64 {
-	if t.othersLoad == 0 {
-		return float64(t.inFlight)
-	}
-	decay := math.Exp(-float64(now.Sub(t.reportedAt)) / float64(reportDecay))
-	return float64(t.inFlight) + t.othersLoad*decay
-}
-
-// queueLength returns the estimated number of requests that must end before a further one gets a slot.
-func (t *target) queueLength(now time.Time) float64 {
-	return max(0, t.load(now)+1-float64(t.Slots))
-}
-
-func (p *Picker) serviceTimesOf(r *fleet.Route) *serviceTimes {
-	w := p.serviceTimes[r.Name]
-	if w == nil {
-		first := max(r.LatencyTarget, initialServiceTime)
-		w = &serviceTimes{known: first / 3, unknown: first}
-		p.serviceTimes[r.Name] = w
-	}
-	return w
-}
