pick: Choose in three steps: candidates, comparison, selection

Cause: one function estimated, compared and decided in 50 lines. Change: selection holds the best candidates; compare fills it and choose decides.

--- a/pick/outcome.go
+++ b/pick/outcome.go
@@ -56,7 +56,7 @@
 		return
 	}
 	t.inFlight++
-	p.pools[t.Service].homes.Record(now, c.home, c.cheapestRegion, t.Place.Region)
+	t.pool.homes.Record(now, c.home, c.cheapestRegion, t.Place.Region)
 	if now.Before(t.ColdUntil) {
 		t.pacer.requestSent(now)
 	}
@@ -102,7 +102,7 @@
 		t.respondedAt = now
 	}
 	if t.failedWith(now, o) {
-		p.pools[t.Service].homes.RecordFailure(now)
+		t.pool.homes.RecordFailure(now)
 	}
 	switch o.Result {
 	case Served:
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -248,48 +248,69 @@
 	if len(list) == 0 {
 		return Choice{}, reason
 	}
-	left := a.Deadline.Sub(now)
+	s := p.compare(now, pl, a, home, list)
+	c, reason := s.choose()
+	if reason == RegionLimit {
+		pl.homes.Record(now, home, s.cheapest.t.Place.Region, home)
+	}
+	if c == nil {
+		return Choice{}, reason
+	}
+	return Choice{
+		Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now), home: home,
+		cheapestRegion: s.cheapest.t.Place.Region,
+	}, Chosen
+}
+
+// selection has the best candidates of a request among those that are expected to respond in time; nil where there is none.
+type selection struct {
+	// cheapest has the least cost of all, atHome the least in the home region, and allowed the least in the regions that the
+	// request may move to now.
+	cheapest, atHome, allowed *candidate
+	// homeEligible is set if the home region has any candidate.
+	homeEligible bool
+}
+
+// compare estimates the candidates of a request and returns the best ones.
+func (p *Picker) compare(now time.Time, pl *pool, a Request, home ident.Region, list []candidate) selection {
+	var s selection
 	e := p.newEstimator(now, a)
-	learned := e.times.learned()
-	// Of the candidates that are expected to respond in time, cheapest has the least cost, atHome the least in the home region
-	// and allowed the least in the regions that the request may move to now.
-	var cheapest, atHome, allowed *candidate
-	homeEligible := false
+	left, learned := a.Deadline.Sub(now), e.times.learned()
 	for i := range list {
 		c := &list[i]
 		e.estimate(c)
 		isHome := c.group == homeGroup
-		homeEligible = homeEligible || isHome
+		s.homeEligible = s.homeEligible || isHome
 		if c.expected >= left && learned {
 			continue
 		}
-		if cheapest == nil || c.cost < cheapest.cost {
-			cheapest = c
+		if s.cheapest == nil || c.cost < s.cheapest.cost {
+			s.cheapest = c
 		}
-		if isHome && (atHome == nil || c.cost < atHome.cost) {
-			atHome = c
+		if isHome && (s.atHome == nil || c.cost < s.atHome.cost) {
+			s.atHome = c
 		}
-		if (allowed == nil || c.cost < allowed.cost) && pl.homes.Allows(now, home, c.t.Place.Region) {
-			allowed = c
+		if (s.allowed == nil || c.cost < s.allowed.cost) && pl.homes.Allows(now, home, c.t.Place.Region) {
+			s.allowed = c
 		}
 	}
-	chosen := allowed
+	return s
+}
+
+// choose returns the candidate that gets the request, or nil and the reason. A request whose home region has no candidate may
+// go anywhere.
+func (s *selection) choose() (*candidate, Reason) {
 	switch {
-	case cheapest == nil:
-		return Choice{}, TooLate
-	case allowed != nil:
-	case atHome != nil:
-		chosen = atHome
-	case !homeEligible:
-		chosen = cheapest
-	default:
-		pl.homes.Record(now, home, cheapest.t.Place.Region, home)
-		return Choice{}, RegionLimit
+	case s.cheapest == nil:
+		return nil, TooLate
+	case s.allowed != nil:
+		return s.allowed, Chosen
+	case s.atHome != nil:
+		return s.atHome, Chosen
+	case !s.homeEligible:
+		return s.cheapest, Chosen
 	}
-	return Choice{
-		Target: chosen.t.Target, Known: chosen.known, Expected: chosen.expected, Load: chosen.t.load(now), home: home,
-		cheapestRegion: cheapest.t.Place.Region,
-	}, Chosen
+	return nil, RegionLimit
 }
 
 // candidates returns the eligible targets with their ranks. Suspect targets are included only if there are no others.
