pick: a failure rate of 1 costs 0.5 s, not 3 s

Consecutive failures suspend a target without this penalty. Change: failPenalty 500 ms. Test: TestPartlyFailingTargetKeepsItsObjects failed before: with 2 of 10 requests failing the object left its target.

--- a/pick/cost.go
+++ b/pick/cost.go
@@ -32,7 +32,7 @@
 	// coldSlowdown is the ratio of a cold target's service time to the mean for unknown objects.
 	coldSlowdown = 2
 	// failPenalty is the cost of a failure rate of 1, toleratedFailRate the rate up to which a target has none.
-	failPenalty       = 3 * time.Second
+	failPenalty       = 500 * time.Millisecond
 	toleratedFailRate = 0.05
 	// regionPenalty and domainPenalty express the cost of traffic between regions and between failure domains as time.
 	regionPenalty = 40 * time.Millisecond
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"net/http"
 	"testing"
 	"time"
 
@@ -281,6 +282,32 @@
 	}
 }
 
+// Guards against objects that leave a target for another region because a part of its answers is lost or wrong: each of them is
+// unknown there, and with many such targets every cache goes cold. A target that fails most requests must still lose them.
+func TestPartlyFailingTargetKeepsItsObjects(t *testing.T) {
+	for _, tt := range []struct {
+		failedOf10 int
+		stays      bool
+	}{{0, true}, {2, true}, {7, false}} {
+		p := New("vm", here)
+		p.SetTargets(start, snapshot(5, 10))
+		a := request(start, "k")
+		first, _ := p.Choose(start, a)
+		for i := range 100 {
+			o := Outcome{Result: Served, Status: http.StatusOK}
+			if i%10 < tt.failedOf10 {
+				o = Outcome{Result: ServerError, Status: http.StatusInternalServerError}
+			}
+			p.RecordStart(start, a, first)
+			p.RecordEnd(start, a, first, o)
+		}
+		got, _ := p.Choose(start, a)
+		if stays := got.Target.ID == first.Target.ID; stays != tt.stays {
+			t.Errorf("%d of 10 requests fail: stays = %v, want %v", tt.failedOf10, stays, tt.stays)
+		}
+	}
+}
+
 // Guards against a target that stays the first choice although its responses exceed the size limit. One such response makes
 // the target suspect, one broken response doesn't.
 func TestFloodHoldsATargetBack(t *testing.T) {
