carry: a full target that answers for another one does not end the request

Cause: found while reading the change. A 421 says that another target has taken the address; its load report is that of the wrong target, and a full one ended the request with a refusal although its own target was not asked. Change: only rejections by the chosen target end a request. Before: the new case of TestRejectionByFullTargetIsFinal sent 1 time, want 2.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -263,7 +263,7 @@
 // at once: the next target does not know its object and is likely to be as full, and each attempt there delays the requests of
 // callers that it could serve.
 func (k *call) rejectedWhenFull(a *codec.Response) bool {
-	if a == nil || !k.notRun(a) {
+	if a == nil || !k.notRun(a) || a.Status == http.StatusMisdirectedRequest {
 		return false
 	}
 	l := k.parseLoad(a)
--- a/carry/faulty_target_test.go
+++ b/carry/faulty_target_test.go
@@ -344,17 +344,21 @@
 // as full. A target that rejects requests although it has free slots is faulty, and the next one is tried.
 func TestRejectionByFullTargetIsFinal(t *testing.T) {
 	for _, tt := range []struct {
-		name, load string
-		sends      int64
+		name   string
+		status int
+		load   string
+		sends  int64
 	}{
-		{"all slots in use, none waiting", "Load: 8,0,8\r\n", 1},
-		{"requests waiting", "Load: 8,24,8\r\n", 1},
-		{"free slots", "Load: 3,0,8\r\n", 2},
-		{"no load report", "", 2},
+		{"all slots in use, none waiting", 503, "Load: 8,0,8\r\n", 1},
+		{"requests waiting", 503, "Load: 8,24,8\r\n", 1},
+		{"free slots", 503, "Load: 3,0,8\r\n", 2},
+		{"no load report", 503, "", 2},
+		{"another target at the address, which is full", 421, "Load: 8,0,8\r\n", 2},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			reject := func(nc net.Conn, _ int, r *http.Request) bool {
-				_, err := fmt.Fprintf(nc, "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get("Id"), tt.load)
+				_, err := fmt.Fprintf(nc, "HTTP/1.1 %d x\r\nId: %s\r\nNot-Run: 1\r\n%sContent-Length: 0\r\n\r\n",
+					tt.status, r.Header.Get("Id"), tt.load)
 				return err == nil
 			}
 			a, b := newFakeTarget(t, reject), newFakeTarget(t, reject)
