--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -301,7 +301,7 @@
 	return codec.NewResponse(http.StatusServiceUnavailable, kind.String()+"\n", fields...)
 }
 
-// retryAfter spreads the retries of refused callers over a quarter of the time limit, at most maxRetryAfter.
+// retryAfter spreads the retries of refused callers over a quarter of the time until the deadline, at most maxRetryAfter.
 func (c *Forwarder) retryAfter(k *call) time.Duration {
 	if k.route == nil {
 		return minRetryAfter
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -118,7 +118,7 @@
 	return s.forced
 }
 
-// StopNewWork is the time limit for all entries to stop sending new requests to a target that is being removed, counted
+// StopNewWork is the deadline for all entries to stop sending new requests to a target that is being removed, counted
 // from when the first entry is notified.
 const StopNewWork = 3 * time.Second
 
