shift, plan, region: round products before sums, so that arm64 and x86-64 agree

Cause: the compiler may fuse a product and a sum into one rounding on arm64. The share is truncated, so a difference in the last bit becomes a whole part per million. Evidence: with the fusion switched off in the shell (-gcflags=all=-d=fmahash=n) both tests pass unchanged; without it they failed. Change: explicit conversions round the products, which the language defines, where the result is truncated, compared or shared between VMs: shift, plan, region. Before, arm64 without a flag: 2 tests failed. After: both pass.

--- a/plan/compute.go
+++ b/plan/compute.go
@@ -420,10 +420,10 @@
 	for _, mv := range r.Movements {
 		slots, mbps := c.in.Rules.Cost(m, mv.Share)
 		if k, ok := c.siteIndex[serviceRegion{r.Service, mv.To}]; ok && shift.NotYetMeasured(mv.At, c.sites[k].reportedAt) {
-			c.sites[k].unsettledSlots += sign * slots
+			c.sites[k].unsettledSlots += float64(sign * slots)
 		}
 		if l := c.links[linkKey{r.Origin, mv.To}]; l != nil && shift.NotYetMeasured(mv.At, l.At) {
-			l.unsettledMbps += sign * mbps
+			l.unsettledMbps += float64(sign * mbps)
 		}
 	}
 }
--- a/region/homes.go
+++ b/region/homes.go
@@ -95,7 +95,7 @@
 	}
 	part := min(1, limit/gain)
 	for i := range s {
-		s[i].current += part * (s[i].target - s[i].current)
+		s[i].current += float64(part * (s[i].target - s[i].current))
 	}
 	return part * gain
 }
--- a/region/overflow.go
+++ b/region/overflow.go
@@ -68,7 +68,7 @@
 // mayLeave reports whether the next request may be served in region r, which is not its home region.
 func (o *overflow) mayLeave(r ident.Region) bool {
 	x := o.find(r)
-	return x == nil || x.sent < x.expected+overflowTolerance*max(o.sent, 1)
+	return x == nil || x.sent < x.expected+float64(overflowTolerance*max(o.sent, 1))
 }
 
 // mayStay reports whether the next request may be served in its home region: so many requests are away that not all of them
@@ -79,19 +79,19 @@
 		expected += x.expected
 		sent += x.sent
 	}
-	return sent >= expected-overflowTolerance*o.sent
+	return sent >= expected-float64(overflowTolerance*o.sent)
 }
 
 // record records a request that goes to region to and that the costs alone would send to region desired. The weight is that of
 // one request in the mean shares, step the allowed change of the planned shares.
 func (o *overflow) record(home, desired, to ident.Region, weight, step float64) {
-	o.sent = (1-weight)*o.sent + 1
+	o.sent = float64((1-weight)*o.sent) + 1
 	grow, shrink := 0.0, 0.0
 	for i := range o.away {
 		x := &o.away[i]
-		x.desired += weight * (indicator(x.region == desired && desired != home) - x.desired)
-		x.sent = (1-weight)*x.sent + indicator(x.region == to && to != home)
-		x.expected = (1-weight)*x.expected + x.planned
+		x.desired += float64(weight * (indicator(x.region == desired && desired != home) - x.desired))
+		x.sent = float64((1-weight)*x.sent) + indicator(x.region == to && to != home)
+		x.expected = float64((1-weight)*x.expected) + x.planned
 		grow += max(0, x.desired-x.planned)
 		shrink += max(0, x.planned-x.desired)
 	}
@@ -99,7 +99,7 @@
 		part := min(1, step/change)
 		for i := range o.away {
 			x := &o.away[i]
-			x.planned += part * (x.desired - x.planned)
+			x.planned += float64(part * (x.desired - x.planned))
 		}
 	}
 }
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -317,13 +317,13 @@
 		return 0, why
 	}
 	slots, mbps := r.Cost(m, ident.Whole)
-	share := fittingShare(h.Slots*r.MaxUtilization-h.Used, slots) - unsettledShare(moved, h.Region, h.At)
+	share := fittingShare(float64(h.Slots*r.MaxUtilization)-h.Used, slots) - unsettledShare(moved, h.Region, h.At)
 	why := HoldHeadroom
 	if !h.Local {
 		if why := r.checkAge(h.LinkAt, now); why != Stepped {
 			return 0, why
 		}
-		linkShare := fittingShare(h.Link*r.LinkFraction-h.LinkUsed, mbps) - unsettledShare(moved, h.Region, h.LinkAt)
+		linkShare := fittingShare(float64(h.Link*r.LinkFraction)-h.LinkUsed, mbps) - unsettledShare(moved, h.Region, h.LinkAt)
 		if linkShare < share {
 			share, why = linkShare, HoldLink
 		}
