state, trace: log where a configuration came from, and when a VM knows that it is behind

On-call engineers could not tell from the logs why a VM served an old configuration: the line named the version, but not whether it came from the store, from a peer's change or from a peer's state, nor that the VM had heard of a newer one. Now config and evacuation say the source and the store's version, behind says since when a VM lacks a change and whether it can reach the store, stale-reading says that a full reading is older than what is applied, adopted says the version on offer. The dump has the applied versions.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -126,6 +126,17 @@
 	return all
 }
 
+// Restricted returns the number of routes that only some regions may serve.
+func (c *Config) Restricted() int {
+	n := 0
+	for i := range c.Routes {
+		if len(c.Routes[i].Regions) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func withoutPort(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		return host[:i]
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -157,7 +157,7 @@
 	if !s.acceptDelta(now, s.cfg.RegistryFollower, Registry, n.After, n.Version) {
 		return false
 	}
-	s.recordReachability(reading{at: now, topic: Registry})
+	s.recordReachability(reading{at: now, topic: Registry, source: fromPeerDelta})
 	changed := s.view.Apply(now, fleet.RegistryUpdate{Rows: n.Rows, GraceElapsed: true})
 	s.advance(Registry, n.After, n.Version, false)
 	s.logTargets(now, changed)
@@ -169,7 +169,7 @@
 	if !s.acceptDelta(now, s.cfg.OperatorFollower, Operator, c.After, c.Version) {
 		return false
 	}
-	r := reading{at: now, topic: Operator, after: c.After, rows: feed.Rows{Rows: c.Rows, Version: c.Version}}
+	r := reading{at: now, topic: Operator, source: fromPeerDelta, after: c.After, rows: feed.Rows{Rows: c.Rows, Version: c.Version}}
 	s.recordReachability(r)
 	return s.applyOperator(r)
 }
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -39,7 +39,7 @@
 	if c.Version <= after || !setCaughtUp(s.cfg.OperatorFollower, c.Version) {
 		return false
 	}
-	r := reading{at: now, topic: Operator, after: after,
+	r := reading{at: now, topic: Operator, source: fromPeerTables, after: after,
 		rows: feed.Rows{Rows: diffRows(s.operatorRows, c.Rows), Version: c.Version}}
 	changed := s.applyOperator(r)
 	s.broadcastOperator(r)
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
@@ -56,8 +57,12 @@
 	}
 	left := s.view.ApplyDepartures(now, m.Registry.Rows)
 	s.logTargets(now, left)
+	offered := ident.Version(0)
+	if m.OperatorChange != nil {
+		offered = m.OperatorChange.Version
+	}
 	s.cfg.Log.Add(now, trace.StateAdopted, "from", m.From.VM, "version", s.view.Version(), "targets", len(m.Registry.Rows), "left", len(left),
-		"taken", accepted)
+		"taken", accepted, "offered", offered, "newest-change", s.operatorVersion)
 	return accepted || len(left) > 0
 }
 
@@ -66,7 +71,7 @@
 	accepted := false
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { accepted = f.InitFromPeer(now, c.Version) })
 	if accepted {
-		s.applyOperator(reading{at: now, topic: Operator, rows: feed.Rows{Rows: c.Rows, Version: c.Version, Full: true}})
+		s.applyOperator(reading{at: now, topic: Operator, source: fromPeerTables, rows: feed.Rows{Rows: c.Rows, Version: c.Version, Full: true}})
 	}
 	return accepted
 }
--- a/state/state.go
+++ b/state/state.go
@@ -66,10 +66,21 @@
 // String returns the table's name in log lines.
 func (t Topic) String() string { return [...]string{"operator", "registry"}[t] }
 
-// reading is the result of one call to the store.
+// source is where rows of a table came from, as in log lines.
+type source string
+
+// The sources of rows.
+const (
+	fromStore      source = "store"
+	fromPeerDelta  source = "peer-delta"
+	fromPeerTables source = "peer-state"
+)
+
+// reading is the result of one call to the store, or rows that take the place of one.
 type reading struct {
-	at    time.Time
-	topic Topic
+	at     time.Time
+	topic  Topic
+	source source
 	// after is the version that the rows follow.
 	after ident.Version
 	rows  feed.Rows
@@ -106,6 +117,9 @@
 	// lastTick is the time of the last tick. resumedAt is the end of a pause of the process; zero if there was none or
 	// the registry was read after it.
 	lastTick, resumedAt time.Time
+	// behindSince is when this VM was first found to lack a change of the operators' table that a peer has announced;
+	// zero if it lacks none.
+	behindSince time.Time
 	// usableTargets is the number of targets in the last snapshot.
 	usableTargets int
 	// summary is what Dump returns.
@@ -120,6 +134,13 @@
 	Evacuated []ident.Domain `json:"evacuated"`
 	Targets   map[string]int `json:"targets"`
 	Outage    bool           `json:"store-outage"`
+	// OperatorVersion and RegistryVersion are the versions up to which the tables are applied, OperatorChange that of the
+	// newest change of the operators' table.
+	OperatorVersion ident.Version `json:"operator-version"`
+	OperatorChange  ident.Version `json:"operator-change"`
+	RegistryVersion ident.Version `json:"registry-version"`
+	// Behind says that a peer has announced a change of the operators' table that this VM lacks.
+	Behind bool `json:"behind"`
 }
 
 // New returns a state without any data. Stopping reports whether a planned stop has begun.
@@ -143,7 +164,7 @@
 func (s *State) Sink(ctx context.Context, t Topic) feed.Sink {
 	return func(now time.Time, after ident.Version, rows feed.Rows, err error) {
 		select {
-		case s.readings <- reading{at: now, topic: t, after: after, rows: rows, err: err}:
+		case s.readings <- reading{at: now, topic: t, source: fromStore, after: after, rows: rows, err: err}:
 		case <-ctx.Done():
 		}
 	}
@@ -241,7 +262,11 @@
 	snap := s.view.Snapshot(now)
 	s.cfg.Forwarder.Update(now, snap)
 	s.syncPeers(now)
-	sum := &Summary{Version: s.view.Version(), Evacuated: s.view.Evacuated(), Targets: map[string]int{}, Outage: s.view.Outage()}
+	sum := &Summary{
+		Version: s.view.Version(), Evacuated: s.view.Evacuated(), Targets: map[string]int{}, Outage: s.view.Outage(),
+		OperatorVersion: s.applied[Operator], OperatorChange: s.operatorVersion, RegistryVersion: s.applied[Registry],
+		Behind: !s.behindSince.IsZero(),
+	}
 	usableTargets := 0
 	for svc, list := range snap.Targets {
 		sum.Targets[string(svc)] = len(list)
@@ -262,10 +287,11 @@
 	var vms []ident.VM
 	var group []proto.VMInfo
 	behind, quorum := false, false
+	announced := ident.Version(0)
 	s.cfg.Peers.With(func(v *peers.View) {
 		v.SetState(ready, stopping, s.operatorVersion)
 		vms, quorum = v.SharingVMs(now), v.HasQuorum(now)
-		behind = v.OperatorTableBehind(now)
+		behind, announced = v.OperatorTableBehind(now), v.NewestOperatorVersion()
 		group = v.RegionGroup(now)
 	})
 	s.setRank(now, group)
@@ -274,11 +300,26 @@
 		s.sharingVMs, s.quorum = len(vms), quorum
 	}
 	s.cfg.Forwarder.SetVMs(vms, quorum)
+	s.recordBehind(now, behind, announced)
 	if behind {
 		s.requestRefresh()
 	}
 }
 
+// recordBehind logs when this VM starts and ceases to lack a change of the operators' table that a peer has announced.
+func (s *State) recordBehind(now time.Time, behind bool, announced ident.Version) {
+	switch {
+	case behind == !s.behindSince.IsZero():
+	case behind:
+		s.behindSince = now
+		s.cfg.Log.Add(now, trace.Behind, "announced", announced, "newest-change", s.operatorVersion, "applied", s.applied[Operator],
+			"store-reachable", !s.unreachable[Operator])
+	default:
+		s.cfg.Log.Add(now, trace.Behind, "caught-up", s.operatorVersion, "after", now.Sub(s.behindSince))
+		s.behindSince = time.Time{}
+	}
+}
+
 // requestRefresh requests a full reading of the operators' table, unless a request is pending.
 func (s *State) requestRefresh() {
 	select {
@@ -297,6 +338,9 @@
 		// A peer's delta that was applied while the reading was in progress covers all of it.
 		return false
 	}
+	if r.rows.Version < s.applied[r.topic] {
+		s.cfg.Log.Add(r.at, trace.StaleReading, "table", r.topic, "version", r.rows.Version, "after", r.after, "applied", s.applied[r.topic])
+	}
 	if r.topic == Operator {
 		changed := s.applyOperator(r)
 		s.broadcastOperator(r)
@@ -359,12 +403,12 @@
 		if c.Config == nil {
 			present[c.Domain] = !c.Ended
 		}
-		changed = s.applyChange(r.at, c) || changed
+		changed = s.applyChange(r.at, c, r.source, row.Version) || changed
 	}
 	if r.rows.Full {
 		for _, d := range s.view.Evacuated() {
 			if !present[d] {
-				changed = s.applyChange(r.at, &fleet.Change{Domain: d, Ended: true}) || changed
+				changed = s.applyChange(r.at, &fleet.Change{Domain: d, Ended: true}, r.source, r.rows.Version) || changed
 			}
 		}
 		s.cfg.Peers.With(func(v *peers.View) { v.SetReadUpTo(r.rows.Version) })
@@ -372,18 +416,20 @@
 	return changed
 }
 
-func (s *State) applyChange(now time.Time, c *fleet.Change) bool {
+// applyChange applies a change that has the given version in the operators' table, and reports whether it is one.
+func (s *State) applyChange(now time.Time, c *fleet.Change, from source, version ident.Version) bool {
 	if c.Config != nil {
 		if !s.view.SetConfig(c.Config) {
 			return false
 		}
-		s.cfg.Log.Add(now, trace.Config, "version", c.Config.Version, "routes", len(c.Config.Routes))
+		s.cfg.Log.Add(now, trace.Config, "version", c.Config.Version, "routes", len(c.Config.Routes), "restricted", c.Config.Restricted(),
+			"from", from, "store-version", version)
 		return true
 	}
 	if !s.view.Evacuate(now, c.Domain, !c.Ended) {
 		return false
 	}
-	s.cfg.Log.Add(now, trace.Evacuation, "failure-domain", c.Domain, "on", !c.Ended)
+	s.cfg.Log.Add(now, trace.Evacuation, "failure-domain", c.Domain, "on", !c.Ended, "from", from, "store-version", version)
 	return true
 }
 
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -27,6 +27,8 @@
 	DependencyLost     Event = "dependency-lost"
 	DependencyRegained Event = "dependency-regained"
 	Config             Event = "config"
+	Behind             Event = "behind"
+	StaleReading       Event = "stale-reading"
 	Evacuation         Event = "evacuation"
 	StateAdopted       Event = "adopted"
 	Targets            Event = "targets"
