state, feed: drop a full reading that lacks changes of peers applied meanwhile

Callers saw requests run outside their home regions (HOME): a VM that had started served a configuration several versions old, and never learned of the newer one until the next change.

Cause: a full reading of a table takes up to a second. When a peer's newer change was applied meanwhile, the reading still replaced the rows that are kept for VMs that start, while the version that labels them stayed the newer one. A VM that started from them had an older configuration than it thought: no peer announced anything newer than its label, its next call asked for changes after the label. Why this works: a reading carries the version that was known when its call began. If the applied version has passed the reading's since, the reading lacks changes; one of changes is then covered by them, a full one is repeated. Rows and label change only together.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -23,6 +23,8 @@
 // Rows is the result of a call.
 type Rows struct {
 	Rows []Row
+	// After is the version up to which the table was known when the call began. Changes follow it.
+	After ident.Version
 	// Version is the version of the table after these rows; the next changes are those after it.
 	Version ident.Version
 	// Full is set if Rows is the whole table.
@@ -31,6 +33,12 @@
 	Compacted bool
 }
 
+// OlderThan reports whether a reading lacks changes up to version, which was reached while the reading was in progress. A
+// reading that is older than the version known at its beginning shows that the store's versions went back, and is not.
+func (r *Rows) OlderThan(version ident.Version) bool {
+	return r.After <= r.Version && r.Version < version
+}
+
 // Table reads one table of the store.
 type Table interface {
 	// Read returns the whole table. Its errors are of kind StoreDown.
@@ -224,7 +232,8 @@
 	}
 }
 
-// RecordResult records the result of a call that was started at begun and schedules the next one.
+// RecordResult records the result of a call that was started at begun and schedules the next one. A full reading that is
+// older than what peers have reported since is repeated.
 func (f *Follower) RecordResult(now, begun time.Time, rows Rows, err error) {
 	switch {
 	case err != nil:
@@ -234,6 +243,11 @@
 	case rows.Compacted:
 		f.needFull = true
 		f.nextCall = now
+	case rows.Full && rows.OlderThan(f.version):
+		f.needFull = true
+		f.nextCall = now
+	case rows.OlderThan(f.version):
+		f.nextCall = begun.Add(f.interval())
 	default:
 		f.needFull = false
 		f.version = rows.Version
@@ -269,9 +283,8 @@
 	}
 }
 
-// Sink receives the result of each call. After is the version that the call's changes follow. Run calls the sink from its own
-// goroutine.
-type Sink func(now time.Time, after ident.Version, rows Rows, err error)
+// Sink receives the result of each call. Run calls the sink from its own goroutine.
+type Sink func(now time.Time, rows Rows, err error)
 
 // Run makes the calls that the Follower schedules until ctx is cancelled. A value on refresh requests a full reading and
 // interrupts a call for changes.
@@ -295,8 +308,9 @@
 			f.With(func(f *Follower) { f.RequestFullRead(now) })
 			continue
 		}
+		rows.After = step.After
 		f.With(func(f *Follower) { f.RecordResult(now, begun, rows, err) })
-		sink(now, step.After, rows, err)
+		sink(now, rows, err)
 	}
 	return nil
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -190,7 +190,7 @@
 		}
 	}()
 	readings := 0
-	sink := func(_ time.Time, _ ident.Version, rows Rows, err error) {
+	sink := func(_ time.Time, rows Rows, err error) {
 		if err == nil && rows.Full {
 			readings++
 		}
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -134,7 +134,7 @@
 	if s.group.rank > operatorBroadcastMaxRank || r.rows.Full || size == 0 || size > maxOperatorDeltaBytes {
 		return
 	}
-	s.cfg.Peers.Broadcast(nil, &proto.OperatorDelta{After: r.after, Version: r.rows.Version, Rows: r.rows.Rows})
+	s.cfg.Peers.Broadcast(nil, &proto.OperatorDelta{After: r.rows.After, Version: r.rows.Version, Rows: r.rows.Rows})
 }
 
 // applyPeerMessage applies the deltas that another VM has read, and reports whether anything changed.
@@ -169,7 +169,7 @@
 	if !s.acceptDelta(now, s.cfg.OperatorFollower, Operator, c.After, c.Version) {
 		return false
 	}
-	r := reading{at: now, topic: Operator, source: fromPeerDelta, after: c.After, rows: feed.Rows{Rows: c.Rows, Version: c.Version}}
+	r := reading{at: now, topic: Operator, source: fromPeerDelta, rows: feed.Rows{Rows: c.Rows, After: c.After, Version: c.Version}}
 	s.recordReachability(r)
 	return s.applyOperator(r)
 }
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -39,8 +39,8 @@
 	if c.Version <= after || !setCaughtUp(s.cfg.OperatorFollower, c.Version) {
 		return false
 	}
-	r := reading{at: now, topic: Operator, source: fromPeerTables, after: after,
-		rows: feed.Rows{Rows: diffRows(s.operatorRows, c.Rows), Version: c.Version}}
+	r := reading{at: now, topic: Operator, source: fromPeerTables,
+		rows: feed.Rows{Rows: diffRows(s.operatorRows, c.Rows), After: after, Version: c.Version}}
 	changed := s.applyOperator(r)
 	s.broadcastOperator(r)
 	return changed
--- a/state/state.go
+++ b/state/state.go
@@ -81,10 +81,8 @@
 	at     time.Time
 	topic  Topic
 	source source
-	// after is the version that the rows follow.
-	after ident.Version
-	rows  feed.Rows
-	err   error
+	rows   feed.Rows
+	err    error
 }
 
 // State is the service that owns a VM's copy of the platform state.
@@ -162,9 +160,9 @@
 
 // Sink returns the sink for the readings of a table.
 func (s *State) Sink(ctx context.Context, t Topic) feed.Sink {
-	return func(now time.Time, after ident.Version, rows feed.Rows, err error) {
+	return func(now time.Time, rows feed.Rows, err error) {
 		select {
-		case s.readings <- reading{at: now, topic: t, source: fromStore, after: after, rows: rows, err: err}:
+		case s.readings <- reading{at: now, topic: t, source: fromStore, rows: rows, err: err}:
 		case <-ctx.Done():
 		}
 	}
@@ -334,13 +332,10 @@
 	if r.err != nil || r.rows.Compacted {
 		return false
 	}
-	if !r.rows.Full && r.rows.Version < s.applied[r.topic] {
-		// A peer's delta that was applied while the reading was in progress covers all of it.
+	if r.rows.OlderThan(s.applied[r.topic]) {
+		s.dropStaleReading(r)
 		return false
 	}
-	if r.rows.Version < s.applied[r.topic] {
-		s.cfg.Log.Add(r.at, trace.StaleReading, "table", r.topic, "version", r.rows.Version, "after", r.after, "applied", s.applied[r.topic])
-	}
 	if r.topic == Operator {
 		changed := s.applyOperator(r)
 		s.broadcastOperator(r)
@@ -349,6 +344,24 @@
 	return s.applyRegistry(r)
 }
 
+// dropStaleReading handles a reading that lacks changes of peers that were applied while it was in progress, or waited to
+// be applied. These changes cover all of a reading of changes, but not what a full reading was requested for.
+func (s *State) dropStaleReading(r reading) {
+	if !r.rows.Full {
+		return
+	}
+	s.cfg.Log.Add(r.at, trace.StaleReading, "table", r.topic, "version", r.rows.Version, "after", r.rows.After, "applied", s.applied[r.topic])
+	s.follower(r.topic).With(func(f *feed.Follower) { f.RequestFullRead(r.at) })
+}
+
+// follower returns the follower of a table.
+func (s *State) follower(t Topic) *feed.SyncFollower {
+	if t == Operator {
+		return s.cfg.OperatorFollower
+	}
+	return s.cfg.RegistryFollower
+}
+
 // advance sets the applied version of a table after the changes after one version up to another were applied. Changes
 // that start beyond the applied version leave a gap and don't advance it.
 func (s *State) advance(t Topic, after, version ident.Version, full bool) {
@@ -386,7 +399,7 @@
 
 func (s *State) applyOperator(r reading) bool {
 	s.group.confirmedAt = r.at
-	s.advance(Operator, r.after, r.rows.Version, r.rows.Full)
+	s.advance(Operator, r.rows.After, r.rows.Version, r.rows.Full)
 	s.updateOperatorRows(r.rows)
 	changed := false
 	present := map[ident.Domain]bool{}
@@ -445,7 +458,7 @@
 		in.Rows = append(in.Rows, out)
 	}
 	changed := s.view.Apply(r.at, in)
-	s.advance(Registry, r.after, r.rows.Version, r.rows.Full)
+	s.advance(Registry, r.rows.After, r.rows.Version, r.rows.Full)
 	s.logTargets(r.at, changed)
 	s.broadcastRegistry(r, append(changed, rewrittenTargets(r.rows.Rows)...))
 	return len(changed) > 0 || r.rows.Full
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -88,7 +88,7 @@
 }
 
 func readingOf(now time.Time, topic Topic, after, version ident.Version, full bool, keys ...string) reading {
-	r := reading{at: now, topic: topic, after: after, rows: feed.Rows{Version: version, Full: full}}
+	r := reading{at: now, topic: topic, rows: feed.Rows{After: after, Version: version, Full: full}}
 	for _, k := range keys {
 		r.rows.Rows = append(r.rows.Rows, feed.Row{Key: k, Version: version})
 	}
