state, join: a VM that missed a change and can't read the store asks other VMs, whatever its rank

Callers saw requests run by an old configuration, also outside their home regions (HOME), by VMs that the store refused while it served the others.

Cause: such a VM gets changes from the first VMs of its region. If it loses one datagram, or if a change was not sent because it is larger than 32 KB, nobody sends it that change again; its own call to the store is refused, and only the first two VMs of a region ask other VMs for their state. TestVMThatMissedAChangeQueriesPeers on the code before: 'a VM that has heard of a newer configuration does not query other VMs', 'a VM that missed a change of the registry does not query other VMs'. Why this works: a VM that knows that it lacks a change, from a heartbeat or a gap between deltas, asks a random ready VM every 0.5 s until it has it. Only the first VMs forward to their region, as before; a VM that lacks nothing asks nobody.

--- a/join/fetch.go
+++ b/join/fetch.go
@@ -26,8 +26,9 @@
 	requestPause   = 300 * time.Millisecond
 	requestTimeout = time.Second
 	// minCatchUpPause and maxCatchUpPause bound the pause between two requests of a VM that is cut off from the store.
-	// It doubles while the responses contain nothing new, since the store may be down for all VMs.
-	minCatchUpPause = time.Second
+	// It doubles while the responses contain nothing new, since the store may be down for all VMs. A VM that lacks a change
+	// must have it within the 2.5 s in which a configuration comes into force everywhere.
+	minCatchUpPause = 500 * time.Millisecond
 	maxCatchUpPause = 8 * time.Second
 	// maxStateBytes limits the encoded state of a VM.
 	maxStateBytes = 16 << 20
@@ -103,10 +104,12 @@
 			pause = minCatchUpPause
 			continue
 		}
-		pause = min(2*pause, maxCatchUpPause)
 		m, err := a.requestFromAny(ctx, client, rnd, StatePath, a.readyPeers(false))
+		pause = min(2*pause, maxCatchUpPause)
 		switch {
 		case err != nil:
+			// The peer may be cut off from the store as well and lack the same change; another one has it.
+			pause = minCatchUpPause
 			a.Log.Add(a.Clock(), trace.DependencyLost, "dependency", "peer", "call", "state", "err", err)
 		case m != nil && max(m.Registry.Version, m.OperatorChange.Version) > known:
 			pause, known = minCatchUpPause, max(m.Registry.Version, m.OperatorChange.Version)
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -155,6 +155,9 @@
 		return false
 	}
 	if !s.acceptDelta(now, s.cfg.RegistryFollower, Registry, n.After, n.Version) {
+		if n.After > s.applied[Registry] {
+			s.missedRegistry = max(s.missedRegistry, n.After)
+		}
 		return false
 	}
 	s.recordReachability(reading{at: now, topic: Registry, source: fromPeerDelta})
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -10,14 +10,17 @@
 	"github.com/currantpier/currantpier/proto"
 )
 
-// catchUpMaxRank is the highest rank at which a VM without access to the store requests state from VMs of other regions
-// and forwards it within its own region. If every VM did so, each would receive the full registry.
+// catchUpMaxRank is the highest rank at which a VM without access to the store requests state from other VMs all the time
+// and forwards it within its own region. If every VM did so, each would receive the full registry each time.
 const catchUpMaxRank = 1
 
 // shouldQueryPeers reports whether this VM should request state from other VMs because a table can't be read from the
-// store.
+// store. The first VMs of a region do so for the region; each other VM only if it lacks a change, since nobody sends it
+// that change again.
 func (s *State) shouldQueryPeers() bool {
-	return s.group.rank <= catchUpMaxRank && (s.unreachable[Registry] || s.unreachable[Operator])
+	first := s.group.rank <= catchUpMaxRank
+	return s.unreachable[Operator] && (first || !s.behindSince.IsZero()) ||
+		s.unreachable[Registry] && (first || s.missedRegistry > s.applied[Registry])
 }
 
 // catchUp applies another VM's tables in place of those that this VM can't read from the store, and forwards the
@@ -57,7 +60,7 @@
 	s.advance(Registry, after, n.Version, false)
 	s.logTargets(now, changed)
 	rows, lastSent := s.nextDelta(now, changed)
-	if len(rows) <= maxRegistryDeltaRows {
+	if s.group.rank <= catchUpMaxRank && len(rows) <= maxRegistryDeltaRows {
 		s.cfg.Peers.Broadcast(&proto.RegistryDelta{
 			From: s.cfg.Self.VM, After: lastSent, Version: n.Version, Rows: rows, OperatorVersion: operatorVersion,
 		}, nil)
--- a/state/catchup_test.go
+++ b/state/catchup_test.go
@@ -8,9 +8,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
 )
 
@@ -120,3 +122,54 @@
 		t.Errorf("a target that left before the start is in use: %v", got)
 	}
 }
+
+// Simulates a VM that is not among the first of its region: the store refuses it, and it has lost the datagram with a
+// change of the configuration, or of the registry. Guards against a VM that keeps the old one until the store serves it
+// again (cech-mozaika, 22 s refused: 13 to 14 s late), although each other VM has the new one.
+func TestVMThatMissedAChangeQueriesPeers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	elsewhere, _ := configState(now)
+	change := readingOf(now, Operator, 4, 8, false)
+	change.rows.Rows = []feed.Row{configRow("2", 8)}
+	elsewhere.applyReading(change)
+	elsewhere.applyReading(readingOf(now, Registry, 5, 9, false, "t2"))
+	full := elsewhere.fullState(now)
+
+	refused, sent := configState(now)
+	refused.cfg.Forwarder = carry.New(carry.Config{VM: "vm", Log: refused.cfg.Log, Clock: func() time.Time { return now }})
+	refused.group.rank = 5
+	for _, topic := range []Topic{Operator, Registry} {
+		refused.recordReachability(reading{at: now, topic: topic, err: net.ErrClosed})
+	}
+	if refused.shouldQueryPeers() {
+		t.Fatal("a VM that lacks nothing queries other VMs; only the first of a region do")
+	}
+	refused.cfg.Peers.With(func(v *peers.View) {
+		v.SetState(true, false, 4)
+		v.Receive(now, proto.Message{From: proto.VMInfo{VM: "other"}, OperatorVersion: 8})
+	})
+	refused.syncPeers(now.Add(time.Second))
+	if !refused.shouldQueryPeers() {
+		t.Error("a VM that has heard of a newer configuration does not query other VMs")
+	}
+	refused.applyPeerState(now, full)
+	if refused.view.Version() != 2 {
+		t.Errorf("configuration %d is in force, want 2", refused.view.Version())
+	}
+
+	refused, sent = configState(now)
+	refused.group.rank = 5
+	refused.recordReachability(reading{at: now, topic: Registry, err: net.ErrClosed})
+	refused.applyPeerMessage(now, proto.Message{Registry: &proto.RegistryDelta{After: 9, Version: 10,
+		Rows: []fleet.Row{{Entry: fleet.Entry{ID: "t3", Ready: true, Sequence: 10}}}}})
+	if !refused.shouldQueryPeers() {
+		t.Error("a VM that missed a change of the registry does not query other VMs")
+	}
+	refused.applyPeerState(now, full)
+	if got := registered(refused, now); !got["t2"] || len(sent.messages) > 0 {
+		t.Errorf("targets %v and %d messages to the region, want t2 and none: only the first VMs forward", got, len(sent.messages))
+	}
+	if refused.shouldQueryPeers() {
+		t.Error("the VM still queries other VMs after it has caught up")
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -118,6 +118,8 @@
 	// behindSince is when this VM was first found to lack a change of the operators' table that a peer has announced;
 	// zero if it lacks none.
 	behindSince time.Time
+	// missedRegistry is the newest version of the registry after which a peer's delta was rejected because of a gap.
+	missedRegistry ident.Version
 	// usableTargets is the number of targets in the last snapshot.
 	usableTargets int
 	// summary is what Dump returns.
