state, peers: a VM announces a change of the configuration before it confirms the operators' table

Callers saw requests run by an old configuration, also outside their home regions (HOME), by VMs of a region that the store refused: up to 13.4 s late.

Cause: the first VM of such a region gets a change from a VM of another region. It set the version that it announces in heartbeats only at its next tick, but the registry that it sends to its region at once already confirmed the operators' table up to the new version. A receiver that had not heard of the change took the confirmation for its own rows, and then rejected the state of other VMs, which was no newer than that. Why this works: the announced version is set where a change is applied, before any message is sent, and every message carries it, so a confirmation never arrives ahead of it. A peer's state is judged by its newest change first; the applied version only says up to where no other change is known.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -162,7 +162,7 @@
 	n.stop.HandleSignal(now)
 	n.mu.Unlock()
 	n.cfg.Log.Add(now, trace.Stop, "phase", "announced")
-	n.cfg.Peers.With(func(v *peers.View) { v.SetState(false, true, 0) })
+	n.cfg.Peers.With(func(v *peers.View) { v.SetState(false, true) })
 	n.cfg.Peers.BroadcastState()
 	n.callerServer.Drain()
 	withdrawn := make(chan struct{})
--- a/peers/partition_test.go
+++ b/peers/partition_test.go
@@ -149,7 +149,7 @@
 func TestSharingEnds(t *testing.T) {
 	w := newNetwork(6, 0)
 	w.run(4 * time.Second)
-	w.views[address(1)].SetState(false, true, 0)
+	w.views[address(1)].SetState(false, true)
 	w.deliver(w.views[address(1)].BroadcastState(w.now))
 	w.down[address(1)], w.down[address(2)] = true, true
 	w.run(4 * time.Second)
--- a/peers/view.go
+++ b/peers/view.go
@@ -143,11 +143,16 @@
 	return v
 }
 
-// SetState sets whether this VM takes callers, whether it is stopping, and the version of the operators' table that it
-// has read. A lower version than before is ignored.
-func (v *View) SetState(ready, stopping bool, operatorVersion ident.Version) {
+// SetState sets whether this VM takes callers and whether it is stopping.
+func (v *View) SetState(ready, stopping bool) {
 	v.heartbeat.Ready, v.heartbeat.Stopping = ready, stopping
-	v.operatorVersion = max(v.operatorVersion, operatorVersion)
+}
+
+// SetOperatorVersion sets the version of the newest change of the operators' table that this VM has applied, which all its
+// messages announce. It must be called before a message confirms the table up to that version: receivers that lack the
+// change would otherwise take the confirmation for their own rows. A lower version than before is ignored.
+func (v *View) SetOperatorVersion(version ident.Version) {
+	v.operatorVersion = max(v.operatorVersion, version)
 }
 
 // OperatorTableBehind reports whether a peer has announced a newer version of the operators' table than this VM has
--- a/peers/view_test.go
+++ b/peers/view_test.go
@@ -45,7 +45,7 @@
 		Place: ident.Place{Region: ident.Region(r), Domain: ident.Domain(r + string("12"[i/3%2]))}}
 	v := NewView(w.now, self, []string{address(0), address(1)}, rand.NewSource(int64(i)),
 		WithDomains([]ident.Domain{"a1", "a2", "b1", "b2", "c1", "c2"}))
-	v.SetState(true, false, 0)
+	v.SetState(true, false)
 	w.views[address(i)], w.number[address(i)] = v, i
 }
 
@@ -126,7 +126,7 @@
 	w := newNetwork(5, 0)
 	w.run(3 * time.Second)
 	v := w.views[address(4)]
-	v.SetState(false, true, 0)
+	v.SetState(false, true)
 	w.deliver(v.BroadcastState(w.now))
 	for a, o := range w.views {
 		for _, i := range o.Ready(w.now) {
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -29,27 +29,32 @@
 func (s *State) catchUp(now time.Time, m *proto.Message) bool {
 	changed := false
 	if s.unreachable[Operator] && s.operatorRows != nil {
-		changed = s.catchUpOperator(now, m.OperatorChange)
+		changed = s.catchUpOperator(now, m.OperatorChange, m.OperatorVersion)
 	}
 	if s.unreachable[Registry] && s.view.RegistryRead() {
-		changed = s.catchUpRegistry(now, m.Registry, m.OperatorChange.Version) || changed
+		changed = s.catchUpRegistry(now, m.Registry) || changed
 	}
 	return changed
 }
 
-func (s *State) catchUpOperator(now time.Time, c *proto.OperatorDelta) bool {
+// catchUpOperator applies another VM's operators' table, whose newest change is newest, if it is newer than the own one.
+// The newest change decides first: the applied version only says up to where no other change is known.
+func (s *State) catchUpOperator(now time.Time, c *proto.OperatorDelta, newest ident.Version) bool {
 	after := s.applied[Operator]
-	if c.Version <= after || !setCaughtUp(s.cfg.OperatorFollower, c.Version) {
+	accepted := setCaughtUp(s.cfg.OperatorFollower, c.Version) && c.Version > after
+	if !accepted && newest <= s.operatorVersion {
 		return false
 	}
 	r := reading{at: now, topic: Operator, source: fromPeerTables,
-		rows: feed.Rows{Rows: diffRows(s.operatorRows, c.Rows), After: after, Version: c.Version}}
+		rows: feed.Rows{Rows: diffRows(s.operatorRows, c.Rows), After: min(after, c.Version), Version: c.Version}}
+	// The rows of a table do not include its removals, which count as changes as well.
+	s.operatorVersion = max(s.operatorVersion, newest)
 	changed := s.applyOperator(r)
 	s.broadcastOperator(r)
 	return changed
 }
 
-func (s *State) catchUpRegistry(now time.Time, n *proto.RegistryDelta, operatorVersion ident.Version) bool {
+func (s *State) catchUpRegistry(now time.Time, n *proto.RegistryDelta) bool {
 	after := s.applied[Registry]
 	if n.Version <= after || !setCaughtUp(s.cfg.RegistryFollower, n.Version) {
 		return false
@@ -62,7 +67,7 @@
 	rows, lastSent := s.nextDelta(now, changed)
 	if s.group.rank <= catchUpMaxRank && len(rows) <= maxRegistryDeltaRows {
 		s.cfg.Peers.Broadcast(&proto.RegistryDelta{
-			From: s.cfg.Self.VM, After: lastSent, Version: n.Version, Rows: rows, OperatorVersion: operatorVersion,
+			From: s.cfg.Self.VM, After: lastSent, Version: n.Version, Rows: rows, OperatorVersion: s.applied[Operator],
 		}, nil)
 	}
 	return len(changed) > 0
--- a/state/catchup_test.go
+++ b/state/catchup_test.go
@@ -145,7 +145,8 @@
 		t.Fatal("a VM that lacks nothing queries other VMs; only the first of a region do")
 	}
 	refused.cfg.Peers.With(func(v *peers.View) {
-		v.SetState(true, false, 4)
+		v.SetState(true, false)
+		v.SetOperatorVersion(4)
 		v.Receive(now, proto.Message{From: proto.VMInfo{VM: "other"}, OperatorVersion: 8})
 	})
 	refused.syncPeers(now.Add(time.Second))
@@ -153,8 +154,8 @@
 		t.Error("a VM that has heard of a newer configuration does not query other VMs")
 	}
 	refused.applyPeerState(now, full)
-	if refused.view.Version() != 2 {
-		t.Errorf("configuration %d is in force, want 2", refused.view.Version())
+	if refused.view.Version() != 2 || len(sent.messages) > 0 {
+		t.Errorf("configuration %d is in force and %d messages to the region, want 2 and none", refused.view.Version(), len(sent.messages))
 	}
 
 	refused, sent = configState(now)
@@ -173,3 +174,47 @@
 		t.Error("the VM still queries other VMs after it has caught up")
 	}
 }
+
+// Simulates the first VM of a region that the store refuses: it has got a change from a VM of another region that is too
+// large to be sent on, and then sends the registry. Guards against its confirmation of the operators' table reaching the
+// others before they have heard of the change: they took themselves for up to date (cech-mozaika, configuration 13.4 s
+// late), and rejected the state of other VMs as not newer.
+func TestConfirmationFollowsAnnouncement(t *testing.T) {
+	now := time.Unix(1000, 0)
+	elsewhere, _ := configState(now)
+	large := readingOf(now, Operator, 4, 8, false)
+	large.rows.Rows = []feed.Row{configRow("2", 8), {Key: "other", Value: make([]byte, maxOperatorDeltaBytes), Version: 8}}
+	elsewhere.applyReading(large)
+	elsewhere.applyReading(readingOf(now, Registry, 5, 9, false, "t2"))
+	full := elsewhere.fullState(now)
+
+	first, sent := configState(now)
+	other, _ := configState(now)
+	other.group.rank = 5
+	for _, s := range []*State{first, other} {
+		for _, topic := range []Topic{Operator, Registry} {
+			s.recordReachability(reading{at: now, topic: topic, err: net.ErrClosed})
+		}
+	}
+	first.applyPeerState(now, full)
+	if first.view.Version() != 2 || len(sent.messages) == 0 {
+		t.Fatalf("configuration %d, %d messages to the region", first.view.Version(), len(sent.messages))
+	}
+	for _, m := range sent.messages {
+		m.From.VM = "other" // both states of the test have the same name, and a VM ignores its own messages
+		other.cfg.Peers.With(func(v *peers.View) { v.Receive(now, m) })
+		other.applyPeerMessage(now, m)
+	}
+	if other.view.Version() != 2 && other.applied[Operator] > 4 {
+		t.Errorf("a VM without the change has the operators' table applied up to %d", other.applied[Operator])
+	}
+
+	// A VM that was told so before the fault was fixed, or by a VM of an older build, still accepts the change.
+	misled, _ := configState(now)
+	misled.recordReachability(reading{at: now, topic: Operator, err: net.ErrClosed})
+	misled.advance(Operator, 4, 20, false)
+	misled.applyPeerState(now, full)
+	if misled.view.Version() != 2 || misled.operatorVersion != 8 {
+		t.Errorf("configuration %d and newest change %d, want 2 and 8", misled.view.Version(), misled.operatorVersion)
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -289,7 +289,7 @@
 	behind, quorum := false, false
 	announced := ident.Version(0)
 	s.cfg.Peers.With(func(v *peers.View) {
-		v.SetState(ready, stopping, s.operatorVersion)
+		v.SetState(ready, stopping)
 		vms, quorum = v.SharingVMs(now), v.HasQuorum(now)
 		behind, announced = v.OperatorTableBehind(now), v.NewestOperatorVersion()
 		group = v.RegionGroup(now)
@@ -420,6 +420,7 @@
 		}
 		changed = s.applyChange(r.at, c, r.source, row.Version) || changed
 	}
+	s.cfg.Peers.With(func(v *peers.View) { v.SetOperatorVersion(s.operatorVersion) })
 	if r.rows.Full {
 		for _, d := range s.view.Evacuated() {
 			if !present[d] {
