carry: each attempt follows the newest configuration as a whole

Callers saw requests run in regions that are not homes of their route, and at services that the route no longer has, after an operator had changed the route while the request was in progress.

Cause: a request kept the route, service and limits of the configuration under which it arrived, but its further attempts chose among the targets of the newest registry. After a rejection or a lost connection, up to a whole deadline later, it was sent by the old homes to a new target, also under a route that had been removed or may now be executed only once. A configuration that arrived while a connection was being opened (0.7 s at most) had no effect either: the check right before the write looked at the target only.

Route, service, object and limits are now taken together from the newest configuration, under the lock under which the target is chosen, and a choice made under another configuration is dropped before the first byte is written, so that no send can mix two. A request keeps its service if the route still has it. It is repeated only if all configurations so far allow that. If its route was removed, a request that has not run gets 404 as a new one would (a refusal that asks the caller to come back would end in the same response), and one that may have run gets 502. "retried" log lines name the configuration that the next attempt follows.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -47,8 +47,10 @@
 	if k.deadline.Sub(now) < minRemaining {
 		return pick.Choice{}, k.giveUp(now, kinds.DeadlineTooShort, "deadline reached")
 	}
-	pickRequest := k.pickRequest()
-	choice, reason := k.pick(now, pickRequest)
+	choice, reason, sendable := k.pick(now)
+	if !sendable {
+		return choice, k.giveUpUnroutable(now)
+	}
 	switch reason {
 	case pick.Chosen:
 		k.sends++
@@ -59,16 +61,21 @@
 	return choice, k.giveUp(now, kinds.NoTarget, reason.String())
 }
 
-// pick chooses a target and records the snapshot on which the choice is based.
-func (k *call) pick(now time.Time, pickRequest pick.Request) (pick.Choice, pick.Reason) {
+// pick chooses a target by the newest snapshot and records that snapshot. It reports false if the newest configuration does not
+// allow sending the request any more.
+func (k *call) pick(now time.Time) (choice pick.Choice, reason pick.Reason, sendable bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.choiceSnapshot = k.snapshot.Load()
-	choice, reason := k.picker.Choose(now, pickRequest)
+	if !k.follow(k.choiceSnapshot.Config) || !k.mayRepeat() {
+		return choice, reason, false
+	}
+	pickRequest := k.pickRequest()
+	choice, reason = k.picker.Choose(now, pickRequest)
 	if reason == pick.Chosen {
 		k.picker.RecordStart(now, pickRequest, choice)
 	}
-	return choice, reason
+	return choice, reason, true
 }
 
 func (k *call) pickRequest() pick.Request {
@@ -105,13 +112,19 @@
 // errDeadlineReached is returned if the deadline passed while a connection was being opened.
 var errDeadlineReached = errors.New("deadline reached before the request was sent")
 
+// errConfigChanged is returned if a newer configuration arrived before the request was sent. Its route may have other homes,
+// services or limits.
+var errConfigChanged = errors.New("the configuration changed before the request was sent")
+
 // buildRequest returns the encoded request for a target. The choice of the target may be outdated because opening a
-// connection took long or the process was paused, so the deadline and the target are checked again.
+// connection took long or the process was paused, so the deadline, the configuration and the target are checked again.
 func (k *call) buildRequest(now time.Time, t fleet.Target) ([]byte, error) {
 	left := k.deadline.Sub(now)
 	switch s := k.snapshot.Load(); {
 	case left < minRemaining:
 		return nil, errDeadlineReached
+	case s.Config != k.choiceSnapshot.Config:
+		return nil, errConfigChanged
 	case s != k.choiceSnapshot && !s.Usable(&t):
 		return nil, errTargetWithdrawn
 	}
@@ -158,7 +171,7 @@
 		return pick.Served
 	case errors.Is(err, outlet.ErrConnectionLimit):
 		return pick.Overloaded
-	case errors.Is(err, errTargetWithdrawn), errors.Is(err, errDeadlineReached):
+	case errors.Is(err, errTargetWithdrawn), errors.Is(err, errConfigChanged), errors.Is(err, errDeadlineReached):
 		// The target was not contacted.
 		return pick.Cancelled
 	case errors.Is(err, outlet.ErrResponseTooLarge):
@@ -200,7 +213,7 @@
 	case pick.Served:
 		return true
 	case pick.ServerError:
-		return !k.route.Idempotent
+		return !k.idempotent
 	}
 	return false
 }
@@ -242,7 +255,8 @@
 	if result == pick.ServerError {
 		k.serverError = a
 	}
-	retriable := ran == kinds.RanNo || k.route.Idempotent
+	routeFound := k.followNewest()
+	retriable := k.mayRepeat()
 	sameTargetAllowed := result == pick.Cancelled && retriable
 	if !sameTargetAllowed {
 		k.tried = append(k.tried, choice.Target.ID)
@@ -250,12 +264,14 @@
 	// An attempt that sent nothing to a target doesn't count towards MaxAttempts or the retry quota.
 	notSent := errors.Is(err, outlet.ErrConnectionLimit) || ran == kinds.RanNo && a == nil
 	switch {
-	case k.rejectedWhenFull(a), !retriable, k.sends >= maxSends, !notSent && len(k.tried) >= k.route.MaxAttempts, !notSent && !k.takeRetry(now):
+	case !routeFound && !k.mayHaveRun:
+		return k.giveUpUnroutable(now)
+	case !routeFound, k.rejectedWhenFull(a), !retriable, k.sends >= maxSends, !notSent && len(k.tried) >= k.route.MaxAttempts, !notSent && !k.takeRetry(now):
 		return k.giveUp(now, failureKind(result), failureCause(a, err))
 	}
 	k.Counters.Retries.Add(1)
 	k.log.Add(now, trace.Retried, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "cause", failureCause(a, err),
-		"after", now.Sub(k.arrived))
+		"after", now.Sub(k.arrived), "config", k.config.Version)
 	return nil
 }
 
--- a/carry/faulty_target_test.go
+++ b/carry/faulty_target_test.go
@@ -266,7 +266,7 @@
 }
 
 // Guards against sending a request to an outdated choice. While the process is paused or a connection is being opened,
-// the target may be withdrawn, its address may pass to another target, or the deadline may pass.
+// the target may be withdrawn, its address may pass to another target, the route may get other homes, or the deadline may pass.
 func TestChoiceIsRevalidatedBeforeSending(t *testing.T) {
 	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
 	target := fleet.Target{Entry: fleet.Entry{ID: "t", Service: "s", Address: "x:1", StartedUnixMS: 1}}
@@ -277,6 +277,8 @@
 	snapshot := func(list ...fleet.Target) *fleet.Snapshot {
 		return &fleet.Snapshot{Targets: map[ident.Service][]fleet.Target{"s": list}}
 	}
+	newConfig := snapshot(target)
+	newConfig.Config = &fleet.Config{Version: 2}
 	for _, tt := range []struct {
 		name    string
 		now     time.Time
@@ -289,6 +291,7 @@
 		{"after the deadline", at(3 * time.Second), snapshot(target), errDeadlineReached, ""},
 		{"target withdrawn", at(time.Second), snapshot(), errTargetWithdrawn, ""},
 		{"target restarted", at(time.Second), snapshot(restarted), errTargetWithdrawn, ""},
+		{"other homes in a newer configuration", at(time.Second), newConfig, errConfigChanged, ""},
 		{"target has a new address", at(time.Second), snapshot(moved), errTargetWithdrawn, ""},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- /dev/null
+++ b/carry/follow.go
@@ -0,0 +1,59 @@
+package carry
+
+import (
+	"time"
+
+	"github.com/currantpier/currantpier/codec"
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/pick"
+	"github.com/currantpier/currantpier/trace"
+)
+
+// follow takes the request's route, and all that depends on it, from a configuration. A request in progress keeps its service
+// if the route still has it. It reports false if the configuration has no route for the request. The caller must hold the mutex.
+func (k *call) follow(cfg *fleet.Config) bool {
+	if cfg == k.config {
+		return true
+	}
+	route := cfg.Find(k.r.Host(), k.r.Path())
+	if route == nil {
+		return false
+	}
+	k.idempotent = route.Idempotent && (k.config == nil || k.idempotent)
+	k.config, k.route = cfg, route
+	k.deadline = k.arrived.Add(k.timeLimit(k.r, route))
+	k.object = 0
+	if route.Affinity {
+		k.object = pick.NewObject(route.Name, []byte(k.r.Field(k.headers.Affinity)))
+	}
+	if !route.Uses(k.service) {
+		k.service = k.picker.Service(k.arrived, route, k.object)
+	}
+	return true
+}
+
+// followNewest follows the newest configuration after an attempt, before a further one is decided on. It reports false if that
+// configuration has no route for the request.
+func (k *call) followNewest() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.follow(k.snapshot.Load().Config)
+}
+
+// mayRepeat reports whether a further attempt may be made. The request may be repeated only if its routes in all configurations
+// so far allow that.
+func (k *call) mayRepeat() bool { return k.idempotent || !k.mayHaveRun }
+
+// giveUpUnroutable returns the final response of a request that the newest configuration does not allow to send any more. If it
+// has not run, it gets the response that a new request would get, since trying again later can't succeed either.
+func (k *call) giveUpUnroutable(now time.Time) *codec.Response {
+	const cause = "route changed while the request was in progress"
+	if k.mayHaveRun {
+		return k.giveUp(now, kinds.NoTarget, cause)
+	}
+	k.observe(now, "no-route")
+	k.log.Add(now, trace.Refused, "id", k.id, "route", k.route.Name, "kind", kinds.NotFound, "cause", cause, "sends", k.sends,
+		"tried", k.triedText(), "after", now.Sub(k.arrived))
+	return noRoute()
+}
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -179,13 +179,18 @@
 	*Forwarder
 	r       *codec.Request
 	id      string
+	arrived time.Time
+	// config is the configuration that route, service, object and deadline were taken from. All of them change together, between
+	// two attempts.
+	config  *fleet.Config
 	route   *fleet.Route
 	service ident.Service
 	object  pick.Object
-	arrived time.Time
 	// deadline is the time by which the response must be ready.
 	deadline time.Time
-	tried    []ident.Target
+	// idempotent is set if the routes of all configurations so far allow repeating the request.
+	idempotent bool
+	tried      []ident.Target
 	// choiceSnapshot is the snapshot from which the target of the current attempt was chosen.
 	choiceSnapshot *fleet.Snapshot
 	// sends counts the attempts.
@@ -203,27 +208,26 @@
 	if cfg == nil {
 		return c.refuse(arrived, &call{Forwarder: c, r: r, arrived: arrived}, kinds.Stopping, "no configuration yet")
 	}
-	route := cfg.Find(r.Host(), r.Path())
-	if route == nil {
+	k := &call{Forwarder: c, r: r, id: r.Field(c.headers.Attempt), arrived: arrived}
+	if !k.admit(cfg) {
 		c.meter.Observe("none", "no-route", c.clock().Sub(arrived))
-		return codec.NewResponse(http.StatusNotFound, "no such route\n")
-	}
-	k := &call{Forwarder: c, r: r, id: r.Field(c.headers.Attempt), route: route, arrived: arrived}
-	k.deadline = arrived.Add(c.timeLimit(r, route))
-	if route.Affinity {
-		k.object = pick.NewObject(route.Name, []byte(r.Field(c.headers.Affinity)))
+		return noRoute()
 	}
-	k.service = c.assignService(k)
 	return k.run(ctx)
 }
 
-// assignService chooses the service of a request and credits the request to the retry quota of that service.
-func (c *Forwarder) assignService(k *call) ident.Service {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	svc := c.picker.Service(k.arrived, k.route, k.object)
-	c.quotaOf(svc, k.arrived).Request(k.arrived, c.quotaVMs)
-	return svc
+func noRoute() *codec.Response { return codec.NewResponse(http.StatusNotFound, "no such route\n") }
+
+// admit takes the route of a new request from a configuration and credits the request to the retry quota of its service. It
+// reports false if there is no route.
+func (k *call) admit(cfg *fleet.Config) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.follow(cfg) {
+		return false
+	}
+	k.quotaOf(k.service, k.arrived).Request(k.arrived, k.quotaVMs)
+	return true
 }
 
 // timeLimit returns the shorter of the caller's deadline and the route's timeout.
@@ -269,7 +273,7 @@
 	switch {
 	case kind == kinds.Timeout || kind == kinds.DeadlineTooShort:
 		kind = kinds.Timeout
-	case k.route.Idempotent:
+	case k.idempotent:
 		kind = kinds.UpstreamFailed
 	default:
 		kind = kinds.OutcomeUnknown
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,6 +50,11 @@
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
+// Uses reports whether a service is one of the route's services.
+func (r *Route) Uses(svc ident.Service) bool {
+	return slices.ContainsFunc(r.Services, func(w WeightedService) bool { return w.Service == svc })
+}
+
 // Service is the configuration of an upstream service.
 type Service struct {
 	Name       ident.Service
