fleet: a target that is registered in another place is not usable for an earlier choice

Callers could see a request run in a region that its route does not allow when the registry entry of its target changed its place between the choice and the send: the check right before the write compared id, start time and address, and the homes were checked against the place at the time of the choice.

A target whose service changed, or whose address now belongs to another target, already failed the check, and each request names the only target that may run it; both are now tested.

Evidence: TestChoiceIsRevalidatedBeforeSending on the code before:

target_is_registered_in_another_region: error <nil>, want the target may not be used any more

No run has shown such an entry; this is from reading.

--- a/carry/faulty_target_test.go
+++ b/carry/faulty_target_test.go
@@ -274,9 +274,16 @@
 	restarted.StartedUnixMS = 2
 	moved := target
 	moved.Address = "y:1"
-	snapshot := func(list ...fleet.Target) *fleet.Snapshot {
-		return &fleet.Snapshot{Targets: map[ident.Service][]fleet.Target{"s": list}}
+	successor := target
+	successor.ID = "u"
+	snapshotOf := func(svc ident.Service, list ...fleet.Target) *fleet.Snapshot {
+		return &fleet.Snapshot{Targets: map[ident.Service][]fleet.Target{svc: list}}
 	}
+	snapshot := func(list ...fleet.Target) *fleet.Snapshot { return snapshotOf("s", list...) }
+	elsewhere := target
+	elsewhere.Place = ident.Place{Region: "b", Domain: "b1"}
+	otherService := target
+	otherService.Service = "s2"
 	newConfig := snapshot(target)
 	newConfig.Config = &fleet.Config{Version: 2}
 	for _, tt := range []struct {
@@ -291,6 +298,9 @@
 		{"after the deadline", at(3 * time.Second), snapshot(target), errDeadlineReached, ""},
 		{"target withdrawn", at(time.Second), snapshot(), errTargetWithdrawn, ""},
 		{"target restarted", at(time.Second), snapshot(restarted), errTargetWithdrawn, ""},
+		{"target is registered in another region", at(time.Second), snapshot(elsewhere), errTargetWithdrawn, ""},
+		{"target is registered for another service", at(time.Second), snapshotOf("s2", otherService), errTargetWithdrawn, ""},
+		{"another target at the address", at(time.Second), snapshot(successor), errTargetWithdrawn, ""},
 		{"other homes in a newer configuration", at(time.Second), newConfig, errConfigChanged, ""},
 		{"target has a new address", at(time.Second), snapshot(moved), errTargetWithdrawn, ""},
 	} {
@@ -308,6 +318,9 @@
 			if want := "Deadline: " + tt.left + "\r\n"; err == nil && !strings.Contains(string(b), want) {
 				t.Errorf("sent %q, want %q in it", b, want)
 			}
+			if want := "Expect: t\r\n"; err == nil && !strings.Contains(string(b), want) {
+				t.Errorf("sent %q, want %q in it", b, want)
+			}
 		})
 	}
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -44,10 +44,11 @@
 	RegistryRead bool
 }
 
-// Usable reports whether a target of an earlier snapshot may still get new requests.
+// Usable reports whether a target of an earlier snapshot may still get new requests, and is still in the place for which it was
+// chosen.
 func (s *Snapshot) Usable(t *Target) bool {
 	return slices.ContainsFunc(s.Targets[t.Service], func(x Target) bool {
-		return x.ID == t.ID && x.StartedUnixMS == t.StartedUnixMS && x.Address == t.Address
+		return x.ID == t.ID && x.StartedUnixMS == t.StartedUnixMS && x.Address == t.Address && x.Place == t.Place
 	})
 }
 
