store, ident, stubs: a version is an era of the store and a number, and a condition holds in its era only

A store that came back from an earlier copy of itself gives out versions again. A daemon's conditional write then passed although another process had written in between, and a version of before the return compared as newer than what was written after it.

Cause: a version was the store's number alone, and no response told a restored store from the one before. Evidence: the stand-in restores itself (Save, Restore). Why this works: every response states the era in Table-Era, and ident.Version holds it above the number, so versions compare as pairs wherever they are compared, stored or sent, without a change of the wire format. A write requires the era of its conditions (If-Table-Era), also when it was sent before the restore and arrives after it; a row that must not exist has no version, so Op.IfEra names the era in which it was found absent. A success in another era than required, from a store that ignores the header, has an unknown effect. In the first era all versions are as before, also those of processes that do not know eras.

--- a/ident/ident.go
+++ b/ident/ident.go
@@ -33,10 +33,8 @@
 // of the process since the Unix epoch in nanoseconds, or in milliseconds where it is sent often.
 type Incarnation uint64
 
-// Version is the version number of a table row, a configuration or a traffic plan. Zero means that there is none.
-type Version uint64
-
-// Term is the fencing token of a lease. It increases by at least one with each new holder.
+// Term is the fencing token of a lease. It increases by at least one with each new holder, also across eras of the
+// store: as in a Version, its upper bits are the era in which it was given out.
 type Term uint64
 
 // PPM is a fraction of a service's traffic in parts per million.
--- a/store/client.go
+++ b/store/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -23,6 +24,15 @@
 // the write had no effect.
 const HeaderNotWritten = "Not-Written"
 
+// Headers of eras. A store that has come back from an earlier copy of itself has lost its newest rows and gives out
+// their versions again.
+const (
+	// HeaderEra is the response header with the era of the store (ident.Era), in all responses.
+	HeaderEra = "Table-Era"
+	// HeaderIfEra is the request header of a write that must fail with status 412 in any other era than the given one.
+	HeaderIfEra = "If-Table-Era"
+)
+
 // Default limits of a Client.
 const (
 	DefaultTimeout = 2 * time.Second
@@ -86,29 +96,40 @@
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	resp, err := c.do(ctx, request{method: http.MethodGet, path: "/table/" + escape(key), maxBody: c.maxResponse})
 	if err != nil || resp.status == http.StatusNotFound {
-		return Row{Key: key}, kinds.Wrap(kinds.Of(err), err, "get "+key)
+		return Row{Key: key, Era: resp.era}, kinds.Wrap(kinds.Of(err), err, "get "+key)
 	}
-	v, err := parseETag(resp.etag)
-	return Row{Key: key, Value: resp.body, Version: v}, kinds.Wrap(kinds.Internal, err, "get "+key)
+	v, err := parseETag(resp.etag, resp.era)
+	return Row{Key: key, Value: resp.body, Version: v, Era: resp.era}, kinds.Wrap(kinds.Internal, err, "get "+key)
 }
 
-// Txn applies all ops atomically if all their conditions hold. It returns the version of each row after the
+// Txn applies all ops atomically if all their conditions hold and the store is in the era that they name: a condition on
+// a version of an earlier era fails, even if the store has given out its number again. It returns the version of each row after the
 // transaction, which is zero for a deleted row. Errors have one of these kinds: Conflict (a condition failed; nothing
 // was written), StoreDown (nothing was written), StoreUnknown (the transaction may have been applied; the caller must
 // read the rows back before it writes again) and BadRequest.
 func (c *Client) Txn(ctx context.Context, ops []Op) ([]ident.Version, error) {
+	era, err := conditionEra(ops)
+	if err != nil {
+		return nil, err
+	}
 	if len(ops) == 1 && !ops[0].CheckOnly && !ops[0].Delete {
-		v, err := c.put(ctx, ops[0])
+		v, err := c.put(ctx, ops[0], era)
 		if err != nil {
 			return nil, err
 		}
 		return []ident.Version{v}, nil
 	}
+	ops = slices.Clone(ops)
+	for i := range ops {
+		ops[i].IfVersion = ident.Version(ops[i].IfVersion.Number())
+	}
 	body, err := json.Marshal(TxnRequest{Ops: ops})
 	if err != nil {
 		return nil, kinds.Wrap(kinds.BadRequest, err, "encode transaction")
 	}
-	resp, err := c.do(ctx, request{method: http.MethodPost, path: "/txn", body: body, write: true, maxBody: c.maxResponse})
+	resp, err := c.do(ctx, request{
+		method: http.MethodPost, path: "/txn", body: body, write: true, era: era, maxBody: c.maxResponse,
+	})
 	if err != nil {
 		return nil, kinds.Wrap(kinds.Of(err), err, "transaction")
 	}
@@ -119,11 +140,31 @@
 	if len(out.Versions) != len(ops) {
 		return nil, kinds.Errorf(kinds.StoreUnknown, "transaction of %d operations returned %d versions", len(ops), len(out.Versions))
 	}
+	for i, v := range out.Versions {
+		out.Versions[i] = ident.NewVersion(resp.era, uint64(v))
+	}
 	return out.Versions, nil
 }
 
+// conditionEra returns the era in which the conditions of ops can hold, or zero for any. It returns an error of kind
+// Conflict if they name two eras.
+func conditionEra(ops []Op) (ident.Era, error) {
+	var era ident.Era
+	for _, op := range ops {
+		e := op.IfEra
+		if op.IfVersion != 0 {
+			e = op.IfVersion.Era()
+		}
+		if e != 0 && era != 0 && e != era {
+			return 0, kinds.Errorf(kinds.Conflict, "conditions of the eras %d and %d can't hold together", era, e)
+		}
+		era = max(era, e)
+	}
+	return era, nil
+}
+
 // put writes one row with a conditional PUT, which avoids encoding the value as JSON.
-func (c *Client) put(ctx context.Context, op Op) (ident.Version, error) {
+func (c *Client) put(ctx context.Context, op Op, era ident.Era) (ident.Version, error) {
 	header := http.Header{}
 	if op.IfVersion == 0 {
 		header.Set("If-None-Match", "*")
@@ -131,12 +172,13 @@
 		header.Set("If-Match", formatETag(op.IfVersion))
 	}
 	resp, err := c.do(ctx, request{
-		method: http.MethodPut, path: "/table/" + escape(op.Key), header: header, body: op.Value, write: true, maxBody: c.maxResponse,
+		method: http.MethodPut, path: "/table/" + escape(op.Key), header: header, body: op.Value, write: true, era: era,
+		maxBody: c.maxResponse,
 	})
 	if err != nil {
 		return 0, kinds.Wrap(kinds.Of(err), err, "put "+op.Key)
 	}
-	v, err := parseETag(resp.etag)
+	v, err := parseETag(resp.etag, resp.era)
 	return v, kinds.Wrap(kinds.StoreUnknown, err, "put "+op.Key)
 }
 
@@ -144,14 +186,18 @@
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var out ListResponse
-	err := c.getJSON(ctx, "/table?"+q.Encode(), &out)
+	era, err := c.getJSON(ctx, "/table?"+q.Encode(), &out)
+	for i := range out.Rows {
+		out.Rows[i].Version = ident.NewVersion(era, uint64(out.Rows[i].Version))
+		out.Rows[i].Era = era
+	}
 	return out.Rows, kinds.Wrap(kinds.Of(err), err, "list "+prefix)
 }
 
 // VMs returns the platform's VM list, which lags behind the actual set of VMs.
 func (c *Client) VMs(ctx context.Context) ([]VMInfo, error) {
 	var out VMsResponse
-	err := c.getJSON(ctx, "/vms", &out)
+	_, err := c.getJSON(ctx, "/vms", &out)
 	return out.VMs, kinds.Wrap(kinds.Of(err), err, "list VMs")
 }
 
@@ -176,15 +222,16 @@
 	return resp.body, nil
 }
 
-func (c *Client) getJSON(ctx context.Context, path string, out any) error {
+// getJSON decodes the response to a GET into out and returns the era of the store.
+func (c *Client) getJSON(ctx context.Context, path string, out any) (ident.Era, error) {
 	resp, err := c.do(ctx, request{method: http.MethodGet, path: path, maxBody: c.maxResponse})
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if resp.status == http.StatusNotFound {
-		return kinds.Errorf(kinds.Internal, "platform returned 404 for %s", path)
+		return 0, kinds.Errorf(kinds.Internal, "platform returned 404 for %s", path)
 	}
-	return kinds.Wrap(kinds.Internal, json.Unmarshal(resp.body, out), "decode response")
+	return resp.era, kinds.Wrap(kinds.Internal, json.Unmarshal(resp.body, out), "decode response")
 }
 
 // request describes one HTTP call.
@@ -194,6 +241,8 @@
 	body         []byte
 	// write marks a call that changes data, so that its outcome is unknown if the response is lost.
 	write bool
+	// era is the era that the store must have for a write to take effect; zero for any.
+	era ident.Era
 	// maxBody bounds the response body, in bytes.
 	maxBody int64
 }
@@ -202,7 +251,9 @@
 type response struct {
 	status int
 	etag   string
-	body   []byte
+	// era is the era of the store; zero if the response does not state it.
+	era  ident.Era
+	body []byte
 }
 
 func (c *Client) do(ctx context.Context, r request) (response, error) {
@@ -217,6 +268,9 @@
 	for k, v := range r.header {
 		req.Header[k] = v
 	}
+	if r.era != 0 {
+		req.Header.Set(HeaderIfEra, strconv.FormatUint(uint64(r.era), 10))
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return response{}, kinds.Wrap(kindWithoutResponse(r, connected.Load()), err, "send HTTP request")
@@ -225,8 +279,33 @@
 	if err := statusError(r, resp); err != nil {
 		return response{}, err
 	}
+	era, err := parseEra(r, resp)
+	if err != nil {
+		return response{}, err
+	}
 	body, err := readBounded(resp.Body, r)
-	return response{status: resp.StatusCode, etag: resp.Header.Get("ETag"), body: body}, err
+	return response{status: resp.StatusCode, etag: resp.Header.Get("ETag"), era: era, body: body}, err
+}
+
+// parseEra returns the era that a response states, or zero. A write that a store without HeaderIfEra applied in another
+// era than required has an unknown effect: the store may hold what an earlier write put there.
+func parseEra(r request, resp *http.Response) (ident.Era, error) {
+	failure := kinds.Internal
+	if r.write {
+		failure = kinds.StoreUnknown
+	}
+	text := resp.Header.Get(HeaderEra)
+	if text == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(text, 10, 24)
+	switch {
+	case err != nil:
+		return 0, kinds.Errorf(failure, "%s %s: malformed era %q", r.method, r.path, text)
+	case r.era != 0 && r.era != ident.Era(era):
+		return 0, kinds.Errorf(failure, "%s %s: applied in era %d instead of %d", r.method, r.path, era, r.era)
+	}
+	return ident.Era(era), nil
 }
 
 // kindWithoutResponse returns the error kind of a call that got no response. A write is known to have had no effect
@@ -275,13 +354,14 @@
 }
 
 func formatETag(v ident.Version) string {
-	return `"` + strconv.FormatUint(uint64(v), 10) + `"`
+	return `"` + strconv.FormatUint(v.Number(), 10) + `"`
 }
 
-func parseETag(s string) (ident.Version, error) {
-	v, err := strconv.ParseUint(strings.Trim(s, `"`), 10, 64)
-	if err != nil || v == 0 {
+// parseETag returns the version that an ETag of a store in the given era states.
+func parseETag(s string, era ident.Era) (ident.Version, error) {
+	n, err := strconv.ParseUint(strings.Trim(s, `"`), 10, 64)
+	if err != nil || n == 0 {
 		return 0, errors.Newf("malformed ETag %q", s)
 	}
-	return ident.Version(v), nil
+	return ident.NewVersion(era, n), nil
 }
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/store"
 )
@@ -180,3 +181,37 @@
 		}
 	}
 }
+
+// Guards against a write whose success is reported although a store that does not know HeaderIfEra applied it in another
+// era, and against a store without eras whose versions change.
+func TestEraOfAnotherStore(t *testing.T) {
+	for _, tt := range []struct {
+		era  string
+		ops  []store.Op
+		want kinds.Kind
+		got  ident.Version
+	}{
+		{"", []store.Op{{Key: "a", IfVersion: 6}}, kinds.Answered, 7},
+		{"1", []store.Op{{Key: "a", IfVersion: 6}}, kinds.Answered, 7},
+		{"2", []store.Op{{Key: "a", IfVersion: 6}}, kinds.StoreUnknown, 0},
+		{"2", []store.Op{{Key: "a", IfVersion: 6}, {Key: "b"}}, kinds.StoreUnknown, 0},
+		{"2", []store.Op{{Key: "a"}}, kinds.Answered, ident.NewVersion(2, 7)},
+		{"2", []store.Op{{Key: "a"}, {Key: "b"}}, kinds.Answered, ident.NewVersion(2, 7)},
+		{"x", []store.Op{{Key: "a"}}, kinds.StoreUnknown, 0},
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if tt.era != "" {
+				w.Header().Set(store.HeaderEra, tt.era)
+			}
+			w.Header().Set("ETag", `"7"`)
+			if r.Method == http.MethodPost {
+				io.WriteString(w, `{"versions":[7,1]}`)
+			}
+		}))
+		versions, err := store.New(srv.URL).Txn(t.Context(), tt.ops)
+		srv.Close()
+		if kinds.Of(err) != tt.want || err == nil && versions[0] != tt.got {
+			t.Errorf("era %q, %+v: %v, %v", tt.era, tt.ops, versions, err)
+		}
+	}
+}
--- a/store/types.go
+++ b/store/types.go
@@ -11,14 +11,21 @@
 	Value []byte `json:"value"`
 	// Version counts the writes to the row. Zero means that the row does not exist.
 	Version ident.Version `json:"version"`
+	// Era is the era of the store when the row was read; zero if the store does not state it. The row may have been
+	// written in an earlier era.
+	Era ident.Era `json:"-"`
 }
 
 // Op is one operation of a transaction. Conditions of all operations are checked before any of them is applied.
 type Op struct {
 	Key   string `json:"key"`
 	Value []byte `json:"value,omitempty"`
-	// If is the version that the row must have. Zero requires that the row does not exist.
+	// IfVersion is the version that the row must have, in the era of the version. Zero requires that the row does not
+	// exist.
 	IfVersion ident.Version `json:"if"`
+	// IfEra is the era that the store must have if IfVersion is zero; zero permits any. A caller that read the row
+	// before sets it to Row.Era, since a row that is absent from a restored copy may have existed.
+	IfEra ident.Era `json:"-"`
 	// CheckOnly checks the condition without writing the row.
 	CheckOnly bool `json:"check-only,omitempty"`
 	// Delete removes the row instead of writing Value.
--- a/stubs/platform.go
+++ b/stubs/platform.go
@@ -48,8 +48,8 @@
 }
 
 // Platform is an in-memory stand-in for the platform's table, object store and VM list. It serves the HTTP interface
-// that package store uses. For tests that run processes it also serves GET and POST /faults, GET /counts, PUT
-// /vms/<name> (the body is a store.VMInfo) and DELETE /vms/<name>.
+// that package store uses. For tests that run processes it also serves GET and POST /faults, GET /counts, POST
+// /save and /restore, PUT /vms/<name> (the body is a store.VMInfo) and DELETE /vms/<name>.
 type Platform struct {
 	clock func() time.Time
 
@@ -60,6 +60,10 @@
 	faults  PlatformFaults
 	latency *adjustableDelay
 	counts  PlatformCounts
+	// era counts the restores, from ident.FirstEra. It is in every response.
+	era ident.Era
+	// savedTable and savedObjects are the copy that Restore returns to.
+	savedTable, savedObjects table
 }
 
 // NewPlatform returns an empty platform whose VM list shows each change after vmListLag. The clock is time.Now
@@ -71,6 +75,10 @@
 		objects: newTable(),
 		vms:     newVMList(vmListLag),
 		latency: newAdjustableDelay(),
+		era:     ident.FirstEra,
+
+		savedTable:   newTable(),
+		savedObjects: newTable(),
 	}
 }
 
@@ -86,6 +94,9 @@
 	}
 	write := r.Method != http.MethodGet
 	faults := p.countAndDelay(write)
+	p.mu.Lock()
+	p.setEra(w) // the responses of calls that take effect later state the era of that moment
+	p.mu.Unlock()
 	switch {
 	case faults.Down:
 		w.Header().Set(store.HeaderNotWritten, "true")
@@ -137,7 +148,7 @@
 	case r.URL.Path == "/table" && r.Method == http.MethodGet:
 		p.list(w, r)
 	case r.URL.Path == "/txn" && r.Method == http.MethodPost:
-		p.txn(w, body)
+		p.txn(w, r, body)
 	case r.URL.Path == "/vms" && r.Method == http.MethodGet:
 		writeJSON(w, store.VMsResponse{VMs: p.VMs()})
 	default:
@@ -148,6 +159,7 @@
 func (p *Platform) get(w http.ResponseWriter, t *table, key string) {
 	p.mu.Lock()
 	row := t.get(key)
+	p.setEra(w)
 	p.mu.Unlock()
 	if row.Version == 0 {
 		http.Error(w, "not found", http.StatusNotFound)
@@ -170,26 +182,31 @@
 		http.Error(w, "a write needs a condition", http.StatusPreconditionRequired)
 		return
 	}
-	if versions, ok := p.apply(w, []store.Op{op}); ok {
+	if versions, ok := p.apply(w, r, []store.Op{op}); ok {
 		w.Header().Set("ETag", etag(versions[0]))
 	}
 }
 
-func (p *Platform) txn(w http.ResponseWriter, body []byte) {
+func (p *Platform) txn(w http.ResponseWriter, r *http.Request, body []byte) {
 	var req store.TxnRequest
 	if err := json.Unmarshal(body, &req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if versions, ok := p.apply(w, req.Ops); ok {
+	if versions, ok := p.apply(w, r, req.Ops); ok {
 		writeJSON(w, store.TxnResponse{Versions: versions})
 	}
 }
 
-// apply runs a transaction. If the transaction fails, it writes the error response and returns false.
-func (p *Platform) apply(w http.ResponseWriter, ops []store.Op) ([]ident.Version, bool) {
+// apply runs a transaction, unless r requires another era. If the transaction fails, it writes the error response and
+// returns false.
+func (p *Platform) apply(w http.ResponseWriter, r *http.Request, ops []store.Op) ([]ident.Version, bool) {
 	p.mu.Lock()
-	versions, err := p.table.txn(ops)
+	versions, err := []ident.Version(nil), errConditionFailed
+	if era := r.Header.Get(store.HeaderIfEra); era == "" || era == formatEra(p.era) {
+		versions, err = p.table.txn(ops)
+	}
+	p.setEra(w)
 	if errors.Is(err, errConditionFailed) {
 		p.counts.Conflicts++
 	}
@@ -215,6 +232,7 @@
 	}
 	p.mu.Lock()
 	rows := p.table.list(q.Get("prefix"), q.Get("after"), limit)
+	p.setEra(w)
 	p.mu.Unlock()
 	writeJSON(w, store.ListResponse{Rows: rows})
 }
@@ -223,6 +241,7 @@
 	p.mu.Lock()
 	p.objects.write(store.Op{Key: name, Value: body})
 	version := p.objects.get(name).Version
+	p.setEra(w)
 	p.mu.Unlock()
 	if p.consumeFault(&p.faults.LoseResponses) {
 		panic(http.ErrAbortHandler) // closes the connection without a response
@@ -244,6 +263,10 @@
 			p.SetFaults(f)
 		}
 		writeJSON(w, f)
+	case r.URL.Path == "/save":
+		p.Save()
+	case r.URL.Path == "/restore":
+		p.Restore()
 	case r.URL.Path == "/counts":
 		writeJSON(w, p.Counts())
 	case isVM && r.Method == http.MethodPut:
@@ -277,6 +300,25 @@
 	return p.faults
 }
 
+// Save makes a copy of the table and the objects, which Restore returns to.
+func (p *Platform) Save() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.savedTable, p.savedObjects = p.table.clone(), p.objects.clone()
+}
+
+// Restore returns to the copy that Save made last, or to an empty table, and begins a new era. Later writes are lost,
+// and their versions are given out again. The VM list is not restored, since the platform writes it again.
+func (p *Platform) Restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table, p.objects = p.savedTable.clone(), p.savedObjects.clone()
+	p.era++
+}
+
+// setEra states the era in the response, as of the moment at which the call takes effect. The caller holds mu.
+func (p *Platform) setEra(w http.ResponseWriter) { w.Header().Set(store.HeaderEra, formatEra(p.era)) }
+
 // SetVM adds or replaces a VM.
 func (p *Platform) SetVM(vm store.VMInfo) {
 	p.mu.Lock()
@@ -335,6 +377,8 @@
 	json.NewEncoder(w).Encode(v)
 }
 
+func formatEra(e ident.Era) string { return strconv.FormatUint(uint64(e), 10) }
+
 func etag(v ident.Version) string {
 	return `"` + strconv.FormatUint(uint64(v), 10) + `"`
 }
--- a/stubs/platform_test.go
+++ b/stubs/platform_test.go
@@ -228,3 +228,82 @@
 		t.Errorf("plan write after the release: %v", err)
 	}
 }
+
+// Guards against a conditional write that passes because a restored store has given out the version again, also if it
+// was sent before the restore and arrives after it, and against versions of two eras that are compared by their numbers.
+func TestConditionsEndWithTheEra(t *testing.T) {
+	p, c, url := startPlatform(t)
+	txn := func(ops ...store.Op) (ident.Version, error) {
+		versions, err := c.Txn(t.Context(), ops)
+		if err != nil {
+			return 0, err
+		}
+		return versions[0], nil
+	}
+	must := func(ops ...store.Op) ident.Version {
+		t.Helper()
+		v, err := txn(ops...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	refused := func(what string, ops ...store.Op) {
+		t.Helper()
+		if _, err := txn(ops...); kinds.Of(err) != kinds.Conflict {
+			t.Errorf("%s: %v, want a conflict", what, err)
+		}
+	}
+	for range 3 {
+		first := must(store.Op{Key: "a", Value: []byte("kept")})
+		absent, err := c.Get(t.Context(), "b")
+		if err != nil || absent.Version != 0 || absent.Era != first.Era() {
+			t.Errorf("absent row: %+v, %v", absent, err)
+		}
+		p.Save()
+		lost := must(store.Op{Key: "a", Value: []byte("lost"), IfVersion: first})
+		post(t, url+"/restore", "")
+		row, err := c.Get(t.Context(), "a")
+		if err != nil || string(row.Value) != "kept" || row.Version.Number() != first.Number() || row.Version <= lost || row.Era != lost.Era()+1 {
+			t.Errorf("restored row: %+v (era %d), %v", row, row.Version.Era(), err)
+		}
+		refused("a write on a version that the copy has", store.Op{Key: "a", IfVersion: first})
+		refused("a row created by a caller that found it absent before the restore", store.Op{Key: "b", IfEra: absent.Era})
+		refused("conditions of two eras", store.Op{Key: "a", IfVersion: row.Version, CheckOnly: true}, store.Op{Key: "c", IfEra: absent.Era})
+		again := must(store.Op{Key: "a", Value: []byte("again"), IfVersion: row.Version})
+		if again.Number() != lost.Number() || again <= lost {
+			t.Errorf("version %d of era %d after %d of era %d: not given out again, or not greater", again.Number(), again.Era(), lost.Number(), lost.Era())
+		}
+		refused("a write on a version given out again", store.Op{Key: "a", IfVersion: lost})
+		refused("a check of a version given out again", store.Op{Key: "a", IfVersion: lost, CheckOnly: true}, store.Op{Key: "b"})
+		list, err := c.List(t.Context(), "a", "", 10)
+		if err != nil || len(list) != 1 || list[0].Version != again || list[0].Era != row.Era {
+			t.Errorf("list: %+v, %v", list, err)
+		}
+		b := must(store.Op{Key: "b", IfEra: row.Era}, store.Op{Key: "a", IfVersion: again, Delete: true})
+		must(store.Op{Key: "b", IfVersion: b, Delete: true})
+		p.Save() // the next round begins without rows, in this era
+		if r, err := c.Get(t.Context(), "a"); err != nil || r.Version != 0 {
+			t.Fatalf("row a is left: %+v, %v", r, err)
+		}
+	}
+}
+
+// Guards against a response that does not state the era.
+func TestEveryResponseStatesTheEra(t *testing.T) {
+	p, _, url := startPlatform(t)
+	p.Restore()
+	for _, down := range []bool{false, true} {
+		p.SetFaults(stubs.PlatformFaults{Down: down})
+		for _, path := range []string{"/table/a", "/table?prefix=a&limit=1", "/table?limit=0", "/objects/a", "/vms", "/none"} {
+			resp, err := http.Get(url + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if era := resp.Header.Get(store.HeaderEra); era != "2" {
+				t.Errorf("GET %s, down %v: status %d, era %q", path, down, resp.StatusCode, era)
+			}
+		}
+	}
+}
--- a/stubs/table.go
+++ b/stubs/table.go
@@ -28,6 +28,11 @@
 	return table{values: map[string][]byte{}, versions: map[string]ident.Version{}}
 }
 
+// clone returns an independent copy. Values are shared, since no write modifies one in place.
+func (t *table) clone() table {
+	return table{values: maps.Clone(t.values), versions: maps.Clone(t.versions), keys: slices.Clone(t.keys)}
+}
+
 func (t *table) get(key string) store.Row {
 	value, ok := t.values[key]
 	if !ok {
