--- a/feed/feed.go
+++ b/feed/feed.go
@@ -31,6 +31,8 @@
 	Full bool
 	// Compacted is set, with no rows, if the store no longer has the requested changes.
 	Compacted bool
+	// Era is the store's era.
+	Era ident.Era
 }
 
 // OlderThan reports whether a reading lacks changes up to version, which was reached while the reading was in progress. A
--- a/state/state.go
+++ b/state/state.go
@@ -122,6 +122,8 @@
 	missedRegistry ident.Version
 	// usableTargets is the number of targets in the last snapshot.
 	usableTargets int
+	// era is the newest era of the store in a reading.
+	era ident.Era
 	// summary is what Dump returns.
 	summary atomic.Pointer[Summary]
 	// queryPeers and lacking are the last results of shouldQueryPeers and lacksChange, for other goroutines.
@@ -335,6 +337,7 @@
 // applyReading applies a reading and reports whether anything changed.
 func (s *State) applyReading(r reading) bool {
 	s.recordReachability(r)
+	s.recordEra(r)
 	if r.err != nil || r.rows.Compacted {
 		return false
 	}
@@ -350,6 +353,18 @@
 	return s.applyRegistry(r)
 }
 
+// recordEra logs that the store was restored since the last reading.
+func (s *State) recordEra(r reading) {
+	if r.err != nil || r.rows.Era <= s.era {
+		return
+	}
+	if s.era != 0 {
+		s.cfg.Log.Add(r.at, trace.StoreRestored, "era", r.rows.Era, "before", s.era, "table", r.topic, "version", r.rows.Version,
+			"applied", s.applied[r.topic], "newest-change", s.operatorVersion)
+	}
+	s.era = r.rows.Era
+}
+
 // dropStaleReading handles a reading that lacks changes of peers that were applied while it was in progress, or waited to
 // be applied. These changes cover all of a reading of changes, but not what a full reading was requested for.
 func (s *State) dropStaleReading(r reading) {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -29,6 +29,7 @@
 	Config             Event = "config"
 	Behind             Event = "behind"
 	StaleReading       Event = "stale-reading"
+	StoreRestored      Event = "store-restored"
 	Evacuation         Event = "evacuation"
 	StateAdopted       Event = "adopted"
 	Targets            Event = "targets"
