fleet: a restored registry does not take back what targets have written since

Callers would lose targets, or be sent to targets that leave or have left, for up to a few seconds after the store has come back from a copy some seconds old.

Cause: a full reading of the registry is taken for the newest state. The copy lacks targets that have registered since; the grace for missing entries started only if a third of all were missing. An entry without a start time and with a lower sequence counts as a restart after 5 s of silence, so that the copy's entry took back the announcement that the target leaves. Evidence: TestRestoredRegistry without the two conditions: 'young' is missing and 'unborn', which leaves, is in use. Why this works: a reading says that the store was restored. Entries older than the known ones are then ignored, and missing ones stay usable for the time within which running targets write again. Their own next writes decide.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -164,6 +164,9 @@
 	Full bool
 	// GraceElapsed is set if the reading comes from another VM that has already waited for lapsed entries to be written again.
 	GraceElapsed bool
+	// Restored is set if the store was restored from an earlier copy since the last reading. The copy lacks targets that have
+	// registered since, and has older entries of others, until these write again.
+	Restored bool
 }
 
 // lastRows returns the last row of each id and the ids in order of their first rows.
@@ -200,6 +203,8 @@
 	for _, id := range order {
 		if rows[id].Removed {
 			removed = append(removed, id)
+		} else if r.Restored && v.knowsNewer(&rows[id].Entry) {
+			continue
 		} else if v.applyEntry(now, rows[id].Entry) {
 			changed = append(changed, id)
 		}
@@ -212,6 +217,8 @@
 		}
 	}
 	switch {
+	case r.Restored:
+		v.firstAfterOutage, v.graceUntil = false, now.Add(RegistryGrace)
 	case r.GraceElapsed:
 		v.firstAfterOutage, v.graceUntil = false, time.Time{}
 	case v.firstAfterOutage:
@@ -230,6 +237,12 @@
 	return changed
 }
 
+// knowsNewer reports whether e is older than the entry that is known.
+func (v *View) knowsNewer(e *Entry) bool {
+	r := v.records[e.ID]
+	return r != nil && e.older(&r.Entry)
+}
+
 // Lapsed reports whether the entry of a target is missing while the target is still usable.
 func (v *View) Lapsed(now time.Time, id ident.Target) bool {
 	r := v.records[id]
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -232,3 +232,32 @@
 		t.Error(d)
 	}
 }
+
+// Guards against targets that are lost or come back because the store was restored from a copy: it lacks targets that have
+// registered since, says "ready" of one that leaves, and still has one that has left. Their own next writes decide.
+func TestRestoredRegistry(t *testing.T) {
+	v := NewView()
+	left, leaves, young, old := entry("left", 9), entry("leaves", 9), entry("young", 1), entry("old", 9)
+	v.Apply(at(0), RegistryUpdate{Full: true, Rows: []Row{{Entry: entry("left", 5)}, {Entry: entry("leaves", 5)}, {Entry: old}}})
+	leaves.Ready = false
+	v.Apply(at(1), RegistryUpdate{Rows: []Row{{Entry: left, Removed: true}, {Entry: leaves}, {Entry: young}}})
+	oldCopy := entry("old", 4)
+	oldCopy.Address = "elsewhere:1"
+	unborn := entry("unborn", 3)
+	unborn.StartedUnixMS = 0
+	v.Apply(at(1), RegistryUpdate{Rows: []Row{{Entry: func() Entry { e := unborn; e.Sequence, e.Ready = 8, false; return e }()}}})
+	v.Apply(at(9), RegistryUpdate{Full: true, Restored: true,
+		Rows: []Row{{Entry: entry("left", 5)}, {Entry: entry("leaves", 5)}, {Entry: oldCopy}, {Entry: unborn}}})
+	if d := cmp.Diff(map[ident.Target]bool{"young": true, "old": true}, usable(v, at(9.1))); d != "" {
+		t.Errorf("after the restore: %s", d)
+	}
+	if got := v.Snapshot(at(9.1)).Targets["s"]; got[0].Address == "elsewhere:1" || got[1].Address == "elsewhere:1" {
+		t.Errorf("an older entry was taken: %+v", got)
+	}
+	again := entry("young", 2)
+	v.Apply(at(10), RegistryUpdate{Rows: []Row{{Entry: again}}})
+	v.Tick(at(20))
+	if d := cmp.Diff(map[ident.Target]bool{"young": true, "old": true}, usable(v, at(20))); d != "" {
+		t.Errorf("after the targets have written again: %s", d)
+	}
+}
