state, feed, platform: a version of the store is ordered by its era first

Cause: whatever says which of two states is newer compared the store's version numbers, and kept the greater. A restored store gives out its numbers again. A VM that had version 85 of the lost history dropped each change and each announcement of a peer until the store passed 85 again, and then read on after its own 85, so that what was written below was skipped for good; a VM that gets its changes from peers makes no call of its own for 30 s and never saw status 410. A confirmation by a peer was taken across histories in the same way. The class: a number that outlives the history that it orders. Why this works: every version of the store, also those that VMs send each other, has its era above the number, so that all comparisons order by era first, whichever VM makes them. Changes never span two eras: a call for changes after a version of another era is answered as if the history were compacted, a delta of another era is a gap, and a confirmation of another era confirms nothing. The first reading or announcement of a later era makes a VM read both tables in full, also past an open call; a VM that can't reach the store asks other VMs. In the first era all versions are what they were, so VMs of the build before understand each other and this one; versions that they send from a lost history are old. The stand-in learns to restore itself.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -64,6 +64,7 @@
 	n.state = state.New(cfg.Config, n.stopping)
 	n.registrar = &join.Registrar{
 		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
+		Era: n.state.Era,
 	}
 	services := []kernel.Service{
 		cfg.Peers,
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -20,7 +20,7 @@
 	Removed bool
 }
 
-// Rows is the result of a call.
+// Rows is the result of a call. A reading of changes has one era: that of After and Version.
 type Rows struct {
 	Rows []Row
 	// After is the version up to which the table was known when the call began. Changes follow it.
@@ -29,23 +29,26 @@
 	Version ident.Version
 	// Full is set if Rows is the whole table.
 	Full bool
-	// Compacted is set, with no rows, if the store no longer has the requested changes.
+	// Compacted is set, with no rows, if the store no longer has the requested changes, also because it was restored.
 	Compacted bool
-	// Era is the store's era.
+	// Era is the era in which the store answered.
 	Era ident.Era
 }
 
 // OlderThan reports whether a reading lacks changes up to version, which was reached while the reading was in progress. A
-// reading that is older than the version known at its beginning shows that the store's versions went back, and is not.
+// reading that is older than the version known at its beginning, from a store that states no eras, shows that the store's
+// versions went back, and is not.
 func (r *Rows) OlderThan(version ident.Version) bool {
-	return r.After <= r.Version && r.Version < version
+	wentBack := r.Version < r.After && r.After.Era() == ident.FirstEra
+	return !wentBack && r.Version < version
 }
 
 // Table reads one table of the store.
 type Table interface {
 	// Read returns the whole table. Its errors are of kind StoreDown.
 	Read(ctx context.Context) (Rows, error)
-	// Changes returns the changes after a version. If there are none, it waits for the first one, at most for wait.
+	// Changes returns the changes after a version. If there are none, it waits for the first one, at most for wait. In another
+	// era than that of the version, there are no changes after it, and the result is Compacted.
 	Changes(ctx context.Context, after ident.Version, wait time.Duration) (Rows, error)
 }
 
@@ -137,11 +140,15 @@
 }
 
 // ApplyPeerChanges records changes received from a peer: those after one version up to another. It returns whether they
-// continue the known version. If there is a gap, it schedules a call.
+// continue the known version. If there is a gap, or they span two eras, it schedules a call.
 func (f *Follower) ApplyPeerChanges(now time.Time, after, version ident.Version) bool {
 	if f.version == 0 || version < f.version {
 		return false
 	}
+	if version.Era() != f.version.Era() {
+		f.RequestCatchUp(now, version)
+		return false
+	}
 	if after > f.version {
 		f.RequestCatchUp(now, after)
 		return false
@@ -166,11 +173,13 @@
 	return true
 }
 
-// RequestCatchUp schedules a call within peerTimeoutPerRank if version is newer than the known one.
+// RequestCatchUp schedules a call within peerTimeoutPerRank if version is newer than the known one. The call is for the
+// whole table if version is of a later era.
 func (f *Follower) RequestCatchUp(now time.Time, version ident.Version) {
 	if f.needFull || version <= f.version {
 		return
 	}
+	f.needFull = version.Era() > f.version.Era()
 	// The jitter spreads the calls of VMs that have missed the same changes.
 	f.nextCall = now.Add(time.Duration(f.rng.Int63n(int64(peerTimeoutPerRank))))
 }
@@ -247,7 +256,7 @@
 		f.nextCall = now
 	case rows.Full && rows.OlderThan(f.version):
 		f.needFull = true
-		f.nextCall = now
+		f.nextCall = now.Add(f.backoff())
 	case rows.OlderThan(f.version):
 		f.nextCall = begun.Add(f.interval())
 	default:
--- a/ident/version.go
+++ b/ident/version.go
@@ -1,5 +1,7 @@
 package ident
 
+import "strconv"
+
 // Era counts how often the platform's store has come back from an earlier copy of itself. The first era is 1. Zero means
 // that the era is not known, because the store or the sender does not state it.
 //
@@ -34,6 +36,15 @@
 // Number returns the number of v within its era.
 func (v Version) Number() uint64 { return uint64(v) & (1<<numberBits - 1) }
 
+// String returns the number, preceded by the era and a dot unless it is the first one.
+func (v Version) String() string {
+	n := strconv.FormatUint(v.Number(), 10)
+	if v.Era() == FirstEra {
+		return n
+	}
+	return strconv.FormatUint(uint64(v.Era()), 10) + "." + n
+}
+
 // NextTerm returns the term that follows t in a store whose era is e. A term that was given out in an earlier era, and
 // whose row the store has lost, is less.
 func NextTerm(t Term, e Era) Term { return max(t, Term(eraBits(e))) + 1 }
--- a/join/registrar.go
+++ b/join/registrar.go
@@ -30,8 +30,8 @@
 
 // Directory is the list of VMs in the platform's store.
 type Directory interface {
-	// Register adds this VM or replaces its entry.
-	Register(ctx context.Context, i proto.VMInfo) error
+	// Register adds this VM or replaces its entry. It returns the store's era.
+	Register(ctx context.Context, i proto.VMInfo) (ident.Era, error)
 	// Withdraw removes a VM's entry.
 	Withdraw(ctx context.Context, vm ident.VM) error
 	// List returns all VMs with an entry.
@@ -47,10 +47,14 @@
 	Clock     func() time.Time
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
+	// Era returns the newest known era of the store.
+	Era func() ident.Era
 
 	// listed says that this VM's entry was written, maybeListed that a write was tried: it may have taken effect even
 	// if its response was lost.
 	listed, maybeListed atomic.Bool
+	// listedEra is the era in which the entry was written. A restored store may have lost it.
+	listedEra ident.Era
 }
 
 // Name implements kernel.Service.
@@ -94,9 +98,12 @@
 		alone = !v.AnyHeartbeat()
 		rank = slices.IndexFunc(v.RegionGroup(now), func(i proto.VMInfo) bool { return i.VM == a.Self.VM })
 	})
-	return dueCalls(alone, rank, a.listed.Load(), sinceList)
+	return dueCalls(alone, rank, !a.writeDue(), sinceList)
 }
 
+// writeDue reports whether this VM's entry is not in the list.
+func (a *Registrar) writeDue() bool { return !a.listed.Load() }
+
 // dueCalls decides whether a VM writes its entry and whether it reads the list. A VM that has received no heartbeat
 // does both and writes first: of two such VMs that start at the same time, at least one then reads the other's entry.
 func dueCalls(alone bool, rank int, written bool, sinceList time.Duration) (write, list bool) {
@@ -108,9 +115,11 @@
 func (a *Registrar) callDirectory(ctx context.Context, write, list bool) error {
 	if write {
 		a.maybeListed.Store(true)
-		if err := a.Directory.Register(ctx, a.Self); err != nil {
+		era, err := a.Directory.Register(ctx, a.Self)
+		if err != nil {
 			return err
 		}
+		a.listedEra = era
 		a.listed.Store(true)
 	}
 	if !list {
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -182,7 +182,11 @@
 func (s *State) acceptDelta(now time.Time, follower *feed.SyncFollower, t Topic, after, version ident.Version) bool {
 	accepted := false
 	follower.With(func(f *feed.Follower) {
-		if after > s.applied[t] {
+		switch {
+		case version.Era() != s.applied[t].Era():
+			f.RequestCatchUp(now, version)
+			return
+		case after > s.applied[t]:
 			f.RequestCatchUp(now, after)
 			return
 		}
@@ -197,6 +201,10 @@
 	if version == 0 || s.operatorRows == nil {
 		return
 	}
+	if version.Era() != s.applied[Operator].Era() {
+		s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.RequestCatchUp(now, version) })
+		return
+	}
 	upToDate := false
 	s.cfg.Peers.With(func(v *peers.View) { upToDate = v.OperatorTableCurrent() })
 	if upToDate {
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -52,6 +52,9 @@
 	}
 	r := reading{at: now, topic: Operator, source: fromPeerTables,
 		rows: feed.Rows{Rows: diffRows(s.operatorRows, c.Rows), After: min(after, c.Version), Version: c.Version}}
+	if c.Version.Era() > after.Era() {
+		r.rows.Rows, r.rows.Full = c.Rows, true
+	}
 	// The rows of a table do not include its removals, which count as changes as well.
 	s.operatorVersion = max(s.operatorVersion, newest)
 	changed := s.applyOperator(r)
@@ -67,9 +70,13 @@
 	// Changes that were not broadcast before are included, since the version range of the delta starts at the last
 	// broadcast.
 	changed := s.view.Apply(now, fleet.RegistryUpdate{Rows: n.Rows, Full: true, GraceElapsed: true})
-	s.advance(Registry, after, n.Version, false)
+	s.advance(Registry, after, n.Version, true)
 	s.logTargets(now, changed)
 	rows, lastSent := s.nextDelta(now, changed)
+	if lastSent.Era() != n.Version.Era() {
+		// Changes can't span two eras. The others find a gap, and request the whole state as well.
+		rows, lastSent = nil, n.Version
+	}
 	if s.group.rank <= catchUpMaxRank && len(rows) <= maxRegistryDeltaRows {
 		s.cfg.Peers.Broadcast(&proto.RegistryDelta{
 			From: s.cfg.Self.VM, After: lastSent, Version: n.Version, Rows: rows, OperatorVersion: s.applied[Operator],
--- /dev/null
+++ b/state/restore_test.go
@@ -0,0 +1,131 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
+)
+
+// inEra returns version n of the store's second era, in which all tests of this file restore it.
+func inEra(n uint64) ident.Version { return ident.NewVersion(2, n) }
+
+// restoredReading returns a full reading of the restored operators' table.
+func restoredReading(now time.Time, version uint64, rows ...feed.Row) reading {
+	r := readingOf(now, Operator, 0, inEra(version), true)
+	r.rows.Rows, r.rows.Era = rows, 2
+	return r
+}
+
+// Guards against a VM that stays on the lost history after a restore, because versions of the new era have lower numbers:
+// it drops a peer's change as old, and no announcement of a peer makes it read the tables.
+func TestRestoreIsNoticed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	change := proto.Message{From: proto.VMInfo{VM: "other"}, OperatorVersion: inEra(3),
+		OperatorChange: &proto.OperatorDelta{After: inEra(2), Version: inEra(3), Rows: []feed.Row{configRow("5", inEra(3))}}}
+	for _, tt := range []struct {
+		name   string
+		notice func(s *State)
+	}{
+		{"reading of the registry", func(s *State) {
+			r := readingOf(now, Registry, 0, inEra(2), true, "t1")
+			r.rows.Era = 2
+			s.applyReading(r)
+		}},
+		{"answer without rows", func(s *State) {
+			s.applyReading(reading{at: now, topic: Registry, rows: feed.Rows{Compacted: true, Era: 2}})
+		}},
+		{"a peer's change", func(s *State) { s.applyPeerMessage(now, change) }},
+		{"a peer's change of the registry", func(s *State) {
+			s.applyPeerMessage(now, proto.Message{Registry: &proto.RegistryDelta{After: inEra(2), Version: inEra(3), OperatorVersion: inEra(3)}})
+		}},
+		{"heartbeat of a peer", func(s *State) {
+			s.cfg.Peers.With(func(v *peers.View) {
+				v.Receive(now, proto.Message{From: proto.VMInfo{VM: "other"}, OperatorVersion: inEra(3)})
+			})
+			s.enterEra(now, inEra(3).Era())
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, _ := configState(now)
+			tt.notice(s)
+			var step feed.Step
+			s.cfg.OperatorFollower.With(func(f *feed.Follower) { step = f.Next() })
+			requested := len(s.refreshRequests) > 0
+			if !requested && (!step.Full || step.At.Sub(now) > time.Second) {
+				t.Errorf("the operators' table is not read in full: next call %+v", step)
+			}
+			if s.view.Version() != 1 {
+				t.Errorf("changes of another era were applied on the lost history: configuration %d", s.view.Version())
+			}
+		})
+	}
+}
+
+// Guards against a VM that still has the lost history and confirms, announces or takes back what VMs of the new era have.
+// A VM of a build without eras sends such versions for good.
+func TestVersionsOfALostHistoryAreOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := configState(now)
+	s.applyReading(restoredReading(now, 3, configRow("2", inEra(3))))
+	registry := readingOf(now, Registry, 0, inEra(3), true, "t1")
+	registry.rows.Era = 2
+	s.applyReading(registry)
+	old := proto.Message{From: proto.VMInfo{VM: "other"}, OperatorVersion: 90,
+		OperatorChange: &proto.OperatorDelta{After: 3, Version: 90, Rows: []feed.Row{{Key: "evacuate/a1", Version: 90}}},
+		Registry: &proto.RegistryDelta{After: 4, Version: 91, OperatorVersion: 90,
+			Rows: []fleet.Row{{Entry: fleet.Entry{ID: "t1", Sequence: 99}, Removed: true}}}}
+	confirmed := s.group.confirmedAt
+	later := now.Add(time.Second)
+	s.cfg.Peers.With(func(v *peers.View) { v.Receive(later, old) })
+	s.applyPeerMessage(later, old)
+	behind := false
+	s.cfg.Peers.With(func(v *peers.View) { behind = v.OperatorTableBehind(later.Add(time.Hour)) })
+	if behind || len(s.view.Evacuated()) > 0 || !registered(s, later)["t1"] || s.group.confirmedAt != confirmed ||
+		s.applied[Operator] != inEra(3) || s.applied[Registry] != inEra(3) {
+		t.Errorf("behind %v, evacuated %v, targets %v, confirmed %v later, applied %v", behind, s.view.Evacuated(), registered(s, later),
+			s.group.confirmedAt.Sub(confirmed), s.applied)
+	}
+}
+
+// Guards against a change between two eras that a VM without the store sends to its region as if it followed the lost
+// history: a receiver would skip what the restored store has below it.
+func TestCatchUpAcrossRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	elsewhere, _ := configState(now)
+	elsewhere.applyReading(restoredReading(now, 3, configRow("6", inEra(3))))
+	registry := readingOf(now, Registry, 0, inEra(4), true, "t1", "t9")
+	registry.rows.Era = 2
+	elsewhere.applyReading(registry)
+
+	cut, sent := configState(now)
+	for _, topic := range []Topic{Operator, Registry} {
+		cut.recordReachability(reading{at: now, topic: topic, err: errUnreachable})
+	}
+	cut.enterEra(now, 2)
+	if !cut.shouldQueryPeers() || !cut.lacksChange() {
+		t.Error("a VM that lacks the new era does not query other VMs")
+	}
+	cut.applyPeerState(now, elsewhere.fullState(now))
+	if cut.view.Version() != 6 || !registered(cut, now)["t9"] || cut.applied != elsewhere.applied {
+		t.Errorf("configuration %d, targets %v, applied %v", cut.view.Version(), registered(cut, now), cut.applied)
+	}
+	for _, m := range sent.messages {
+		other, _ := configState(now)
+		m.From.VM = "other"
+		other.applyPeerMessage(now, m)
+		if other.applied[Registry].Era() != ident.FirstEra || m.Registry != nil && len(m.Registry.Rows) > 0 || m.OperatorChange != nil {
+			t.Errorf("a change across eras was sent: %+v", m)
+		}
+		if other.missedRegistry != inEra(4) {
+			t.Errorf("the region is not told of the gap: missed %s", other.missedRegistry)
+		}
+	}
+	if len(sent.messages) == 0 {
+		t.Error("nothing was sent to the region")
+	}
+}
--- a/state/stale_test.go
+++ b/state/stale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,11 +12,14 @@
 	"github.com/currantpier/currantpier/proto"
 )
 
-// configDecoder decodes the row "config" as the configuration whose version is the row's value, and each other row as
-// plainDecoder does.
+// configDecoder decodes the row "config" as the configuration whose version is the row's value, rows "evacuate/" with the
+// name of a failure domain as evacuations, and each other row as plainDecoder does.
 type configDecoder struct{ plainDecoder }
 
 func (configDecoder) DecodeChange(r feed.Row) (*fleet.Change, error) {
+	if d, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
+		return &fleet.Change{Domain: ident.Domain(d), Ended: r.Removed}, nil
+	}
 	if r.Key != "config" {
 		return nil, nil
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -122,12 +122,12 @@
 	missedRegistry ident.Version
 	// usableTargets is the number of targets in the last snapshot.
 	usableTargets int
-	// era is the newest era of the store in a reading.
-	era ident.Era
 	// summary is what Dump returns.
 	summary atomic.Pointer[Summary]
 	// queryPeers and lacking are the last results of shouldQueryPeers and lacksChange, for other goroutines.
 	queryPeers, lacking atomic.Bool
+	// era is the newest known era of the store, zero before the first reading.
+	era atomic.Uint32
 }
 
 // Summary is the dump of the state.
@@ -141,6 +141,8 @@
 	OperatorVersion ident.Version `json:"operator-version"`
 	OperatorChange  ident.Version `json:"operator-change"`
 	RegistryVersion ident.Version `json:"registry-version"`
+	// Era is the newest known era of the store. Versions of later eras have it in their upper bits.
+	Era ident.Era `json:"store-era"`
 	// Behind says that a peer has announced a change of the operators' table that this VM lacks.
 	Behind bool `json:"behind"`
 }
@@ -187,6 +189,9 @@
 // Version returns the version of the operators' configuration.
 func (s *State) Version() ident.Version { return s.summary.Load().Version }
 
+// Era returns the newest known era of the store.
+func (s *State) Era() ident.Era { return ident.Era(s.era.Load()) }
+
 // Run implements kernel.Service.
 func (s *State) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
@@ -206,14 +211,7 @@
 			req.reply <- s.respond(s.cfg.Clock(), req)
 		case <-ticker.C:
 			now := s.cfg.Clock()
-			s.checkPause(now)
-			if s.view.Tick(now) {
-				s.publish(now)
-			}
-			s.syncPeers(now)
-			s.checkOperatorAge(now)
-			s.queryPeers.Store(s.shouldQueryPeers())
-			s.lacking.Store(s.lacksChange())
+			s.tick(now)
 			if now.Sub(lastSweep) >= sweepInterval {
 				lastSweep = now
 				s.cfg.Forwarder.Sweep(now)
@@ -224,6 +222,18 @@
 	}
 }
 
+// tick updates what depends on time.
+func (s *State) tick(now time.Time) {
+	s.checkPause(now)
+	if s.view.Tick(now) {
+		s.publish(now)
+	}
+	s.syncPeers(now)
+	s.checkOperatorAge(now)
+	s.queryPeers.Store(s.shouldQueryPeers())
+	s.lacking.Store(s.lacksChange())
+}
+
 // applyInput calls apply and publishes the state if it changed. It recovers from a panic in apply: the VM continues
 // with its present state, which a later reading repairs. Input is the kind of input in the log.
 func (s *State) applyInput(now time.Time, input string, apply func() bool) {
@@ -271,7 +281,7 @@
 	sum := &Summary{
 		Version: s.view.Version(), Evacuated: s.view.Evacuated(), Targets: map[string]int{}, Outage: s.view.Outage(),
 		OperatorVersion: s.applied[Operator], OperatorChange: s.operatorVersion, RegistryVersion: s.applied[Registry],
-		Behind: !s.behindSince.IsZero(),
+		Behind: !s.behindSince.IsZero(), Era: s.Era(),
 	}
 	usableTargets := 0
 	for svc, list := range snap.Targets {
@@ -300,6 +310,7 @@
 		behind, announced = v.OperatorTableBehind(now), v.NewestOperatorVersion()
 		group = v.RegionGroup(now)
 	})
+	s.enterEra(now, announced.Era())
 	s.setRank(now, group)
 	if len(vms) != s.sharingVMs || quorum != s.quorum {
 		s.cfg.Log.Add(now, trace.Members, "sharing", len(vms), "before", s.sharingVMs, "quorum", quorum)
@@ -337,7 +348,9 @@
 // applyReading applies a reading and reports whether anything changed.
 func (s *State) applyReading(r reading) bool {
 	s.recordReachability(r)
-	s.recordEra(r)
+	if r.err == nil {
+		s.enterEra(r.at, r.rows.Era)
+	}
 	if r.err != nil || r.rows.Compacted {
 		return false
 	}
@@ -353,18 +366,6 @@
 	return s.applyRegistry(r)
 }
 
-// recordEra logs that the store was restored since the last reading.
-func (s *State) recordEra(r reading) {
-	if r.err != nil || r.rows.Era <= s.era {
-		return
-	}
-	if s.era != 0 {
-		s.cfg.Log.Add(r.at, trace.StoreRestored, "era", r.rows.Era, "before", s.era, "table", r.topic, "version", r.rows.Version,
-			"applied", s.applied[r.topic], "newest-change", s.operatorVersion)
-	}
-	s.era = r.rows.Era
-}
-
 // dropStaleReading handles a reading that lacks changes of peers that were applied while it was in progress, or waited to
 // be applied. These changes cover all of a reading of changes, but not what a full reading was requested for.
 func (s *State) dropStaleReading(r reading) {
@@ -384,9 +385,9 @@
 }
 
 // advance sets the applied version of a table after the changes after one version up to another were applied. Changes
-// that start beyond the applied version leave a gap and don't advance it.
+// that start beyond the applied version leave a gap and don't advance it, nor do changes of another era.
 func (s *State) advance(t Topic, after, version ident.Version, full bool) {
-	if full || after <= s.applied[t] {
+	if full || after <= s.applied[t] && version.Era() == s.applied[t].Era() {
 		s.applied[t] = max(s.applied[t], version)
 	}
 }
@@ -469,7 +470,7 @@
 }
 
 func (s *State) applyRegistry(r reading) bool {
-	in := fleet.RegistryUpdate{Full: r.rows.Full}
+	in := fleet.RegistryUpdate{Full: r.rows.Full, Restored: s.startsEra(r)}
 	for _, row := range r.rows.Rows {
 		out := fleet.Row{Entry: fleet.Entry{ID: ident.Target(row.Key)}, Removed: true}
 		if !row.Removed {
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -75,6 +76,8 @@
 	return s, sent
 }
 
+var errUnreachable = errors.New("unreachable")
+
 // sentMessages is a packet connection that records the messages sent.
 type sentMessages struct {
 	net.PacketConn
--- a/stubs/plat/store.go
+++ b/stubs/plat/store.go
@@ -6,8 +6,10 @@
 	"encoding/base64"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -44,6 +46,8 @@
 	rows    map[string]map[string]row // by table and key
 	history []row
 	version uint64
+	// era counts the restores; the first one is 1.
+	era uint64
 	// compactedVersion is the version up to which the history was removed.
 	compactedVersion uint64
 	changed          chan struct{}
@@ -53,7 +57,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[string]map[string]row{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{rows: map[string]map[string]row{}, changed: make(chan struct{}), calls: map[string]int{}, era: 1}
 }
 
 // SetFaults replaces the active faults.
@@ -112,6 +116,39 @@
 	s.notifyChange()
 }
 
+// Copy is a copy of a store's contents.
+type Copy struct {
+	rows                      map[string]map[string]row
+	history                   []row
+	version, compactedVersion uint64
+}
+
+// Copy returns a copy of the present contents.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{cloneTables(s.rows), slices.Clone(s.history), s.version, s.compactedVersion}
+}
+
+// Restore replaces the contents by those of an earlier copy and starts a new era: what was written since is lost, and its
+// versions are given out again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history = cloneTables(c.rows), slices.Clone(c.history)
+	s.version, s.compactedVersion = c.version, c.compactedVersion
+	s.era++
+	s.notifyChange()
+}
+
+func cloneTables(tables map[string]map[string]row) map[string]map[string]row {
+	all := make(map[string]map[string]row, len(tables))
+	for name, rows := range tables {
+		all[name] = maps.Clone(rows)
+	}
+	return all
+}
+
 func (s *Store) notifyChange() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -165,6 +202,7 @@
 		<-r.Context().Done()
 		return
 	case affected && f.Status != 0:
+		s.setEra(w)
 		w.WriteHeader(f.Status)
 		return
 	}
@@ -176,10 +214,23 @@
 	case "/rows-tx":
 		s.transact(w, body, f)
 	default:
+		s.setEra(w)
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
+// setEra sets the header with the era, which all answers have.
+func (s *Store) setEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setEraLocked(w)
+}
+
+// setEraLocked is setEra for callers that hold s.mu.
+func (s *Store) setEraLocked(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("Limit"))
@@ -188,6 +239,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEraLocked(w)
 	a := map[string]any{"Ver": s.version, "Truncated": false}
 	rows := []row{}
 	for _, k := range s.sortedKeys(q.Get("Table")) {
@@ -208,6 +260,7 @@
 	q := r.URL.Query()
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
 	if err != nil {
+		s.setEra(w)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -215,7 +268,10 @@
 	deadline := time.After(time.Duration(waitMS) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		rows, ver, compacted, changed := []row{}, s.version, after < s.compactedVersion, s.changed
+		s.setEraLocked(w)
+		rows, ver, changed := []row{}, s.version, s.changed
+		// A version that the store does not have is one that it has lost in a restore.
+		compacted := after < s.compactedVersion || after > s.version
 		for _, h := range s.history {
 			if h.Table == q.Get("Table") && h.Ver > after {
 				rows = append(rows, h)
@@ -243,10 +299,12 @@
 func (s *Store) transact(w http.ResponseWriter, body []byte, f StoreFaults) {
 	var t struct{ Expect, Writes, Remove []row }
 	if err := json.Unmarshal(body, &t); err != nil {
+		s.setEra(w)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
+	s.setEraLocked(w)
 	for _, e := range t.Expect {
 		if s.rows[e.Table][e.Key].Ver != e.Ver {
 			s.mu.Unlock()
