join: a VM writes its entry in the list of VMs again after a restore

Callers saw nothing; a VM that starts with stale seeds may find no other one, and counts alone.

Cause: what the system wrote since the copy was made is gone after a restore of the store, also the entries of the list by which VMs find each other. A VM wrote its entry once in its life. Evidence: TestRegistrarWritesAgainAfterRestore without the condition: 'era 2: written 1 times, want 2'. Why this works: the entry is known to be in the list only in the era in which it was written.

--- a/join/registrar.go
+++ b/join/registrar.go
@@ -102,7 +102,7 @@
 }
 
 // writeDue reports whether this VM's entry is not in the list.
-func (a *Registrar) writeDue() bool { return !a.listed.Load() }
+func (a *Registrar) writeDue() bool { return !a.listed.Load() || a.Era() > a.listedEra }
 
 // dueCalls decides whether a VM writes its entry and whether it reads the list. A VM that has received no heartbeat
 // does both and writes first: of two such VMs that start at the same time, at least one then reads the other's entry.
--- a/join/registrar_test.go
+++ b/join/registrar_test.go
@@ -1,8 +1,12 @@
 package join
 
 import (
+	"context"
 	"testing"
 	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/proto"
 )
 
 // Guards against a VM that no other VM can find, and against all VMs calling the store's list, which cost two calls for
@@ -29,3 +33,31 @@
 		}
 	}
 }
+
+// eraDirectory is a list in a store of the given era that counts the entries written.
+type eraDirectory struct {
+	Directory
+	era     ident.Era
+	written int
+}
+
+func (d *eraDirectory) Register(context.Context, proto.VMInfo) (ident.Era, error) {
+	d.written++
+	return d.era, nil
+}
+
+// Guards against a VM that no other VM can find, because a restored store has lost its entry in the list.
+func TestRegistrarWritesAgainAfterRestore(t *testing.T) {
+	d := &eraDirectory{era: 1}
+	known := ident.Era(1)
+	a := &Registrar{Directory: d, Era: func() ident.Era { return known }}
+	for _, step := range []struct {
+		known, era ident.Era
+		written    int
+	}{{0, 1, 1}, {1, 1, 1}, {1, 1, 1}, {2, 2, 2}, {2, 2, 2}, {4, 4, 3}, {4, 4, 3}} {
+		known, d.era = step.known, step.era
+		if err := a.callDirectory(t.Context(), a.writeDue(), false); err != nil || d.written != step.written {
+			t.Errorf("era %d: written %d times, want %d, error %v", step.era, d.written, step.written, err)
+		}
+	}
+}
