state: a restored copy does not take back what the operators have put in force

After a restore, targets of a failure domain under evacuation got requests again, an evacuation that had ended began anew, and VMs that started from another VM's state got an older configuration than the one in force there, until the operators had written again.

Cause: a full reading of the operators' table was taken for what the operators want. The copy lacks what they have written since, and still has what they have removed since; they write it again within seconds. With the settle time left out the evacuation of a1 ends at once and that of b1 begins; the kept rows have configuration 1 with 3 in force. Changes that are written after the restore count at once. An older configuration never replaces the row of the newest one.

--- a/state/restore.go
+++ b/state/restore.go
@@ -4,10 +4,67 @@
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/trace"
 )
 
+const (
+	// settleTime is how long after the first reading of a restored store the operators' table may lack what the operators
+	// will write again. Targets do so within fleet.RegistryGrace.
+	settleTime = fleet.RegistryGrace
+	// maxRemovals bounds the removed rows that are remembered. The operators' table has one row for each evacuated failure
+	// domain.
+	maxRemovals = 128
+)
+
+// restoreState is what must outlive a restore of the store from an earlier copy, until the operators have written again
+// what the copy lacks.
+type restoreState struct {
+	// settlesAt is the end of the settle time, zero if the store has settled.
+	settlesAt time.Time
+	// removed has, by key, the version of the last row before its removal.
+	removed map[string]ident.Version
+	// config is the row of the configuration in force.
+	config feed.Row
+}
+
+// begin starts the settle time.
+func (r *restoreState) begin(now time.Time) { r.settlesAt = now.Add(settleTime) }
+
+// settling reports whether the store may still lack what the operators will write again.
+func (r *restoreState) settling(now time.Time) bool { return now.Before(r.settlesAt) }
+
+// recordRemovals remembers the rows that a reading removes from a table. Rows that an earlier copy lacks were not removed.
+func (r *restoreState) recordRemovals(before map[string]feed.Row, rows feed.Rows) {
+	if r.removed == nil || len(r.removed) >= maxRemovals {
+		r.removed = map[string]ident.Version{}
+	}
+	for _, row := range rows.Rows {
+		if old, ok := before[row.Key]; ok && row.Removed {
+			r.removed[row.Key] = old.Version
+		}
+	}
+	if !rows.Full {
+		return
+	}
+	present := map[string]bool{}
+	for _, row := range rows.Rows {
+		present[row.Key] = true
+	}
+	for key, old := range before {
+		if !present[key] && old.Version.Era() == rows.Version.Era() {
+			r.removed[key] = old.Version
+		}
+	}
+}
+
+// wasRemoved reports whether a row is one that was removed before the store was restored: it has its number.
+func (r *restoreState) wasRemoved(row feed.Row) bool {
+	v, ok := r.removed[row.Key]
+	return ok && !row.Removed && v.Era() < row.Version.Era() && v.Number() == row.Version.Number()
+}
+
 // startsEra reports whether a reading is the first one of its table in a later era of the store.
 func (s *State) startsEra(r reading) bool {
 	return r.rows.Full && s.applied[r.topic] != 0 && r.rows.Version.Era() > s.applied[r.topic].Era()
@@ -35,3 +92,30 @@
 		}
 	}
 }
+
+// keepNewestConfig remembers the row of the newest configuration. VMs that start get it in place of an older one, which a
+// restored store has until the operators have written the newest one again.
+func (s *State) keepNewestConfig(c *fleet.Config, row feed.Row) {
+	if c.Version >= s.view.Version() {
+		s.restore.config = row
+		return
+	}
+	if kept := s.restore.config; kept.Key == row.Key {
+		kept.Version = row.Version
+		s.operatorRows[row.Key] = kept
+	}
+}
+
+// settle applies the operators' table as it is, once its settle time is over, and reports whether anything changed: what the
+// operators have not written again by then is not in force any more.
+func (s *State) settle(now time.Time) bool {
+	if s.restore.settlesAt.IsZero() || s.restore.settling(now) {
+		return false
+	}
+	s.restore.settlesAt = time.Time{}
+	r := reading{at: now, topic: Operator, source: fromStore, rows: feed.Rows{Full: true, Version: s.applied[Operator]}}
+	for _, row := range s.operatorRows {
+		r.rows.Rows = append(r.rows.Rows, row)
+	}
+	return s.applyOperatorRows(r)
+}
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
@@ -21,6 +24,64 @@
 	return r
 }
 
+// Guards against a reading of a restored store that takes back what is in force: an older configuration, the end of an
+// evacuation or one that had ended, until the operators have written again; and against keeping these for good.
+func TestRestoredCopyDoesNotRevertOperators(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name string
+		// written are the operators' writes after the restore.
+		written []feed.Row
+		// settled are the evacuations after the settle time.
+		settled []ident.Domain
+	}{
+		{"operators write again", []feed.Row{configRow("4", inEra(7)), {Key: "evacuate/a1", Version: inEra(8)},
+			{Key: "evacuate/b1", Version: inEra(9), Removed: true}}, []ident.Domain{"a1"}},
+		{"evacuation starts anew", []feed.Row{{Key: "evacuate/b1", Version: inEra(7)}, {Key: "evacuate/a1", Version: inEra(8)}},
+			[]ident.Domain{"a1", "b1"}},
+		{"operators write nothing", nil, []ident.Domain{"b1"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, _ := configState(now)
+			history := readingOf(now, Operator, 4, 20, false)
+			history.rows.Rows = []feed.Row{{Key: "evacuate/b1", Version: 6}, configRow("3", 9), {Key: "evacuate/b1", Version: 10, Removed: true},
+				{Key: "evacuate/a1", Version: 20}}
+			for _, row := range history.rows.Rows {
+				one := history
+				one.rows.Rows = []feed.Row{row}
+				s.applyReading(one)
+			}
+			s.applyReading(restoredReading(now, 6, configRow("1", inEra(4)), feed.Row{Key: "evacuate/b1", Version: inEra(6)}))
+			check := func(when string, config ident.Version, evacuated ...ident.Domain) {
+				t.Helper()
+				sorted := cmpopts.SortSlices(func(a, b ident.Domain) bool { return a < b })
+				if d := cmp.Diff(evacuated, s.view.Evacuated(), sorted, cmpopts.EquateEmpty()); d != "" || s.view.Version() != config {
+					t.Errorf("%s: configuration %d, evacuations %s", when, s.view.Version(), d)
+				}
+				started, _ := newTestState(now)
+				started.cfg.Decoder = configDecoder{}
+				started.applyPeerState(now, s.fullState(now))
+				if got := started.view.Version(); got != config {
+					t.Errorf("%s: a VM that starts gets configuration %d, want %d", when, got, config)
+				}
+			}
+			check("restored", 3, "a1")
+			config := ident.Version(3)
+			for _, row := range tt.written {
+				change := readingOf(now, Operator, s.applied[Operator], row.Version, false)
+				change.rows.Rows, change.rows.Era = []feed.Row{row}, 2
+				s.applyReading(change)
+				if row.Key == "config" {
+					config = 4
+				}
+			}
+			now := now.Add(settleTime)
+			s.settle(now)
+			check("settled", config, tt.settled...)
+		})
+	}
+}
+
 // Guards against a VM that stays on the lost history after a restore, because versions of the new era have lower numbers:
 // it drops a peer's change as old, and no announcement of a peer makes it read the tables.
 func TestRestoreIsNoticed(t *testing.T) {
--- a/state/state.go
+++ b/state/state.go
@@ -103,8 +103,10 @@
 	// applied has the versions up to which the tables are applied. The followers' versions are ahead of them while a
 	// reading waits to be applied.
 	applied [2]ident.Version
-	// operatorRows has the rows of the operators' table by key, as in the store; nil before the table was read.
+	// operatorRows has the rows of the operators' table by key, as in the store; nil before the table was read. In place of an
+	// older configuration, it has the row of the one in force.
 	operatorRows map[string]feed.Row
+	restore      restoreState
 	// operatorVersion is the version of the newest row of the operators' table.
 	operatorVersion ident.Version
 	// unreachable says for each table that the last call to the store failed and no delta was applied since.
@@ -225,7 +227,8 @@
 // tick updates what depends on time.
 func (s *State) tick(now time.Time) {
 	s.checkPause(now)
-	if s.view.Tick(now) {
+	settled := s.settle(now)
+	if s.view.Tick(now) || settled {
 		s.publish(now)
 	}
 	s.syncPeers(now)
@@ -421,8 +424,19 @@
 
 func (s *State) applyOperator(r reading) bool {
 	s.group.confirmedAt = r.at
+	if s.startsEra(r) {
+		s.restore.begin(r.at)
+	}
 	s.advance(Operator, r.rows.After, r.rows.Version, r.rows.Full)
+	s.restore.recordRemovals(s.operatorRows, r.rows)
 	s.updateOperatorRows(r.rows)
+	return s.applyOperatorRows(r)
+}
+
+// applyOperatorRows applies rows of the operators' table. The rows that the store lost when it was restored are in force
+// until it has settled.
+func (s *State) applyOperatorRows(r reading) bool {
+	settling := s.restore.settling(r.at)
 	changed := false
 	present := map[ident.Domain]bool{}
 	for _, row := range r.rows.Rows {
@@ -435,15 +449,20 @@
 		if c == nil {
 			continue
 		}
-		if c.Config == nil {
+		if c.Config != nil {
+			s.keepNewestConfig(c.Config, row)
+		} else {
 			present[c.Domain] = !c.Ended
 		}
+		if settling && c.Config == nil && s.restore.wasRemoved(row) {
+			continue
+		}
 		changed = s.applyChange(r.at, c, r.source, row.Version) || changed
 	}
 	s.cfg.Peers.With(func(v *peers.View) { v.SetOperatorVersion(s.operatorVersion) })
 	if r.rows.Full {
 		for _, d := range s.view.Evacuated() {
-			if !present[d] {
+			if !present[d] && !settling {
 				changed = s.applyChange(r.at, &fleet.Change{Domain: d, Ended: true}, r.source, r.rows.Version) || changed
 			}
 		}
