edge, fleet: a lookup names only regions that may serve all routes of a host

Callers with requests on routes with homes were named VMs in regions that are neither a home nor their own, and so sent these requests there.

Cause: Config.Regions was the union of the homes of all routes of a host, and nil (anywhere) as soon as one route of the host had no homes. Hosts have routes with and without homes, one prefix inside another. As soon as a caller's region had fewer than two ready VMs, as during a rolling restart of a region with two or in the view of a VM that has just started, such a caller was sent to any region: with one VM left at home and four elsewhere, four of five connections. A VM without a configuration named any region as well.

Other regions are now named as an alternative only if every route of the host may be served there. Regions that may serve only some routes are named if no VM is ready otherwise, those that exclude the fewest routes first. Regions that may serve none are never named, as before, and without a configuration no other region is. The counts are computed once for each configuration.

The price: a caller on such a host whose region has one ready VM gets one address instead of several.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -122,11 +122,11 @@
 func (n *Node) Lookup(now time.Time, from ident.Place, host string) []string {
 	var ready []proto.VMInfo
 	n.cfg.Peers.With(func(v *peers.View) { ready = v.Ready(now) })
-	var allowedRegions []ident.Region
+	var regions *fleet.HostRegions
 	if cfg := n.cfg.Forwarder.Snapshot().Config; cfg != nil {
-		allowedRegions = cfg.Regions(host)
+		regions = cfg.HostRegions(host)
 	}
-	return lookup(ready, from, allowedRegions)
+	return lookup(ready, from, regions)
 }
 
 // TTL returns how long a caller may cache a lookup response.
--- a/edge/lookup.go
+++ b/edge/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
 )
@@ -12,16 +13,21 @@
 const minLookupVMs = 2
 
 // lookup returns the callers' addresses of ready VMs for a caller at from: those of its failure domain; if these are
-// fewer than minLookupVMs, also those of its region; if still fewer, also those of the other regions that may receive
-// the host's requests. An empty allowedRegions permits all regions.
-func lookup(ready []proto.VMInfo, from ident.Place, allowedRegions []ident.Region) []string {
+// fewer than minLookupVMs, also those of its region; if still fewer, also those of the other regions that may serve all
+// routes of the host. A caller uses the addresses for all routes, so a region that may serve only some is named only if
+// there is no VM otherwise, and only if no other region with a ready VM may serve more. Without a configuration, regions is
+// nil and no other region is named.
+func lookup(ready []proto.VMInfo, from ident.Place, regions *fleet.HostRegions) []string {
 	groups := [3][]string{}
+	var partly []proto.VMInfo
 	for _, vm := range ready {
 		d := from.To(vm.Place)
-		if d == ident.OtherRegion && len(allowedRegions) > 0 && !slices.Contains(allowedRegions, vm.Place.Region) {
-			continue
+		switch {
+		case d != ident.OtherRegion || regions != nil && regions.Excluded(vm.Place.Region) == 0:
+			groups[d] = append(groups[d], vm.CallerAddress)
+		case regions != nil && regions.ServesSome(vm.Place.Region):
+			partly = append(partly, vm)
 		}
-		groups[d] = append(groups[d], vm.CallerAddress)
 	}
 	var list []string
 	for _, g := range groups {
@@ -30,5 +36,21 @@
 		}
 		list = append(list, g...)
 	}
+	if len(list) == 0 && len(partly) > 0 {
+		list = leastExcluded(partly, regions)
+	}
+	return list
+}
+
+// leastExcluded returns the addresses of the VMs in the regions that exclude the fewest routes.
+func leastExcluded(vms []proto.VMInfo, regions *fleet.HostRegions) []string {
+	excluded := func(vm proto.VMInfo) int { return regions.Excluded(vm.Place.Region) }
+	least := excluded(slices.MinFunc(vms, func(a, b proto.VMInfo) int { return excluded(a) - excluded(b) }))
+	var list []string
+	for _, vm := range vms {
+		if excluded(vm) == least {
+			list = append(list, vm.CallerAddress)
+		}
+	}
 	return list
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,31 +83,43 @@
 	Services map[ident.Service]Service
 	Limits   Limits
 
-	// hosts maps host and prefix to a route.
-	hosts map[string]map[string]*Route
+	hosts map[string]*host
 }
 
-// Index builds the index for Find and Regions. It must be called once, before other goroutines use the configuration.
+// host has the routes of one host.
+type host struct {
+	// routes maps a prefix to a route.
+	routes  map[string]*Route
+	regions HostRegions
+}
+
+// Index builds the index for Find and HostRegions. It must be called once, before other goroutines use the configuration.
 func (c *Config) Index() {
-	c.hosts = map[string]map[string]*Route{}
+	c.hosts = map[string]*host{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if c.hosts[r.Host] == nil {
-			c.hosts[r.Host] = map[string]*Route{}
+			c.hosts[r.Host] = &host{routes: map[string]*Route{}}
 		}
-		c.hosts[r.Host][r.Prefix] = r
+		c.hosts[r.Host].routes[r.Prefix] = r
+	}
+	for _, h := range c.hosts {
+		h.regions = newHostRegions(h.routes)
 	}
 }
 
+// host returns nil for a host without routes. It ignores the case and the port of the name.
+func (c *Config) host(name string) *host { return c.hosts[strings.ToLower(withoutPort(name))] }
+
 // Find returns the route of the host with the longest prefix of path, or nil. It ignores the case and the port of the host.
 func (c *Config) Find(host, path string) *Route {
-	routes := c.hosts[strings.ToLower(withoutPort(host))]
-	for end := len(path); end > 0 && routes != nil; {
+	h := c.host(host)
+	for end := len(path); end > 0 && h != nil; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
 			return nil
 		}
-		if r, ok := routes[path[:slash+1]]; ok {
+		if r, ok := h.routes[path[:slash+1]]; ok {
 			return r
 		}
 		end = slash
@@ -115,20 +127,12 @@
 	return nil
 }
 
-// Regions returns the regions that may serve the routes of a host, or nil if one of these may be served everywhere.
-func (c *Config) Regions(host string) []ident.Region {
-	var all []ident.Region
-	for _, r := range c.hosts[strings.ToLower(withoutPort(host))] {
-		if len(r.Regions) == 0 {
-			return nil
-		}
-		for _, region := range r.Regions {
-			if !slices.Contains(all, region) {
-				all = append(all, region)
-			}
-		}
+// HostRegions returns which regions may serve the routes of a host. It ignores the case and the port of the host.
+func (c *Config) HostRegions(host string) *HostRegions {
+	if h := c.host(host); h != nil {
+		return &h.regions
 	}
-	return all
+	return &HostRegions{}
 }
 
 // Restricted returns the number of routes that only some regions may serve.
