codec: a request target in absolute form names host and path of the request

Callers that sent "GET http://host/path HTTP/1.1", as clients behind a proxy do, got 404 for each path: the whole target was looked up as a path. With another name in the Host field, host and path would have come from different places. RFC 9112 section 3.2.2 asks servers to accept this form, and to take the host from it.

ReadHeader turns the target into path and query, which stay as they were sent, and replaces the Host field by the target's host, so that routing and the forwarded request agree. A target without a host or with credentials is malformed. Other schemes still have no route.

Evidence: TestRequestTargetForms on the code before, for example

http://y.example:80/a/b?c=/d/: host "x", path "http://y.example:80/a/b"; want "y.example:80", "/a/b"

No request could leave the homes of its route by this; it had no route.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -47,6 +47,31 @@
 		return errors.Wrap(ErrMalformed, "more than one Content-Length field")
 	}
 	r.hasLengthField = transferCoded || lengthFields > 0
+	return r.useOriginForm()
+}
+
+// useOriginForm replaces a request target in absolute form by its path and query, and the Host field by its host (RFC 9112
+// section 3.2.2).
+func (r *Request) useOriginForm() error {
+	if bytes.HasPrefix(r.msg.Header.RequestURI(), []byte("/")) {
+		return nil
+	}
+	scheme, rest, found := strings.Cut(r.URI(), "://")
+	if !found || !strings.EqualFold(scheme, "http") && !strings.EqualFold(scheme, "https") {
+		return nil
+	}
+	host, path := rest, ""
+	if i := strings.IndexAny(rest, "/?"); i >= 0 {
+		host, path = rest[:i], rest[i:]
+	}
+	if host == "" || strings.Contains(host, "@") {
+		return errors.Wrap(ErrMalformed, "request target without a host or with credentials")
+	}
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	r.msg.Header.SetHost(host)
+	r.msg.Header.SetRequestURI(path)
 	return nil
 }
 
@@ -86,7 +111,7 @@
 
 func (r *Request) Method() string { return string(r.msg.Header.Method()) }
 
-// URI returns the request target in the form in which it was sent.
+// URI returns the path and query as they were sent.
 func (r *Request) URI() string { return string(r.msg.Header.RequestURI()) }
 
 // Path returns the request target without the query.
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -63,6 +63,45 @@
 	}
 }
 
+// Guards against routing a request by another host or path than its request target names. In absolute form, the request target
+// names the host as well, which goes before the Host field.
+func TestRequestTargetForms(t *testing.T) {
+	tests := []struct {
+		target, host, path, forwarded string
+		err                           error
+	}{
+		{"/a/b?u=http://y/c", "x", "/a/b", "/a/b?u=http://y/c", nil},
+		{"//y/a", "x", "//y/a", "//y/a", nil},
+		{"http://y.example:80/a/b?c=/d/", "y.example:80", "/a/b", "/a/b?c=/d/", nil},
+		{"HTTPS://y.example/a//b/../%2f", "y.example", "/a//b/../%2f", "/a//b/../%2f", nil},
+		{"http://y.example", "y.example", "/", "/", nil},
+		{"http://y.example?c=/d/", "y.example", "/", "/?c=/d/", nil},
+		{"http:///a", "", "", "", ErrMalformed},
+		{"http://user@y.example/a", "", "", "", ErrMalformed},
+		{"ftp://y.example/a", "x", "ftp://y.example/a", "ftp://y.example/a", nil},
+		{"*", "x", "*", "*", nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.target, func(t *testing.T) {
+			r := &Request{}
+			err := r.ReadHeader(newReader("OPTIONS " + tt.target + " HTTP/1.1\r\nHost: x\r\n\r\n"))
+			if !errors.Is(err, tt.err) {
+				t.Fatalf("error %v, want %v", err, tt.err)
+			}
+			if tt.err != nil {
+				return
+			}
+			if r.Host() != tt.host || r.Path() != tt.path {
+				t.Errorf("host %q, path %q; want %q, %q", r.Host(), r.Path(), tt.host, tt.path)
+			}
+			want := "OPTIONS " + tt.forwarded + " HTTP/1.1\r\nHost: " + tt.host + "\r\n\r\n"
+			if d := cmp.Diff(want, string(r.Append(nil))); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
 // resetReader returns errReset at the end of its bytes, as a connection that is reset does.
 type resetReader struct{ r io.Reader }
 
