carry: a further attempt waits for the confirmation of the state after a pause of the process

A request whose first attempt ended right after a pause of the process was sent again by what the VM knew before the pause: to a target that had been withdrawn, or by homes that had changed.

Cause: only new requests waited for the first reading after a pause; a further attempt chose at once. Evidence: TestRetryWaitsForConfirmationAfterPause without the wait: '1 requests were sent to the target that was withdrawn during the pause'. Without a pause it costs one check of a time.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -36,7 +36,9 @@
 		case err == nil && k.isFinal(a, result):
 			return k.deliver(now, choice, a)
 		}
-		if final := k.retryOrGiveUp(now, choice, a, result, err); final != nil {
+		// The process may have been paused during the attempt.
+		k.awaitConfirmation(ctx, now)
+		if final := k.retryOrGiveUp(k.clock(), choice, a, result, err); final != nil {
 			return final
 		}
 	}
--- a/carry/pause_test.go
+++ b/carry/pause_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -44,6 +46,46 @@
 	}
 }
 
+// Guards against a further attempt, right after the process was paused during the first one, to a target that was withdrawn
+// during the pause.
+func TestRetryWaitsForConfirmationAfterPause(t *testing.T) {
+	var c *Forwarder
+	paused := make(chan struct{})
+	first := newFakeTarget(t, func(nc net.Conn, _ int, r *http.Request) bool {
+		// The last confirmation is older than pauseThreshold.
+		c.ConfirmSnapshot(time.Now().Add(-3 * time.Second))
+		close(paused)
+		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return err == nil
+	})
+	withdrawn, replacement := newFakeTarget(t, respondOK), newFakeTarget(t, respondOK)
+	c = newForwarderFor(t, true, 5*time.Second, first)
+	snapshot := func(targets map[ident.Target]*fakeTarget) *fleet.Snapshot {
+		s := *c.Snapshot()
+		s.Targets = map[ident.Service][]fleet.Target{}
+		for id, f := range targets {
+			s.Targets["s"] = append(s.Targets["s"], fleet.Target{Entry: fleet.Entry{ID: id, Service: "s", Slots: 8, Ready: true,
+				Address: f.ln.Addr().String()}})
+		}
+		return &s
+	}
+	c.Update(time.Now(), snapshot(map[ident.Target]*fakeTarget{"first": first}))
+	statuses := make(chan int)
+	go func() { statuses <- c.Handle(context.Background(), newRequest(t, "Id: 1\r\n"), time.Now()).Status }()
+	<-paused
+	c.Update(time.Now(), snapshot(map[ident.Target]*fakeTarget{"withdrawn": withdrawn}))
+	for waiting := false; !waiting && withdrawn.requests.Load() == 0; time.Sleep(time.Millisecond) {
+		c.confirmation.mu.Lock()
+		waiting = c.confirmation.next != nil
+		c.confirmation.mu.Unlock()
+	}
+	c.Update(time.Now(), snapshot(map[ident.Target]*fakeTarget{"rest": replacement}))
+	c.ConfirmSnapshot(time.Now())
+	if status := <-statuses; status != http.StatusOK || withdrawn.requests.Load() != 0 {
+		t.Errorf("status %d, %d requests were sent to the target that was withdrawn during the pause", status, withdrawn.requests.Load())
+	}
+}
+
 // Guards against requests that wait although the process was not paused, or without bound during an outage of the
 // store.
 func TestPauseDetection(t *testing.T) {
