carry: a refusal counts only if it states so, with a refusal's status and only the request's id

Seen by callers: "not run, try again" for an order that may have run. A target's answer 503, 429 or 408 without the field that states "not run" was passed on, and callers take these statuses as that promise. An answer 200 or 500 with the field was believed, and the order ran at a second target. So was a refusal with two ids, one of them of the order, and, for a request without an id, any late refusal without one. Status 101, for which nobody asked, was passed on.

Cause: the field alone decided, whatever the status; the status alone was passed on, whatever the field; only the first of several ids was compared; requests without an id shared connections with others.

Evidence, on the code before: TestOnlyStatedRefusalsPromise/503_without_the_statement: status 503, want 502 TestOnlyStatedRefusalsPromise/200_with_signature_and_the_statement: status 503, want 502; the order was sent 2 times TestOnlyStatedRefusalsPromise/switching_protocols,_with_signature: 101, want 502 TestRefusalIsSentAgain/earlier_id_after_that_of_the_order: order second: 503 TestRequestWithoutIDGetsNewConnection: 503 "no-target"

Change: every id of an answer must be the request's; the field counts with the statuses of refusals only; of requests that are not idempotent, an answer with such a status and no field is an invalid answer (502); 101 is malformed; a request without an id gets a connection that has carried no other. What comes late then has no way to be taken for a refusal of the present request.

Not faults here, with new tests: copies with the earlier id, without one, after interim answers, in one segment with the answer, while the request is written (TestRefusalWhileRequestIsWritten) or while the connection is idle (TestConnectionWithUnsolicitedBytesIsDropped fails with "no answer: EOF" if the check of idle connections is taken out); a refused order never goes to the same target again (TestRefusedOrderIsNotSentToTheSameTarget).

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -90,7 +90,8 @@
 	k.Counters.Sends.Add(1)
 	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(responseGrace))
 	defer cancel()
-	msg := outlet.Message{Method: k.r.Method(), Build: func() ([]byte, error) { return k.buildRequest(k.clock(), t) }, Matches: k.ownsResponse}
+	msg := outlet.Message{Method: k.r.Method(), Build: func() ([]byte, error) { return k.buildRequest(k.clock(), t) }, Matches: k.ownsResponse,
+		NewConnection: k.id == ""}
 	a, err := k.pool.Do(ctx, k.outletTarget(t), msg)
 	done := k.clock()
 	result := k.classify(ctx, a, err)
@@ -147,14 +148,34 @@
 	return out
 }
 
-// ownsResponse reports whether a response belongs to this request: it must carry the request's id. A response or
-// refusal without an id may be a late duplicate of an earlier one on the same connection. Accepting it could report an
-// order as not run that has run.
-func (k *call) ownsResponse(a *codec.Response) bool { return a.Field(k.headers.Attempt) == k.id }
+// ownsResponse reports whether a response belongs to this request: it must carry the request's id, and no other. A
+// response or refusal without an id may be a late duplicate of an earlier one on the same connection. Accepting it could
+// report an order as not run that has run.
+func (k *call) ownsResponse(a *codec.Response) bool {
+	for _, f := range a.Fields {
+		if strings.EqualFold(f.Name, k.headers.Attempt) && f.Value != k.id {
+			return false
+		}
+	}
+	return a.Field(k.headers.Attempt) == k.id
+}
 
-// notRun reports whether a response states that the target did not run the request.
+// notRun reports whether a response states that the target did not run the request. A status that no refusal has
+// contradicts the statement.
 func (k *call) notRun(a *codec.Response) bool {
-	return a.Field(k.headers.NotRun) != "" || a.Status == http.StatusMisdirectedRequest
+	return a.Status == http.StatusMisdirectedRequest ||
+		k.hasNotRunField(a) && (a.Status == http.StatusBadRequest || promisesNotRun(a.Status))
+}
+
+func (k *call) hasNotRunField(a *codec.Response) bool { return a.Field(k.headers.NotRun) != "" }
+
+// promisesNotRun reports whether a caller may conclude from a status that its request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // classify returns what an attempt shows about its target.
@@ -165,6 +186,10 @@
 		return pick.Misdirected
 	case err == nil && k.notRun(a):
 		return pick.Overloaded
+	case err == nil && (k.hasNotRunField(a) || !k.route.Idempotent && promisesNotRun(a.Status)):
+		// The response doesn't state that an order has not run, or contradicts itself. Passed on, its status would
+		// promise that to the caller.
+		return pick.Invalid
 	case err == nil && a.Status < 300 && a.Field(k.headers.Signature) == "":
 		return pick.Invalid
 	case err == nil && a.Status >= 500:
--- a/codec/response.go
+++ b/codec/response.go
@@ -66,9 +66,13 @@
 		if err := resp.Header.Read(br); err != nil {
 			return nil, classify(err)
 		}
-		if resp.StatusCode() >= 200 || resp.StatusCode() == http.StatusSwitchingProtocols {
+		if resp.StatusCode() >= 200 {
 			break
 		}
+		// No forwarded request asks for another protocol.
+		if resp.StatusCode() == http.StatusSwitchingProtocols {
+			return nil, errors.Wrap(ErrMalformed, "status 101")
+		}
 	}
 	a := &Response{Status: resp.StatusCode(), Close: resp.Header.ConnectionClose(), statedLength: -1}
 	a.omitBody = method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -148,12 +148,15 @@
 	Build func() ([]byte, error)
 	// Matches reports whether a response belongs to the request. Responses to earlier requests may arrive late.
 	Matches func(*codec.Response) bool
+	// NewConnection is set if the request must not be sent on a connection that has carried another one, since Matches
+	// could not tell the responses apart.
+	NewConnection bool
 }
 
 // Do sends a message and returns the complete response. The error is of type *Error. If ctx ends first, the connection
 // is closed, from which the target can tell that the request is cancelled.
 func (p *Pool) Do(ctx context.Context, t Target, m Message) (*codec.Response, error) {
-	c, reused, err := p.acquire(ctx, t)
+	c, reused, err := p.acquire(ctx, t, m.NewConnection)
 	if err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
@@ -212,8 +215,9 @@
 	return nil, &Error{Stage: Sent, Partial: true, cause: errors.New("answer belongs to another request")}
 }
 
-// acquire returns an idle connection that is still open, or a new one.
-func (p *Pool) acquire(ctx context.Context, t Target) (c *conn, reused bool, err error) {
+// acquire returns an idle connection that is still open, or a new one. If unused is set, it drops idle connections that
+// have carried a request.
+func (p *Pool) acquire(ctx context.Context, t Target, unused bool) (c *conn, reused bool, err error) {
 	now := p.clock()
 	for {
 		c, err := p.acquireIdle(now, t)
@@ -223,7 +227,7 @@
 		if c == nil {
 			break
 		}
-		if c.isOpenAndQuiet() {
+		if c.isOpenAndQuiet() && !(unused && c.requests > 0) {
 			return c, true, nil
 		}
 		p.discard(t, c)
