codec: refuse an HTTP/1.0 answer without a length

Seen by callers: a 200 whose body has the sizes of chunks in it, and which looks whole wherever the target broke off.

Cause: HTTP/1.0 has no chunks, so the parser ignores Transfer-Encoding there and reads up to the end of the connection.

Evidence: TestResponseCutAtEachByte sends an answer in eleven forms, cut at each byte and then closed or reset, over sockets. On the code before: HTTP/1.0_with_chunks,_reset_false: cut at byte 85, after " chunked\r\n\r\n": 200 with a body of 0 bytes and so at each later byte. No other form ever gave a 2xx that was not whole: heads cut in the status line, a field, the digits of the length or before the blank line, chunks, trailers, bodies without a length that are reset.

Change: such an answer is malformed. HTTP/1.0 with a Content-Length is served as before; a body that may have lost its framing has no other sign of its end.

--- a/codec/response.go
+++ b/codec/response.go
@@ -93,6 +93,11 @@
 
 // readBody reads the body that follows the header of resp.
 func readBody(br *bufio.Reader, resp *fasthttp.Response, limit int) ([]byte, error) {
+	// HTTP/1.0 has no chunks. fasthttp ignores the Transfer-Encoding field there and takes the sizes of chunks, up to the
+	// end of the connection, for the body.
+	if resp.Header.ContentLength() == -2 && string(resp.Header.Protocol()) != "HTTP/1.1" {
+		return nil, errors.Wrap(ErrMalformed, "HTTP/1.0 without a length")
+	}
 	if n := resp.Header.ContentLength(); n > maxPreallocatedBytes && n <= limit {
 		b, err := io.ReadAll(io.LimitReader(br, int64(n)))
 		if err == nil && len(b) < n {
