edge: a planned stop answers all requests before the process exits

Seen by callers: in a planned stop, requests that were taken late in the grace period and passed on to a target ended without an answer.

Cause, three places. At the end of the grace the connections were closed with requests in progress. A stop whose requests had all finished waited for open connections without an end, so that one on which a body came slowly kept the process until it was killed, and the request, once whole, was still passed on. And whether a request could be complete before the exit was not asked.

The exit comes at its time whatever connections are open. Requests pipelined behind others and requests that are not read whole are not admitted, as before (TestStopWithPipelinedRequests); callers send them again.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -22,6 +22,9 @@
 func (k *call) run(ctx context.Context) *codec.Response {
 	for {
 		now := k.clock()
+		if aborted(ctx) {
+			return k.giveUp(now, kinds.Stopping, "this VM stops")
+		}
 		choice, final := k.chooseTarget(now)
 		if final != nil {
 			return final
@@ -29,12 +32,15 @@
 		a, result, err := k.send(ctx, now, choice)
 		now = k.clock()
 		switch {
-		case ctx.Err() != nil:
+		case ctx.Err() != nil && !aborted(ctx):
 			k.observe(now, "caller-left")
 			k.log.Add(now, trace.CallerLeft, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "after", now.Sub(k.arrived))
 			return codec.NewResponse(http.StatusBadGateway, "caller left\n")
 		case err == nil && k.isFinal(a, result):
 			return k.deliver(now, choice, a)
+		case aborted(ctx):
+			k.mayHaveRun = k.mayHaveRun || k.ran(a, err) != kinds.RanNo
+			return k.giveUp(now, kinds.Stopping, "this VM stops")
 		}
 		// The process may have been paused during the attempt.
 		k.awaitConfirmation(ctx, now)
--- a/carry/follow.go
+++ b/carry/follow.go
@@ -22,7 +22,7 @@
 	}
 	k.idempotent = route.Idempotent && (k.config == nil || k.idempotent)
 	k.config, k.route = cfg, route
-	k.deadline = k.arrived.Add(k.timeLimit(k.r, route))
+	k.deadline = k.limitToStop(k.arrived.Add(k.timeLimit(k.r, route)))
 	k.object = 0
 	if route.Affinity {
 		k.object = pick.NewObject(route.Name, []byte(k.r.Field(k.headers.Affinity)))
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -67,6 +67,8 @@
 	clock   func() time.Time
 	quota   retry.QuotaLimits
 
+	// stopTime is when the process gives up its requests because it stops; nil until a stop is requested.
+	stopTime     atomic.Pointer[time.Time]
 	snapshot     atomic.Pointer[fleet.Snapshot]
 	confirmation confirmation
 	// Counters are exported by the metrics service.
@@ -213,6 +215,9 @@
 		c.meter.Observe("none", "no-route", c.clock().Sub(arrived))
 		return noRoute()
 	}
+	if !k.fitsBeforeStop(c.clock()) {
+		return c.refuse(c.clock(), k, kinds.Stopping, "this VM stops")
+	}
 	return k.run(ctx)
 }
 
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -48,6 +48,10 @@
 // between hosts.
 const cacheExpiryMargin = time.Second
 
+// abortReserve is the last part of a planned stop. Requests still in progress are then given up, so that their callers
+// get a response before the process exits.
+const abortReserve = 200 * time.Millisecond
+
 // Stop is the state machine for the planned stop of one process. It is not safe for concurrent use.
 type Stop struct {
 	lookupTTL, timeout time.Duration
@@ -118,6 +122,22 @@
 	return s.forced
 }
 
+// ExitTime returns when the stop ends at the latest, whatever is still in progress. Before a signal it returns zero.
+func (s *Stop) ExitTime() time.Time {
+	if s.signaledAt.IsZero() {
+		return time.Time{}
+	}
+	return s.signaledAt.Add(s.timeout)
+}
+
+// AbortTime returns when requests in progress must be given up. Before a signal it returns zero.
+func (s *Stop) AbortTime() time.Time {
+	if s.signaledAt.IsZero() {
+		return time.Time{}
+	}
+	return s.ExitTime().Add(-min(abortReserve, s.timeout/2))
+}
+
 // StopNewWork is the deadline for all entries to stop sending new requests to a target that is being removed, counted
 // from when the first entry is notified.
 const StopNewWork = 3 * time.Second
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+// Guards against a stop without an end, and against one that leaves no time for the responses to requests in progress.
+func TestStopTimes(t *testing.T) {
+	s := drain.NewStop(time.Second, 5*time.Second)
+	if !s.AbortTime().IsZero() || !s.ExitTime().IsZero() {
+		t.Errorf("before the signal: %v and %v", s.AbortTime(), s.ExitTime())
+	}
+	s.HandleSignal(start)
+	s.Advance(at(3), 0, true)
+	if !s.AbortTime().Equal(at(4.8)) || !s.ExitTime().Equal(at(5)) {
+		t.Errorf("abort at %v, exit at %v", s.AbortTime(), s.ExitTime())
+	}
+	short := drain.NewStop(time.Second, 100*time.Millisecond)
+	short.HandleSignal(start)
+	if !short.AbortTime().Equal(at(0.05)) {
+		t.Errorf("abort of a short stop at %v", short.AbortTime())
+	}
+}
+
 // Guards against a target that is reported as drained while requests are or may be in progress, and against entries
 // that miss the StopNewWork limit and are not listed.
 func TestTarget(t *testing.T) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/drain"
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
@@ -162,6 +163,8 @@
 	n.mu.Lock()
 	n.stop.HandleSignal(now)
 	n.mu.Unlock()
+	abortTime, _ := n.stopTimes()
+	n.cfg.Forwarder.StopBy(abortTime)
 	n.cfg.Log.Add(now, trace.Stop, "phase", "announced")
 	n.cfg.Peers.With(func(v *peers.View) { v.SetState(false, true) })
 	n.cfg.Peers.BroadcastState()
@@ -173,22 +176,39 @@
 	}()
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
-	for {
-		requests, connections := n.callerServer.Active()
-		phase := n.nextPhase(requests, withdrawn)
-		if !phase.TakesWork() {
-			n.callerServer.StopAccepting()
-		}
-		if phase == drain.Exit && (n.callerServer.Close() || n.stop.Forced()) {
-			n.cfg.Log.Add(n.cfg.Clock(), trace.Stop, "phase", "exit", "requests", requests, "connections", connections)
-			return
-		}
+	for !n.drainStep(n.cfg.Clock(), withdrawn) {
 		<-t.C
 	}
 }
 
+// drainStep makes one step of a planned stop and reports whether the process may exit. Requests that are in progress shortly
+// before the exit are given up, so that their callers get a response.
+func (n *Node) drainStep(now time.Time, withdrawn <-chan struct{}) (done bool) {
+	requests, connections := n.callerServer.Active()
+	phase := n.nextPhase(now, requests, withdrawn)
+	if !phase.TakesWork() {
+		n.callerServer.StopAccepting()
+	}
+	abortTime, exitTime := n.stopTimes()
+	if !now.Before(abortTime) {
+		n.callerServer.Abort(carry.ErrStopping)
+	}
+	// A connection on which a request is still being read doesn't delay the exit.
+	if phase != drain.Exit || !n.callerServer.Close() && now.Before(exitTime) {
+		return false
+	}
+	n.cfg.Log.Add(now, trace.Stop, "phase", "exit", "requests", requests, "connections", connections)
+	return true
+}
+
+func (n *Node) stopTimes() (abortTime, exitTime time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stop.AbortTime(), n.stop.ExitTime()
+}
+
 // nextPhase advances the planned stop and returns its phase.
-func (n *Node) nextPhase(requests int, withdrawn <-chan struct{}) drain.Phase {
+func (n *Node) nextPhase(now time.Time, requests int, withdrawn <-chan struct{}) drain.Phase {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	handedOver := false
@@ -197,7 +217,7 @@
 		handedOver = true
 	default:
 	}
-	return n.stop.Advance(n.cfg.Clock(), requests, handedOver)
+	return n.stop.Advance(now, requests, handedOver)
 }
 
 // withdraw removes the node from the store's list. If that fails, the entry remains; other VMs find it dead.
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -26,6 +26,8 @@
 	exchanges chan *exchange
 	// handlers counts the requests that the handler is working on.
 	handlers sync.WaitGroup
+	// cancel ends the contexts of the connection's requests.
+	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
 	// unanswered is the number of requests that were admitted and have no response yet.
@@ -42,10 +44,11 @@
 var errServerClosing = errors.New("connection ends after its last response")
 
 func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
 	defer cancel()
 	c := &conn{server: s, nc: nc, br: bufio.NewReaderSize(nc, initialBufferBytes), bufferBytes: initialBufferBytes,
-		exchanges: make(chan *exchange, maxPipelined)}
+		exchanges: make(chan *exchange, maxPipelined), cancel: cancelCause}
 	defer func() { _ = nc.Close() }()
 	s.add(c)
 	defer s.remove(c)
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -40,7 +40,8 @@
 	HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 }
 
-// Handler responds to requests. The context of a request ends when the caller disconnects.
+// Handler responds to requests. The context of a request ends when the caller disconnects, or with the cause that is given
+// to Abort.
 type Handler interface {
 	// Handle returns the response, never nil. Arrived is when the first byte of the request was read.
 	Handle(ctx context.Context, r *codec.Request, arrived time.Time) *codec.Response
@@ -67,6 +68,8 @@
 	// draining: each connection ends after its next response. stopped: no new connection is accepted. closed: no
 	// request is admitted.
 	draining, stopped, closed bool
+	// aborted is the cause with which the requests in progress were given up; nil before Abort.
+	aborted error
 	// listeners are given an immediate deadline, or closed, by StopAccepting.
 	listeners []net.Listener
 	inFlight  int
@@ -175,6 +178,20 @@
 	}
 }
 
+// Abort ends the contexts of all requests, those admitted later too, with the given cause. The responses that the handler
+// then returns are still written. Further calls have no effect.
+func (s *Server) Abort(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.aborted != nil {
+		return
+	}
+	s.aborted = cause
+	for c := range s.conns {
+		c.cancel(cause)
+	}
+}
+
 // Close stops admitting requests if none is in progress and no connection is open, and reports whether requests are no
 // longer admitted.
 func (s *Server) Close() bool {
@@ -221,6 +238,9 @@
 	defer s.mu.Unlock()
 	s.conns[c] = true
 	c.closing = s.stopped
+	if s.aborted != nil {
+		c.cancel(s.aborted)
+	}
 }
 
 func (s *Server) remove(c *conn) {
--- a/inlet/stop_test.go
+++ b/inlet/stop_test.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// Guards against a caller whose connection is cut without a response when the process must exit, and against a request that
+// is admitted afterwards with a context that has not ended.
+func TestAbortAnswersRequestsInProgress(t *testing.T) {
+	h := newBlockingHandler()
+	s, nc := startServer(t, h)
+	sendRequest(t, nc, "/1")
+	sendRequest(t, nc, "/2")
+	<-h.entered
+	<-h.entered
+	s.StopAccepting()
+	s.Abort(io.ErrClosedPipe)
+	br := bufio.NewReader(nc)
+	if body, last := readResponse(t, br); body != "/1" || last {
+		t.Errorf("first response %q, last: %v", body, last)
+	}
+	if body, last := readResponse(t, br); body != "/2" || !last {
+		t.Errorf("second response %q, last: %v, want it to end the connection", body, last)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s.add(&conn{cancel: cancel})
+	if context.Cause(ctx) != io.ErrClosedPipe {
+		t.Errorf("a connection opened after the abort: %v", context.Cause(ctx))
+	}
+	s.conns = map[*conn]bool{}
+}
+
 // Guards against a panic in one request that ends the process, and against panics that are not reported.
 func TestPanicFailsOnlyItsRequest(t *testing.T) {
 	var panics atomic.Int64
