proto, join: refuse a message over its limit instead of decoding its beginning

Would be seen by callers: 404 or 503 for routes and services that exist, on a VM that has started from the state of another one, since rows at the end of a large state are missing.

Cause: a decompressed datagram was cut at 4 MiB and a state at 16 MiB, and a cut between two fields decodes without an error. A state without a length that ends early does so as well.

Change: longer messages are refused, and a state must have a length and be of that length, which the VMs' own server always sends.

--- a/join/fetch.go
+++ b/join/fetch.go
@@ -30,8 +30,10 @@
 	// must have it within the 2.5 s in which a configuration comes into force everywhere.
 	minCatchUpPause = 500 * time.Millisecond
 	maxCatchUpPause = 8 * time.Second
-	// maxStateBytes limits the encoded state of a VM.
+	// maxStateBytes limits the encoded state of a VM. A longer one is refused.
 	maxStateBytes = 16 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // StatePath is the HTTP path that returns a VM's state, DeparturesPath the one that returns the targets that have left
@@ -73,7 +75,9 @@
 // Run implements kernel.Service.
 func (a *StateFetcher) Run(ctx context.Context) error {
 	rnd := rand.New(rand.NewSource(int64(proto.KeyOf(a.Self.VM))))
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}
 	responded := false
 	for n, pause := 0, requestDelay; ; n, pause = n+1, requestPause {
 		select {
@@ -207,13 +211,13 @@
 		return nil, errors.Wrapf(err, "request to %s", i.VM)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
-	if err != nil {
-		return nil, errors.Wrapf(err, "response of %s", i.VM)
-	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("%s responded with status %d", i.VM, resp.StatusCode)
 	}
+	b, err := readBody(resp)
+	if err != nil {
+		return nil, errors.Wrapf(err, "response of %s", i.VM)
+	}
 	m, err := proto.DecodeMessage(b)
 	if err != nil {
 		return nil, errors.Wrapf(err, "response of %s", i.VM)
@@ -226,6 +230,19 @@
 	return &m, nil
 }
 
+// readBody reads the body of a response. An encoded message has no end of its own: one that is cut between two fields would be
+// decoded as a state with fewer rows. The body must have a length, therefore, and be complete.
+func readBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength < 0 || resp.ContentLength > maxStateBytes {
+		return nil, errors.Newf("body of %d bytes, limit %d; -1 stands for no length", resp.ContentLength, maxStateBytes)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, resp.ContentLength))
+	if err == nil && int64(len(b)) < resp.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
+	return b, err
+}
+
 // checkResponse returns an error if a response must not be applied. The state of a VM that has missed a change of the
 // operators' table would restore what the operators have removed, on a VM that may have applied the removal before its
 // restart.
--- a/join/fetch_test.go
+++ b/join/fetch_test.go
@@ -1,6 +1,8 @@
 package join
 
 import (
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -62,3 +64,33 @@
 		t.Error("a VM that reads the store requests another VM's state")
 	}
 }
+
+// Guards against the state of a VM that is cut between two fields and then decoded as one with fewer rows.
+func TestIncompleteStateIsRefused(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		sent, length int64
+		ok           bool
+	}{
+		{"complete", 100, 100, true},
+		{"empty", 0, 0, true},
+		{"cut short", 99, 100, false},
+		{"no length", 100, -1, false},
+		{"at the limit", maxStateBytes, maxStateBytes, true},
+		{"over the limit", maxStateBytes + 1, maxStateBytes + 1, false},
+	} {
+		body := io.NopCloser(io.LimitReader(zeros{}, tt.sent))
+		b, err := readBody(&http.Response{Body: body, ContentLength: tt.length})
+		if (err == nil) != tt.ok || tt.ok && int64(len(b)) != tt.length {
+			t.Errorf("%s: %d bytes, error %v", tt.name, len(b), err)
+		}
+	}
+}
+
+// zeros returns zero bytes without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/proto/datagram.go
+++ b/proto/datagram.go
@@ -12,7 +12,8 @@
 	// minDeflateBytes is the size above which a message is compressed. A configuration is sent to all VMs of a region
 	// at once; uncompressed, half of the datagrams were lost on links of 10 Mbit/s.
 	minDeflateBytes = 1024
-	// maxMessageBytes limits a decompressed message. The rest of a longer one is cut off.
+	// maxMessageBytes limits a decompressed message. A longer one is refused: cut between two fields, it would be decoded
+	// as a message with fewer rows.
 	maxMessageBytes = 4 << 20
 )
 
@@ -49,10 +50,13 @@
 		return DecodeMessage(b[1:])
 	case encodingDeflate:
 		r := flate.NewReader(bytes.NewReader(b[1:]))
-		decompressed, err := io.ReadAll(io.LimitReader(r, maxMessageBytes))
+		decompressed, err := io.ReadAll(io.LimitReader(r, maxMessageBytes+1))
 		if err != nil {
 			return Message{}, errors.Wrap(err, "decompress")
 		}
+		if len(decompressed) > maxMessageBytes {
+			return Message{}, errors.Wrap(errMalformed, "message over the limit")
+		}
 		return DecodeMessage(decompressed)
 	}
 	return Message{}, errMalformed
