carry: a load report with numbers over 2^20 is malformed

Would be seen by callers: 503 or late answers of a whole service after one answer of a faulty target, since its load counts in the mean that stands for targets without a report. With two numbers near 2^63 the sum overflowed, and the target counted as idle.

Change: such a report is ignored, like others that can't be parsed.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -222,6 +222,10 @@
 	return pick.Invalid
 }
 
+// maxReportedLoad bounds each number of a load report. Larger ones are malformed: their sum could overflow, and one of them
+// would distort the mean load of the service, which stands for targets without a report.
+const maxReportedLoad = 1 << 20
+
 // parseLoad parses a target's load report. It returns nil if the report is missing or malformed.
 func (k *call) parseLoad(a *codec.Response) *pick.Load {
 	parts := strings.Split(a.Field(k.headers.Load), ",")
@@ -231,7 +235,7 @@
 	var n [3]int
 	for i, s := range parts {
 		v, err := strconv.Atoi(strings.TrimSpace(s))
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || v > maxReportedLoad {
 			return nil
 		}
 		n[i] = v
--- a/carry/forwarder_test.go
+++ b/carry/forwarder_test.go
@@ -85,7 +85,8 @@
 // Guards against a load value derived from a malformed load report.
 func TestParseLoad(t *testing.T) {
 	k := &call{Forwarder: newForwarder()}
-	for text, ok := range map[string]bool{"3,0,8": true, " 3, 1 ,8": true, "3,0": false, "": false, "a,b,c": false, "-1,0,8": false} {
+	for text, ok := range map[string]bool{"3,0,8": true, " 3, 1 ,8": true, "3,0": false, "": false, "a,b,c": false, "-1,0,8": false,
+		"9223372036854775807,9223372036854775807,8": false, "1e3,0,8": false, "3,1048577,8": false, "3,0,8,1": false} {
 		got := k.parseLoad(codec.NewResponse(200, "", codec.Field{Name: "Load", Value: text}))
 		if (got != nil) != ok {
 			t.Errorf("%q: %+v", text, got)
