peers: pause after errors of the socket

Would be seen by callers: late answers, since one goroutine of the VM uses a whole processor while each read from the socket for VMs fails.

Cause: the receiver read again at once after each error.

Evidence, on the code before: TestReceiverPausesAfterReadErrors: pauses of [] ms, want [10 20 40 80 160 320 640 1000 1000 10 20]

Change: 10 ms to 1 s, doubling with each error in a row. A single error, as after an ICMP message, delays datagrams by 10 ms; they wait in the socket.

--- a/peers/service.go
+++ b/peers/service.go
@@ -15,6 +15,13 @@
 // maxDatagramBytes is the size of the receive buffer; the rest of a longer datagram is lost.
 const maxDatagramBytes = 64 << 10
 
+// minReadPause and maxReadPause bound the pause after an error of the socket. The pause doubles with each error in a row, so
+// that an error that lasts doesn't use the processor.
+const (
+	minReadPause = 10 * time.Millisecond
+	maxReadPause = time.Second
+)
+
 // Service sends and receives the messages of a View over UDP.
 type Service struct {
 	clock func() time.Time
@@ -22,6 +29,9 @@
 	// onPanic is called with the value of a panic that a datagram has caused.
 	onPanic func(value any)
 
+	// pause waits for the given time, or until ctx ends.
+	pause func(ctx context.Context, d time.Duration)
+
 	// deltas receives the messages of other VMs that contain changes of the registry or of the operators' table.
 	deltas chan<- proto.Message
 
@@ -36,7 +46,16 @@
 // the operators' table go to deltas; one that does not fit is dropped, as if the datagram were lost. onPanic is called
 // with the value of a panic that a datagram has caused, in the goroutine that panicked.
 func NewService(view *View, conn net.PacketConn, deltas chan<- proto.Message, clock func() time.Time, onPanic func(value any)) *Service {
-	return &Service{view: view, conn: conn, deltas: deltas, clock: clock, onPanic: onPanic}
+	return &Service{view: view, conn: conn, deltas: deltas, clock: clock, onPanic: onPanic, pause: pause}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // Name implements kernel.Service.
@@ -77,6 +96,7 @@
 
 func (s *Service) runReceiver(ctx context.Context) error {
 	buf := make([]byte, maxDatagramBytes)
+	nextPause := minReadPause
 	for {
 		n, _, err := s.conn.ReadFrom(buf)
 		if ctx.Err() != nil {
@@ -87,8 +107,11 @@
 		}
 		if err != nil {
 			s.countBadDatagram()
+			s.pause(ctx, nextPause)
+			nextPause = min(2*nextPause, maxReadPause)
 			continue
 		}
+		nextPause = minReadPause
 		s.handleDatagram(buf[:n])
 	}
 }
--- a/peers/service_test.go
+++ b/peers/service_test.go
@@ -1,9 +1,14 @@
 package peers
 
 import (
+	"context"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/currantpier/currantpier/proto"
 )
 
@@ -19,3 +24,36 @@
 		t.Errorf("%d panics were reported and %d datagrams counted as bad, want 2 each", panics, s.badDatagrams)
 	}
 }
+
+// failingConn is a socket whose reads fail, except where failures is false.
+type failingConn struct {
+	net.PacketConn
+	failures []bool
+}
+
+func (c *failingConn) ReadFrom([]byte) (int, net.Addr, error) {
+	if len(c.failures) == 0 {
+		return 0, nil, net.ErrClosed
+	}
+	failed := c.failures[0]
+	c.failures = c.failures[1:]
+	if failed {
+		return 0, nil, errors.New("read error")
+	}
+	return 0, nil, nil
+}
+
+// Guards against a receiver that uses a whole processor while each read fails, and one that stays slow afterwards.
+func TestReceiverPausesAfterReadErrors(t *testing.T) {
+	failures := slices.Repeat([]bool{true}, 9)
+	conn := &failingConn{failures: append(append(failures, false), true, true)}
+	s := NewService(nil, conn, nil, time.Now, func(any) {})
+	var pauses []time.Duration
+	s.pause = func(_ context.Context, d time.Duration) { pauses = append(pauses, d/time.Millisecond) }
+	if err := s.runReceiver(context.Background()); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("error %v", err)
+	}
+	if want := []time.Duration{10, 20, 40, 80, 160, 320, 640, 1000, 1000, 10, 20}; !slices.Equal(pauses, want) {
+		t.Errorf("pauses of %d ms, want %d", pauses, want)
+	}
+}
