lease: a restored store makes neither two holders nor a term of two holders

After the store had come back from an earlier copy, a second steer would have acquired the lease while the holder whose row was lost still acted on it, under a term that was given out again: both answered entries as the holder.

Cause: the term was counted from the restored row, and a row without a holder, or no row, counted as proof that nobody held the lease. A write with a lost response was also taken for confirmed by the restored row that shows it, although another process may have acquired the lease since. Why this works: a term holds the era in which it was given out, so a term of a new era is greater than all before it. A row is free only if it was written in the era in which it is read; any other one is waited out for the whole duration in that era, by which time every holder of an earlier era has stopped by its own clock. Versions carry the era, so a renewal, a fenced write or a delayed acquisition of an earlier era fails. It assumes equal durations at all processes. A process of an older build writes terms without eras, so the promise needs all steers to be of this build.

--- a/lease/fake_test.go
+++ b/lease/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
@@ -20,9 +21,12 @@
 	delayed // the response is lost and the write is applied later, by applyDelayed
 )
 
-// fakeStore is an in-memory table whose writes can fail, get lost or be delayed. It must be used from one goroutine.
+// fakeStore is an in-memory table whose writes can fail, get lost or be delayed, and which can return to an earlier copy
+// of itself. It must be used from one goroutine.
 type fakeStore struct {
+	// rows holds each row with the version at which it was written, which may be of an earlier era.
 	rows map[string]store.Row
+	era  ident.Era
 	// nextOutcome returns the outcome of the next write; if nil, all writes are applied.
 	nextOutcome func() writeOutcome
 	// onCall is called before and after each call takes effect; nil does nothing.
@@ -35,7 +39,22 @@
 	reads         int
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{rows: map[string]store.Row{}} }
+func newFakeStore() *fakeStore { return &fakeStore{rows: map[string]store.Row{}, era: ident.FirstEra} }
+
+// save returns a copy of the rows, and restore returns to one in a new era.
+func (s *fakeStore) save() map[string]store.Row { return maps.Clone(s.rows) }
+
+func (s *fakeStore) restore(saved map[string]store.Row) {
+	s.rows, s.era = map[string]store.Row{}, s.era+1
+	maps.Copy(s.rows, saved)
+}
+
+// row returns a row as a client of the store reads it now.
+func (s *fakeStore) row(key string) store.Row {
+	r := s.rows[key]
+	r.Version, r.Era = ident.NewVersion(s.era, r.Version.Number()), s.era
+	return r
+}
 
 // setNextOutcome gives the next write the outcome o; all later writes are applied.
 func (s *fakeStore) setNextOutcome(o writeOutcome) {
@@ -55,7 +74,7 @@
 	if s.readsFail {
 		return store.Row{}, kinds.Errorf(kinds.StoreDown, "down")
 	}
-	return s.rows[key], nil
+	return s.row(key), nil
 }
 
 func (s *fakeStore) Txn(_ context.Context, ops []store.Op) ([]ident.Version, error) {
@@ -83,19 +102,19 @@
 
 func (s *fakeStore) apply(ops []store.Op) ([]ident.Version, error) {
 	for _, op := range ops {
-		if s.rows[op.Key].Version != op.IfVersion {
-			return nil, kinds.Errorf(kinds.Conflict, "%s has version %d", op.Key, s.rows[op.Key].Version)
+		if s.row(op.Key).Version != op.IfVersion || op.IfEra != 0 && op.IfEra != s.era {
+			return nil, kinds.Errorf(kinds.Conflict, "%s has version %d in era %d", op.Key, s.rows[op.Key].Version, s.era)
 		}
 	}
 	versions := make([]ident.Version, len(ops))
 	for i, op := range ops {
 		if !op.CheckOnly {
-			s.rows[op.Key] = store.Row{Key: op.Key, Value: op.Value, Version: op.IfVersion + 1}
+			s.rows[op.Key] = store.Row{Key: op.Key, Value: op.Value, Version: ident.NewVersion(s.era, op.IfVersion.Number()+1)}
 			if s.onWrite != nil {
 				s.onWrite(op)
 			}
 		}
-		versions[i] = s.rows[op.Key].Version
+		versions[i] = s.row(op.Key).Version
 	}
 	return versions, nil
 }
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -159,7 +159,7 @@
 	if row.Holder != s.Self || row.Incarnation != s.Incarnation {
 		return nil
 	}
-	_, err := k.store.Txn(ctx, []store.Op{writeOp(Row{Term: row.Term}, row.Version)})
+	_, err := k.store.Txn(ctx, []store.Op{writeOp(Row{Term: row.Term}, row)})
 	return kinds.Wrap(kinds.Of(err), err, "release lease")
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,6 +1,10 @@
 // Package lease elects one process at a time by a conditional write to one row of a table. The row's version fences
 // writes of an earlier holder, and by the holder's own clock its lease ends before another process may acquire it.
 //
+// If the store comes back from an earlier copy of itself, it has lost a lease that was acquired or renewed since, whose
+// holder still acts on it until its own clock ends it. The first lease of the new era is therefore acquired only after
+// Duration in that era, even if the restored row has no holder, and its term is greater than every term of earlier eras.
+//
 // The package assumes that clocks run at the same rate to within Margin per Duration. It does not assume that they show
 // the same time: a challenger waits until the row has been unchanged for Duration by its own clock.
 package lease
@@ -29,10 +33,12 @@
 type Row struct {
 	// Version is the version of the table row; zero means that the row does not exist.
 	Version ident.Version `json:"-"`
+	// Era is the era of the store when the row was read, or in which it is to be written; zero if it is not known.
+	Era ident.Era `json:"-"`
 	// Holder is empty after a release.
 	Holder      ident.VM          `json:"holder"`
 	Incarnation ident.Incarnation `json:"incarnation"`
-	// Term is the fencing term. It grows by one with each acquisition and never decreases.
+	// Term is the fencing term, see ident.NextTerm. It grows with each acquisition.
 	Term ident.Term `json:"term"`
 	// ExpiryMs is the expiry by the holder's clock, in milliseconds since the Unix epoch. It shows operators how old
 	// the lease is; no other clock is compared with it.
@@ -62,8 +68,10 @@
 	// PendingSince is a time before the first of them was sent.
 	PendingSince time.Time
 
-	// ObservedVersion is the version of another process's row, and ObservedAt the time at which it was first read.
+	// ObservedVersion is the version of a row whose expiry this process waits for, and ObservedAt the time at which it
+	// was first read in ObservedEra; zero if there is none. The row is another process's, or one of an earlier era.
 	ObservedVersion ident.Version
+	ObservedEra     ident.Era
 	ObservedAt      time.Time
 }
 
@@ -102,13 +110,13 @@
 // ParseRow decodes a row of the table. It returns an Internal error for a malformed value.
 func ParseRow(r store.Row) (Row, error) {
 	if r.Version == 0 {
-		return Row{}, nil
+		return Row{Era: r.Era}, nil
 	}
 	var row Row
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		return Row{}, kinds.Wrap(kinds.Internal, err, "parse lease row")
 	}
-	row.Version = r.Version
+	row.Version, row.Era = r.Version, r.Era
 	return row, nil
 }
 
@@ -119,33 +127,43 @@
 	switch {
 	case s.Version != 0 && s.Version == row.Version:
 		return decideHeld(s, row, now)
-	case row.Holder == "":
-		return writeAction(s, Acquire, row, row.Term+1, now)
+	case row.free():
+		return writeAction(s, Acquire, row, now)
 	}
 	expiry := s.ObservedAt.Add(max(s.Duration, time.Duration(row.DurationMs)*time.Millisecond))
 	if now.Before(expiry) {
 		return Action{State: s, NextAt: earlier(now.Add(s.Duration/3), expiry)}
 	}
-	return writeAction(s, Acquire, row, row.Term+1, now)
+	return writeAction(s, Acquire, row, now)
 }
 
+// free reports whether the row proves that no process holds the lease. A row without a holder that was written in an
+// earlier era does not, since the store may have lost a later row.
+func (r Row) free() bool { return r.Holder == "" && r.Term.Era() >= r.Era }
+
 // observeRow updates the state from the row as read.
 func observeRow(s State, row Row, now time.Time) State {
 	own := row.Version != 0 && row.Holder == s.Self && row.Incarnation == s.Incarnation
 	switch {
 	case own && row.Version == s.Version:
 		return s
-	case own && s.PendingTerm != 0 && row.Term == s.PendingTerm:
+	case own && s.PendingTerm != 0 && row.Term == s.PendingTerm && row.Version.Era() == row.Term.Era():
 		// A write whose response was lost took effect. It is not known which one, so the lease runs from the time of
 		// the first.
 		return Confirmed(s, row, s.PendingSince)
 	}
 	s.Version, s.ValidUntil = 0, time.Time{}
-	if row.Holder == "" {
-		s.ObservedVersion, s.ObservedAt = 0, time.Time{}
-	} else if s.ObservedVersion != row.Version {
-		s.ObservedVersion, s.ObservedAt = row.Version, now
+	if row.free() {
+		return s.withoutObservation()
 	}
+	if s.ObservedVersion != row.Version || s.ObservedEra != row.Era || s.ObservedAt.IsZero() {
+		s.ObservedVersion, s.ObservedEra, s.ObservedAt = row.Version, row.Era, now
+	}
+	return s
+}
+
+func (s State) withoutObservation() State {
+	s.ObservedVersion, s.ObservedEra, s.ObservedAt = 0, 0, time.Time{}
 	return s
 }
 
@@ -153,26 +171,31 @@
 	if _, held := s.Held(now); !held {
 		// No other process has acquired the lease, but a term must not span a time in which this process did not hold
 		// it, so a new term begins.
-		return writeAction(s, Acquire, row, row.Term+1, now)
+		return writeAction(s, Acquire, row, now)
 	}
 	sent := s.ValidUntil.Add(s.Margin - s.Duration)
 	if due := sent.Add(s.Duration / 3); now.Before(due) {
 		return Action{State: s, NextAt: due}
 	}
-	return writeAction(s, Renew, row, s.Term, now)
+	return writeAction(s, Renew, row, now)
 }
 
-func writeAction(s State, do Verb, old Row, term ident.Term, now time.Time) Action {
+func writeAction(s State, do Verb, old Row, now time.Time) Action {
+	term := s.Term
+	if do == Acquire {
+		term = ident.NextTerm(old.Term, old.Era)
+	}
 	row := Row{
-		Holder: s.Self, Incarnation: s.Incarnation, Term: term,
+		Era: old.Era, Holder: s.Self, Incarnation: s.Incarnation, Term: term,
 		ExpiryMs: now.Add(s.Duration).UnixMilli(), DurationMs: s.Duration.Milliseconds(),
 	}
-	return Action{Do: do, State: s, Row: row, Op: writeOp(row, old.Version), NextAt: now.Add(s.Duration / 3)}
+	return Action{Do: do, State: s, Row: row, Op: writeOp(row, old), NextAt: now.Add(s.Duration / 3)}
 }
 
-func writeOp(row Row, old ident.Version) store.Op {
+// writeOp returns the write of row on the condition that old is unchanged, in the era in which it was read.
+func writeOp(row, old Row) store.Op {
 	value, _ := json.Marshal(row) // no field of Row can fail to encode
-	return store.Op{Key: Key, Value: value, IfVersion: old}
+	return store.Op{Key: Key, Value: value, IfVersion: old.Version, IfEra: old.Era}
 }
 
 // Confirmed returns the state after a write of row that was sent at sent and is known to have produced row.Version.
@@ -180,8 +203,7 @@
 	s.Version, s.Term = row.Version, row.Term
 	s.ValidUntil = sent.Add(s.Duration - s.Margin)
 	s.PendingTerm, s.PendingSince = 0, time.Time{}
-	s.ObservedVersion, s.ObservedAt = 0, time.Time{}
-	return s
+	return s.withoutObservation()
 }
 
 // Unresolved returns the state after a write of row that was sent at sent and whose response was lost.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -163,6 +163,96 @@
 	}
 }
 
+// Guards against the same violations, and a term of two holders, when the store returns to a copy up to 20 s old every
+// 25 s on average: it has then lost acquisitions, renewals and releases, and gives out their versions again.
+func TestOneHolderOfRestoredStore(t *testing.T) {
+	terms := 0
+	for seed := range uint64(60) {
+		sim := newSimulation(seed)
+		sim.restores = true
+		sim.run(300 * second)
+		if sim.violation != "" {
+			t.Fatalf("seed %d, era %d: %s", seed, sim.store.era, sim.violation)
+		}
+		terms += len(sim.holders)
+	}
+	if terms < 300 {
+		t.Errorf("only %d terms in 60 runs, want at least 300: too few changes of the holder to test them", terms)
+	}
+}
+
+// Guards against a lease that is acquired in a new era while a holder whose row is lost still acts on it, whatever row
+// the restored store has, and against a term that is given out again.
+func TestLeaseLostByRestore(t *testing.T) {
+	release := func(t *testing.T, k *lease.Keeper) {
+		if err := k.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, tt := range []struct {
+		name string
+		// before prepares the copy that the store returns to.
+		before func(t *testing.T, st *fakeStore, c *fakeClock)
+	}{
+		{"the copy has no row", func(*testing.T, *fakeStore, *fakeClock) {}},
+		{"the copy has a released row", func(t *testing.T, st *fakeStore, c *fakeClock) {
+			k := lease.NewKeeper(st, "z", 1, c.Now)
+			mustStep(t, k)
+			release(t, k)
+		}},
+	} {
+		st, c := newFakeStore(), &fakeClock{epoch}
+		tt.before(t, st, c)
+		saved := st.save()
+		a, b := lease.NewKeeper(st, "a", 1, c.Now), lease.NewKeeper(st, "b", 1, c.Now)
+		mustStep(t, a)
+		fence, lost, err := a.Fence(c.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		st.restore(saved)
+		for range 9 {
+			mustStep(t, b)
+			_, aHolds := a.Held(c.now)
+			if _, bHolds := b.Held(c.now); aHolds && bHolds {
+				t.Errorf("%s: two holders %v after the restore", tt.name, c.now.Sub(epoch))
+			}
+			c.advance(second)
+		}
+		c.advance(second)
+		mustStep(t, b)
+		term, held := b.Held(c.now)
+		if !held || term <= lost {
+			t.Errorf("%s: term %d after term %d, held %v", tt.name, term, lost, held)
+		}
+		if _, err := st.Txn(t.Context(), []store.Op{fence, {Key: planKey}}); kinds.Of(err) != kinds.Conflict {
+			t.Errorf("%s: write with the fence of the lost lease: %v", tt.name, err)
+		}
+		release(t, b)
+		d := lease.NewKeeper(st, "d", 1, c.Now)
+		mustStep(t, d)
+		if next, held := d.Held(c.now); !held || next <= term {
+			t.Errorf("%s: term %d after the release of term %d in the same era, held %v", tt.name, next, term, held)
+		}
+	}
+}
+
+// Guards against the first write of the row, whose condition names no version, that takes effect in a later era than the
+// one in which the row was read.
+func TestDelayedAcquisitionAfterRestore(t *testing.T) {
+	st, c := newFakeStore(), &fakeClock{epoch}
+	k := lease.NewKeeper(st, "a", 1, c.Now)
+	st.setNextOutcome(delayed)
+	if _, err := k.Step(t.Context()); kinds.Of(err) != kinds.StoreUnknown {
+		t.Fatalf("Step: %v", err)
+	}
+	st.restore(nil)
+	st.applyDelayed()
+	if row, ok := st.rows[lease.Key]; ok {
+		t.Errorf("the row was written in era %d: %s", st.era, row.Value)
+	}
+}
+
 type simulation struct {
 	rng       *rand.Rand
 	now       time.Time // simulated time
@@ -170,6 +260,11 @@
 	procs     []*proc
 	term      ident.Term // of the last accepted plan
 	violation string
+	// restores makes the store return to one of saved, its copies of the last 20 s, now and then.
+	restores bool
+	saved    []map[string]store.Row
+	// holders are the processes by the terms that they have held.
+	holders map[ident.Term]*proc
 }
 
 type proc struct {
@@ -187,7 +282,7 @@
 }
 
 func newSimulation(seed uint64) *simulation {
-	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, store: newFakeStore()}
+	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, store: newFakeStore(), holders: map[ident.Term]*proc{}}
 	sim.store.onCall = func() {
 		d := sim.rng.IntN(300)
 		if sim.rng.IntN(8) == 0 {
@@ -227,8 +322,12 @@
 		sim.now = sim.now.Add(50 * time.Millisecond)
 		holders := 0
 		for _, p := range sim.procs {
-			if _, held := p.keeper.Held(p.now()); held {
+			if term, held := p.keeper.Held(p.now()); held {
 				holders++
+				if first, ok := sim.holders[term]; ok && first != p && sim.violation == "" {
+					sim.violation = fmt.Sprintf("term %d has a second holder", term)
+				}
+				sim.holders[term] = p
 			}
 		}
 		if holders > 1 && sim.violation == "" {
@@ -237,6 +336,9 @@
 		if sim.rng.IntN(60) == 0 {
 			sim.store.applyDelayed()
 		}
+		if sim.restores {
+			sim.restore()
+		}
 		for _, p := range sim.procs {
 			if !p.busy && !sim.now.Before(p.wake) {
 				p.act()
@@ -245,6 +347,19 @@
 	}
 }
 
+// restore saves a copy of the store each second and sometimes returns to one of the last 20.
+func (sim *simulation) restore() {
+	if sim.now.Sub(epoch)%second == 0 {
+		sim.saved = append(sim.saved, sim.store.save())
+		sim.saved = sim.saved[max(len(sim.saved)-20, 0):]
+	}
+	if len(sim.saved) > 0 && sim.rng.IntN(500) == 0 {
+		i := sim.rng.IntN(len(sim.saved))
+		sim.store.restore(sim.saved[i])
+		sim.saved = sim.saved[:i+1]
+	}
+}
+
 // act makes one step and one plan write, and schedules the next call, sometimes after a long pause.
 func (p *proc) act() {
 	sim := p.sim
@@ -252,7 +367,7 @@
 	p.keeper.Step(context.Background())
 	if fence, term, err := p.keeper.Fence(p.now()); err == nil {
 		sim.store.Txn(context.Background(), []store.Op{
-			fence, {Key: planKey, IfVersion: sim.store.rows[planKey].Version, Value: fmt.Append(nil, term)},
+			fence, {Key: planKey, IfVersion: sim.store.row(planKey).Version, Value: fmt.Append(nil, term)},
 		})
 	}
 	pause := time.Duration(sim.rng.IntN(1000)) * time.Millisecond
