once: after the store has lost records, an id that is missing has an unknown outcome, and its owner sends no more

After the store had come back from an earlier copy, a caller would have been told "not run" for an order that ran (its owner had ended, and the batch with its id was lost), and would have submitted it again: it runs twice. An order that had been reported as not run could also run, because the seal that stopped its owner was lost and the owner's condition held again.

Without IfEra TestDelayedFirstBatchAfterRestore fails: 'batch of era 1 in era 2'. The seal records the era, so a successor knows whether batches may be missing: begin and seal in one era, or a store in its first era, or a mark "complete", which only the owner writes. Otherwise a missing id is "outcome unknown". An owner that lives answers from memory as before. Not promised: outcomes of before the restore that were lost are not written again, so they are unknown once their owner has ended.

--- a/once/batch.go
+++ b/once/batch.go
@@ -10,6 +10,8 @@
 type journalState struct {
 	// headVersion is the version of the head row after the last confirmed write; zero before the first.
 	headVersion ident.Version
+	// era is the era of the store in which the journal was begun; zero before the first confirmed batch of the process.
+	era ident.Era
 	// seq and rows are the sequence number and row count of the last confirmed batch.
 	seq, rows uint64
 	// intents and outcomes are the queues of ids for the next batches: new class j orders, and final records. An id is
@@ -87,7 +89,7 @@
 // buildBatch builds the next batch. It reports false if none is due.
 func (o *Owner) buildBatch(now time.Time, interval time.Duration) bool {
 	j := &o.journal
-	b := Batch{Owner: o.vm, Incarnation: o.incarnation, Seq: j.seq + 1, Rows: j.rows, ExpectedVersion: j.headVersion}
+	b := Batch{Owner: o.vm, Incarnation: o.incarnation, Seq: j.seq + 1, Rows: j.rows, ExpectedVersion: j.headVersion, Era: j.era}
 	size := 0
 	j.intents = o.dequeue(&b, &size, j.intents)
 	j.outcomes = o.dequeue(&b, &size, j.outcomes)
@@ -157,6 +159,11 @@
 	if j.phase != phaseReading {
 		return nil
 	}
+	era := max(h.Era, ident.FirstEra)
+	if j.era != 0 && era != j.era {
+		// The store may have lost batches of this journal, and a seal after which an id was reported as not run.
+		return o.closeIncarnation(now, era)
+	}
 	ownHead := h.State == Open || h.State == Complete && j.batch.Final || h.State == Absent && j.headVersion == 0
 	switch {
 	case ownHead && h.Seq == j.batch.Seq:
@@ -165,7 +172,7 @@
 		j.phase = phaseRetry
 		return nil
 	}
-	return o.closeIncarnation(now)
+	return o.closeIncarnation(now, era)
 }
 
 // ReadBackFailed records that the head row could not be read. The read is retried.
@@ -180,6 +187,7 @@
 	j := &o.journal
 	b := j.batch
 	j.headVersion, j.seq, j.rows, j.lastWrite, j.complete = head, b.Seq, b.Rows, now, b.Final
+	j.era = head.Era()
 	j.batch, j.phase = Batch{}, phaseIdle
 	var events []Event
 	for _, e := range b.Entries {
@@ -197,10 +205,10 @@
 	return events
 }
 
-// closeIncarnation starts a new incarnation after another process has sealed the journal. That process may have
-// reported every id that it did not find as not run, so the remaining class j orders of the old incarnation are
-// aborted.
-func (o *Owner) closeIncarnation(now time.Time) []Event {
+// closeIncarnation starts a new incarnation, whose journal begins in the given era of the store, after another process
+// has sealed the journal or the store has returned to an earlier copy. Another process may have reported every id that
+// it did not find as not run, so the remaining class j orders of the old incarnation are aborted.
+func (o *Owner) closeIncarnation(now time.Time, era ident.Era) []Event {
 	old := o.incarnation
 	o.closed = append(o.closed, old)
 	o.incarnation = max(old+1, ident.Incarnation(now.UnixNano()))
@@ -211,7 +219,7 @@
 			}
 		}
 	}
-	o.journal = journalState{lastAttempt: o.journal.lastAttempt, lastWrite: o.journal.lastWrite}
+	o.journal = journalState{era: era, lastAttempt: o.journal.lastAttempt, lastWrite: o.journal.lastWrite}
 	var events []Event
 	for _, id := range sortedIDs(o.unsent) {
 		rec := o.records[id]
--- a/once/journal.go
+++ b/once/journal.go
@@ -56,6 +56,9 @@
 	Seq   uint64   `json:"seq"`
 	Rows  uint64   `json:"rows"`
 	By    ident.VM `json:"by,omitempty"`
+	// Since and SealedEra are those of Head.
+	Since     ident.Era `json:"since-era,omitempty"`
+	SealedEra ident.Era `json:"sealed-era,omitempty"`
 }
 
 // entryJSON is the JSON form of an entry of a batch row.
@@ -71,9 +74,17 @@
 // NewJournal returns a Journal that uses the store s.
 func NewJournal(s Store) *Journal { return &Journal{store: s} }
 
-// Write performs IOWrite: one transaction that writes the head row and the batch row.
+// Write performs IOWrite: one transaction that writes the head row and the batch row, in the era of the journal. If the
+// batch names none, it begins the journal in the era that the store has now.
 func (j *Journal) Write(ctx context.Context, b Batch) Result {
-	head := Head{Version: b.ExpectedVersion, State: Open, Seq: b.Seq, Rows: b.Rows}
+	if b.Era == 0 {
+		row, err := j.store.Get(ctx, headKey(b.Owner, b.Incarnation))
+		if err != nil {
+			return Result{Outcome: Unreachable}
+		}
+		b.Era = row.Era
+	}
+	head := Head{Version: b.ExpectedVersion, State: Open, Seq: b.Seq, Rows: b.Rows, Since: b.Era, Era: b.Era}
 	if b.Final {
 		head.State = Complete
 	}
@@ -88,7 +99,7 @@
 func (j *Journal) ReadHead(ctx context.Context, vm ident.VM, inc ident.Incarnation) (Head, error) {
 	row, err := j.store.Get(ctx, headKey(vm, inc))
 	if err != nil || row.Version == 0 {
-		return Head{}, kinds.Wrap(kinds.Of(err), err, "read journal head")
+		return Head{Era: row.Era}, kinds.Wrap(kinds.Of(err), err, "read journal head")
 	}
 	return decodeHead(row)
 }
@@ -215,8 +226,10 @@
 }
 
 func headOp(vm ident.VM, inc ident.Incarnation, h Head) store.Op {
-	value := mustJSON(headJSON{State: h.State.String(), Seq: h.Seq, Rows: h.Rows, By: h.SealedBy})
-	return store.Op{Key: headKey(vm, inc), Value: value, IfVersion: h.Version}
+	value := mustJSON(headJSON{
+		State: h.State.String(), Seq: h.Seq, Rows: h.Rows, By: h.SealedBy, Since: h.Since, SealedEra: h.SealedEra,
+	})
+	return store.Op{Key: headKey(vm, inc), Value: value, IfVersion: h.Version, IfEra: h.Era}
 }
 
 func decodeHead(row store.Row) (Head, error) {
@@ -226,7 +239,10 @@
 	}
 	for s := Open; s <= Complete; s++ {
 		if s.String() == r.State {
-			return Head{Version: row.Version, State: s, Seq: r.Seq, Rows: r.Rows, SealedBy: r.By}, nil
+			return Head{
+				Version: row.Version, State: s, Seq: r.Seq, Rows: r.Rows, SealedBy: r.By, Since: r.Since, SealedEra: r.SealedEra,
+				Era: row.Era,
+			}, nil
 		}
 	}
 	return Head{}, kinds.Errorf(kinds.Internal, "journal head has unknown state %q", r.State)
--- a/once/snapshot.go
+++ b/once/snapshot.go
@@ -110,7 +110,7 @@
 }
 
 func (j *journalState) encode(e *encoder, now time.Time) {
-	e.num(uint64(j.headVersion), j.seq, j.rows, uint64(j.phase))
+	e.num(uint64(j.headVersion), uint64(j.era), j.seq, j.rows, uint64(j.phase))
 	e.ids(j.intents)
 	e.ids(j.outcomes)
 	e.time(now, j.lastAttempt)
@@ -137,6 +137,7 @@
 	e.str(string(s.owner))
 	e.str(string(s.sealer))
 	e.num(uint64(s.incarnation), uint64(s.nextStep), uint64(s.head.Version), uint64(s.head.State), s.head.Seq, s.head.Rows)
+	e.num(uint64(s.head.Era), uint64(s.head.Since), uint64(s.head.SealedEra))
 	e.num(s.lastSeq, s.rowCount)
 	e.flags(s.rowsMissing)
 	for _, id := range slices.Sorted(maps.Keys(s.index)) {
--- a/once/successor.go
+++ b/once/successor.go
@@ -72,7 +72,8 @@
 func (s *Successor) NextStep() Step {
 	st := Step{Kind: s.nextStep, Owner: s.owner, Incarnation: s.incarnation, After: s.lastSeq}
 	if s.nextStep == StepSeal {
-		st.Head = Head{Version: s.head.Version, State: Sealed, Seq: s.head.Seq, Rows: s.head.Rows, SealedBy: s.sealer}
+		st.Head = s.head
+		st.Head.State, st.Head.SealedBy, st.Head.SealedEra = Sealed, s.sealer, s.head.Era
 	}
 	return st
 }
@@ -84,6 +85,10 @@
 	}
 	s.head = h
 	s.nextStep = StepSeal
+	if h.State == Absent && h.Era == ident.FirstEra {
+		// A store that has lost nothing never had the row.
+		s.head.Since = ident.FirstEra
+	}
 	if h.State == Sealed || h.State == Complete {
 		s.startReadingRows()
 	}
@@ -97,7 +102,7 @@
 	}
 	switch r.Outcome {
 	case Written:
-		s.head.State, s.head.Version, s.head.SealedBy = Sealed, r.Version, s.sealer
+		s.head.State, s.head.Version, s.head.SealedBy, s.head.SealedEra = Sealed, r.Version, s.sealer, s.head.Era
 		s.startReadingRows()
 	case Unreachable:
 	default:
@@ -173,9 +178,10 @@
 	return d
 }
 
-// absentMeansNotRun reports whether an id of class c that is not in the journal was certainly not sent.
+// absentMeansNotRun reports whether an id of class c that is not in the journal was certainly not sent. Only its owner
+// marks a journal complete, in the era in which it was begun.
 func (s *Successor) absentMeansNotRun(c ident.Class) bool {
-	return !s.rowsMissing && (c == ident.Journalled || s.head.State == Complete)
+	return !s.rowsMissing && (c == ident.Journalled && s.head.lossless() || s.head.State == Complete)
 }
 
 // Unknown lists the orders in the journal whose outcome is unknown, sorted by id. Class d orders that were in progress
--- a/once/types.go
+++ b/once/types.go
@@ -165,6 +165,9 @@
 	Rows uint64
 	// ExpectedVersion is the version that the head row must have; zero means that the row must not exist.
 	ExpectedVersion ident.Version
+	// Era is the era of the store in which the journal was begun. It is zero for the first batch of a process, which
+	// begins the journal in the era that the store then has.
+	Era ident.Era
 	// Entries has at most one entry for each id.
 	Entries []Entry
 	// Final marks the journal complete.
@@ -207,6 +210,22 @@
 	Rows uint64
 	// SealedBy is the VM that sealed the journal; empty if it is not sealed.
 	SealedBy ident.VM
+	// Since is the era of the store in which the journal was begun, and SealedEra the one in which it was sealed; zero
+	// if not known, since a process that does not know eras wrote the row.
+	Since, SealedEra ident.Era
+	// Era is the era in which the row was read; zero if the store does not state it.
+	Era ident.Era
+}
+
+// lossless reports whether a sealed journal has every id that its owner journalled. A store that returned to an earlier
+// copy of itself between the begin and the seal may have lost batches, and the numbers in the restored head row do not
+// show it.
+func (h Head) lossless() bool {
+	sealed := h.SealedEra
+	if sealed == 0 {
+		sealed = h.Era
+	}
+	return sealed <= ident.FirstEra || sealed == h.Since
 }
 
 // WriteOutcome is the outcome of one attempt of a conditional write.
