node, steer: an accepted configuration that the store has lost stays in force and is written again

After the store had come back from an earlier copy, an accepted configuration would have reverted: VMs that read the store took the restored row, or kept theirs and ignored the next one, which has a number given out before; an operator's proposal on the restored version was accepted over a configuration that the operator had not seen.

Cause: the version of a document was the version of the row that holds it, and nothing wrote a lost one again. Evidence: TestLostConfigIsWrittenAgain, with a client without eras as before: 'VM behind: version 2 (era 1) in force, want 3', 'VM started later: version 1 (era 1) in force, want 3'; with eras and the row's version as the document's 'VM ahead: version 1 (era 2) in force, want 3'. TestProposalOnRestoredVersionIsRefused then: 'proposal after version 1' is accepted. Why this works: a document keeps the version under which it was accepted, which its body states, so a restored one is older than a lost one on every VM, and one that is accepted in the new era is newer than both, whatever its number. A steer that reads the store and has a newer one of an earlier era writes it again with its version: whichever VMs write first, the version in the row only increases. Proposals are compared with the configuration in force, which may be in no row. Open: a process that starts between the restore and that write (a relay reads each second) is ready with the restored configuration until its first fetch from a peer. A configuration that a steer of an older build accepts in a later era does not state its era and counts as restored.

--- a/node/sync.go
+++ b/node/sync.go
@@ -47,6 +47,9 @@
 	// check rejects documents that can't be decoded, so that an invalid one is neither applied nor passed on.
 	check    func(relay.Document) error
 	watchers []Watcher
+	// rewrite is called with the row of the configuration and the configuration in force if the store has lost the
+	// latter; nil in a daemon that does not write it.
+	rewrite func(ctx context.Context, row store.Row, inForce relay.Document)
 
 	mu sync.Mutex
 	// node decides what to fetch and to push next. mu guards it.
@@ -76,6 +79,12 @@
 // Watch adds a watcher. It must be called before Run.
 func (s *Sync) Watch(w Watcher) { s.watchers = append(s.watchers, w) }
 
+// OnLostConfig sets the function that writes the configuration in force again after the store has lost it. It must be
+// called before Run.
+func (s *Sync) OnLostConfig(rewrite func(ctx context.Context, row store.Row, inForce relay.Document)) {
+	s.rewrite = rewrite
+}
+
 // Name implements kernel.Service.
 func (s *Sync) Name() string { return "sync" }
 
@@ -248,6 +257,14 @@
 	return peers
 }
 
+// Poll reads a document from the store and puts it in force if it is newer. If the store has lost the configuration in
+// force, Poll has it written again.
+func (s *Sync) Poll(ctx context.Context, k relay.Kind) {
+	if res := s.readStore(ctx, relay.Action{Kind: k}); res.OK {
+		s.Offer(res.Doc)
+	}
+}
+
 // perform carries out one action within its timeout, checks a document that it returned, and passes the result to the
 // relay node.
 func (s *Sync) perform(ctx context.Context, a relay.Action) {
@@ -282,7 +299,12 @@
 	if err != nil {
 		return relay.Result{}
 	}
-	return relay.Result{OK: true, Doc: relay.Document{Kind: a.Kind, Version: row.Version, Body: row.Value}}
+	doc := DocumentIn(a.Kind, row)
+	inForce := s.Current(a.Kind)
+	if a.Kind == relay.Config && s.rewrite != nil && inForce.Version > doc.Version && MayBeOutdated(inForce, row) {
+		s.rewrite(ctx, row, inForce)
+	}
+	return relay.Result{OK: true, Doc: doc}
 }
 
 // addresses returns the control addresses of vm that serve documents, in the order in which they are to be tried. For
--- a/steer/peer.go
+++ b/steer/peer.go
@@ -56,24 +56,42 @@
 		return nil, kinds.Wrap(kinds.BadRequest, err, "proposed configuration")
 	}
 	expected := ident.Version(r.GetExpectedVersion())
+	// The row has the expected version unless the store has lost rows since and the configuration was written again.
+	row := store.Row{Version: expected}
 	c.Version = expected + 1
-	body := c.Encode()
+	// If the store has lost the configuration in force, it has lost the reason to refuse the proposal.
+	d.sync.Poll(ctx, relay.Config)
+	if inForce := d.sync.Current(relay.Config); inForce.Version > expected {
+		return &wire.ApplyReply{Version: uint64(inForce.Version), Current: inForce.Body}, nil
+	}
+	if expected == 0 {
+		if row, err = d.store.Get(ctx, node.ConfigKey); err != nil {
+			return nil, err
+		}
+		row.Version, c.Version = 0, ident.NewVersion(row.Era, 1)
+	}
 	for attempt := 0; ; attempt++ {
-		_, err = d.store.Txn(ctx, []store.Op{{Key: node.ConfigKey, Value: body, IfVersion: expected}})
+		body := c.Encode()
+		_, err = d.store.Txn(ctx, []store.Op{{Key: node.ConfigKey, Value: body, IfVersion: row.Version, IfEra: row.Era}})
 		switch kinds.Of(err) {
 		case kinds.Answered:
 			return d.putInForce(ctx, r, c.Version, body), nil
 		case kinds.StoreDown:
 			return nil, err
 		}
-		row, readErr := d.store.Get(ctx, node.ConfigKey)
-		switch {
-		case readErr == nil && row.Version == c.Version && bytes.Equal(row.Value, body):
-			// The row was written by an earlier attempt of this call whose reply was lost, or by another operator who
-			// proposed an identical configuration. Both count as accepted.
-			return d.putInForce(ctx, r, c.Version, body), nil
-		case readErr == nil && row.Version != expected:
-			return &wire.ApplyReply{Version: uint64(row.Version), Current: row.Value}, nil
+		read, readErr := d.store.Get(ctx, node.ConfigKey)
+		if readErr == nil {
+			doc := node.DocumentIn(relay.Config, read)
+			switch {
+			case doc.Version == c.Version && bytes.Equal(doc.Body, body):
+				// The row was written by an earlier attempt of this call whose reply was lost, or by another operator who
+				// proposed an identical configuration. Both count as accepted.
+				return d.putInForce(ctx, r, c.Version, body), nil
+			case doc.Version != expected:
+				return &wire.ApplyReply{Version: uint64(doc.Version), Current: doc.Body}, nil
+			case read.Version != row.Version && kinds.Of(err) == kinds.Conflict:
+				row, c.Version = read, ident.NewVersion(read.Era, read.Version.Number()+1)
+			}
 		}
 		if attempt+1 >= maxApplyAttempts {
 			return nil, kinds.Wrap(kinds.StoreUnknown, err, "the configuration may have been accepted; see status")
@@ -86,6 +104,21 @@
 	}
 }
 
+// rewriteConfig writes a configuration again that was accepted in an earlier era of the store and lost. It keeps its
+// version, so that it never replaces a newer one, whichever VMs write what they have: the version of the configuration
+// in the row only increases. A failed write is repeated after the next read of the row.
+func (d *Daemon) rewriteConfig(ctx context.Context, row store.Row, inForce relay.Document) {
+	c, err := lists.Decode(inForce.Body)
+	if err != nil {
+		level.Error(d.logger).Log("event", "bad-document", "kind", "config", "version", inForce.Version, "err", err)
+		return
+	}
+	c.Version = inForce.Version
+	_, err = d.store.Txn(ctx, []store.Op{{Key: node.ConfigKey, Value: c.Encode(), IfVersion: row.Version, IfEra: row.Era}})
+	level.Warn(d.logger).Log("event", "config-rewritten", "version", inForce.Version, "row-version", row.Version,
+		"era", row.Era, "err", err)
+}
+
 // putInForce puts an accepted configuration in force. It replies to the operator only after another VM holds it, or
 // after replicateTimeout, so that an accepted configuration is not lost if this process ends during a store outage. The
 // log key "secured" states whether another VM holds it.
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -71,6 +71,7 @@
 	d.sync = node.NewSync(d.self, relay.Options{
 		ConfigInterval: cfg.Steer.ConfigInterval, PlanInterval: cfg.Steer.PlanInterval,
 	}, st, d.members, d.peers, d.clock, d.logger, checkDocument)
+	d.sync.OnLostConfig(d.rewriteConfig)
 	keeper := lease.NewKeeper(st, d.self.VM, d.self.Incarnation, d.clock,
 		lease.WithDuration(cfg.Steer.LeaseTerm, cfg.Steer.LeaseTerm/leaseMarginDivisor))
 	d.planner = newPlanner(d, keeper)
