steer, node: after the store has lost a plan, the next one is computed from the plan in force

After the store had come back from an earlier copy, the holder would have computed the next plan from the restored one. That plan grants slots which a later, lost plan had moved to other entries, and counts the acknowledgements of the later plan as agreement: two entries use one slot, and a target gets more requests than it has slots. Entries would also have ignored the new plans, whose numbers they had seen before. A process that was paused would have taken its slots back on the word of the restored plan.

Cause: the plan in the store counted as the newest, and its number as the order of plans. Evidence, with a plan's version taken from its row: TestPlanAfterRestore 'the next plan is computed from the plan "restored", lost false', TestRestoredPlanDoesNotConfirm 'a restored plan is confirmed'; with a client without eras also 'plan 3 of era 1 in force, want 2 of era 1'. Without the wait TestPlanWaitsForLostPlanOfAnEntry 'the next plan is computed from plan 1 while an entry follows plan 3'. Why this works: the version that a plan states orders it, as for configurations. The holder takes the newest of the plan in the store and the one in force, waits while an entry that still reports follows a newer one, which its probes then fetch, and publishes the result under the new era even if nothing changed. The write requires the era in which the row was read, and the lease of that era. A store that may have lost plans does not confirm one; other VMs do. Not covered: an entry that is cut off from the holder and follows a plan that no other process has; its target refuses what exceeds its slots, without running it.

--- a/node/sync.go
+++ b/node/sync.go
@@ -349,13 +349,16 @@
 
 // ConfirmPlan reads the traffic plan again, from the store or, if that fails, from other VMs, and puts a newer one in
 // force. It reports whether the plan in force is now at least as new as every plan that was in force when the call
-// began; without the store this rests on the replies of minPlanReplies other VMs. A process that was paused must not
-// use its slots before it succeeds, because they may have been granted to other entries during the pause.
+// began; without the store, or if the store may have lost a newer plan, this rests on the replies of minPlanReplies other
+// VMs. A process that was paused must not use its slots before it succeeds, because they may have been granted to other
+// entries during the pause.
 func (s *Sync) ConfirmPlan(ctx context.Context) bool {
-	res := s.readStore(ctx, relay.Action{Kind: relay.Plan})
-	if res.OK {
-		s.Offer(res.Doc)
-		return res.Doc.Version == 0 || s.Current(relay.Plan).Version >= res.Doc.Version
+	if row, err := s.rows.Get(ctx, PlanKey); err == nil {
+		doc := DocumentIn(relay.Plan, row)
+		s.Offer(doc)
+		if !MayBeOutdated(doc, row) {
+			return doc.Version == 0 || s.Current(relay.Plan).Version >= doc.Version
+		}
 	}
 	replies, others := 0, 0
 	for _, m := range s.members.Snapshot().Live() {
--- a/steer/planner.go
+++ b/steer/planner.go
@@ -58,9 +58,14 @@
 	nextStep time.Time
 	// heldSince is the time since which this process has held the lease. It has no meaning while it does not.
 	heldSince time.Time
-	// current is the plan in the store, from which the next one is computed. It is valid if currentKnown is set.
+	// current is the plan from which the next one is computed. It is valid if currentKnown is set. Its version is the
+	// predecessor of the next one.
 	current      plan.TrafficPlan
 	currentKnown bool
+	// row is the row of the plan as last read or written, without its value. It holds current unless lost is set: then
+	// the store has lost the plan in force, which is current, and the next plan is published even if it equals it.
+	row  store.Row
+	lost bool
 
 	// fenced counts the plans that were not written because the lease or the plan in the store had changed.
 	computed, published, fenced metrics.Counter
@@ -138,25 +143,54 @@
 	p.publish(ctx, p.d.clock())
 }
 
-// readCurrent reads the plan in the store, from which the next plan is computed. It reports whether that succeeded.
+// readCurrent reads the plan in the store, from which the next plan is computed. If the store has lost the plan in
+// force here, the next one is computed from that: entries have acknowledged it, so slots that it moved must not be
+// granted by an older one. It reports whether that succeeded, and false while only an entry has the plan that the store
+// has lost: probes fetch it from there.
 func (p *planner) readCurrent(ctx context.Context) bool {
 	row, err := p.d.store.Get(ctx, node.PlanKey)
 	if err != nil {
 		return false
 	}
-	t := plan.TrafficPlan{}
+	doc := node.DocumentIn(relay.Plan, row)
 	if row.Version != 0 {
-		if t, err = plan.Decode(row.Value); err != nil {
-			level.Error(p.d.logger).Log("event", "bad-document", "kind", "plan", "version", row.Version, "err", err)
+		p.d.sync.Offer(doc)
+	}
+	inForce := p.d.sync.Current(relay.Plan)
+	lost := inForce.Version > doc.Version && node.MayBeOutdated(inForce, row)
+	if lost {
+		doc = inForce
+	}
+	if node.MayBeOutdated(doc, row) && p.newestReported(p.d.clock()) > doc.Version {
+		return false
+	}
+	t := plan.TrafficPlan{}
+	if doc.Version != 0 {
+		if t, err = plan.Decode(doc.Body); err != nil {
+			level.Error(p.d.logger).Log("event", "bad-document", "kind", "plan", "version", doc.Version, "err", err)
 			return false
 		}
-		p.d.sync.Offer(relay.Document{Kind: relay.Plan, Version: row.Version, Body: row.Value})
 	}
-	t.Version = row.Version
-	p.current, p.currentKnown = t, true
+	t.Version = ident.NewVersion(row.Era, row.Version.Number()+1) - 1
+	row.Value = nil
+	p.current, p.currentKnown, p.row, p.lost = t, true, row, lost
 	return true
 }
 
+// newestReported returns the newest version of a plan that an entry has reported to have. It passes over entries that have
+// been silent for so long that their slots may be given to others.
+func (p *planner) newestReported(now time.Time) ident.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var newest ident.Version
+	for _, r := range p.reports {
+		if now.Sub(r.at) < share.DeadAfter {
+			newest = max(newest, ident.Version(r.msg.GetPlanVersion()))
+		}
+	}
+	return newest
+}
+
 // publish computes the next plan and, if it differs from the current one, writes it. The write succeeds only if the
 // lease and the version of the current plan are unchanged in the store.
 func (p *planner) publish(ctx context.Context, now time.Time) {
@@ -171,17 +205,24 @@
 	p.mu.Lock()
 	p.reason, p.input = reason, in
 	p.mu.Unlock()
-	if !reason.Changed {
+	if !reason.Changed && !p.lost {
 		return
 	}
-	check, term, err := p.keeper.Fence(p.d.clock())
+	p.write(ctx, p.d.clock(), next)
+}
+
+// write writes the plan next, the successor of current, and puts it in force.
+func (p *planner) write(ctx context.Context, now time.Time, next plan.TrafficPlan) {
+	check, term, err := p.keeper.Fence(now)
 	if err != nil {
 		p.fenced.Inc(1)
 		return
 	}
 	next.Term = term
 	body := plan.Encode(next)
-	_, err = p.d.store.Txn(ctx, []store.Op{check, {Key: node.PlanKey, Value: body, IfVersion: p.current.Version}})
+	_, err = p.d.store.Txn(ctx, []store.Op{check, {
+		Key: node.PlanKey, Value: body, IfVersion: p.row.Version, IfEra: p.row.Era,
+	}})
 	switch kinds.Of(err) {
 	case kinds.Answered:
 		p.putInForce(next, body)
@@ -208,7 +249,8 @@
 
 // putInForce puts a plan in force that was written to the store.
 func (p *planner) putInForce(t plan.TrafficPlan, body []byte) {
-	p.current, p.currentKnown = t, true
+	p.current, p.currentKnown, p.lost = t, true, false
+	p.row = store.Row{Key: node.PlanKey, Version: t.Version, Era: p.row.Era}
 	p.published.Inc(1)
 	p.d.sync.Accept(relay.Document{Kind: relay.Plan, Version: t.Version, Body: body})
 	level.Debug(p.d.logger).Log("event", "plan-published", "version", t.Version, "term", t.Term, "config", t.ConfigVersion)
