entry: a process assumes that its predecessor crashed if the store may have lost the predecessor's row

After the store had come back from an earlier copy, a process that started on the VM of a crashed one would have used its slots at once, while loans of the crashed process were still in use: one slot for two requests, and the target refuses one of them.

Cause: the row that says whether the last process of a VM stopped as planned was believed whatever the store had lost. Evidence: TestCrashOfLostProcessRow, on the code before: 'stopped before true: a process does not notice the crash of a predecessor whose row is lost', and the same without a row in the copy. Why this works: the row states the era in which it was written. A row of an earlier era, or none in an era that isn't the first, may hide a later process, which counts as crashed: the grants stay suspended until its loans have ended. The price is that delay, once for each VM that starts after a restore.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,11 +140,13 @@
 	return nil
 }
 
-// writeProcessRow records in the store that this process runs or has stopped. A failure is only logged: at worst, the
+// writeProcessRow records in the store that this process runs or has stopped, if the row is still as read. A failure is only logged: at worst, the
 // next process on this VM assumes that this one crashed.
-func (d *Daemon) writeProcessRow(ctx context.Context, version ident.Version, stopped bool) {
-	value, _ := json.Marshal(processRow{d.self.Incarnation, stopped}) // can't fail: an integer and a bool
-	_, err := d.store.Txn(ctx, []store.Op{{Key: processKey(d.self.VM), Value: value, IfVersion: version}})
+func (d *Daemon) writeProcessRow(ctx context.Context, read store.Row, stopped bool) {
+	value, _ := json.Marshal(processRow{d.self.Incarnation, stopped, read.Era}) // can't fail: integers and a bool
+	_, err := d.store.Txn(ctx, []store.Op{{
+		Key: processKey(d.self.VM), Value: value, IfVersion: read.Version, IfEra: read.Era,
+	}})
 	if err != nil {
 		level.Warn(d.logger).Log("event", "process-row", "stopped", stopped, "err", err)
 	}
@@ -159,7 +161,7 @@
 		level.Warn(d.logger).Log("event", "process-row", "stopped", true, "err", err)
 		return
 	}
-	d.writeProcessRow(ctx, row.Version, true)
+	d.writeProcessRow(ctx, row, true)
 }
 
 // Kernel returns the kernel of the process, for a dump.
--- a/entry/services.go
+++ b/entry/services.go
@@ -80,10 +80,13 @@
 type processRow struct {
 	Incarnation ident.Incarnation `json:"incarnation"`
 	Stopped     bool              `json:"stopped"`
+	// Era is the era of the store in which the row was written; zero if not known.
+	Era ident.Era `json:"era,omitempty"`
 }
 
 // predecessorCrashed writes the row of this process and reports whether the previous process on this VM ended without
-// completing a planned stop. If the row can't be read, it assumes a crash.
+// completing a planned stop. It assumes a crash if the row can't be read, and if the store may have lost the row of a
+// later process: the row, or its absence, is of an earlier era.
 func (a *applier) predecessorCrashed(ctx context.Context) bool {
 	row, err := a.d.store.Get(ctx, processKey(a.d.self.VM))
 	if err != nil {
@@ -93,8 +96,9 @@
 	if row.Version != 0 && json.Unmarshal(row.Value, &before) != nil {
 		return true
 	}
-	a.d.writeProcessRow(ctx, row.Version, false)
-	return row.Version != 0 && !before.Stopped
+	a.d.writeProcessRow(ctx, row, false)
+	mayBeLost := row.Era > ident.FirstEra && before.Era != row.Era
+	return mayBeLost || row.Version != 0 && !before.Stopped
 }
 
 // afterPause confirms the plan after this process was paused, and restores its grants. If that fails, the scheduler
