carry, pick: a target that says in a response that it is leaving gets no new requests

Rule: a target that leaves also says so in all its responses (Server-Leaving: 1). After a VM has passed on such a response, requests sent later than the drain time must not reach the target from this VM, whether it is in touch with the store or not. Cause: only the registry's row ended a target's use. A VM that the store doesn't reach, or that reads a late row of a ready target, sent on until the row arrived. Change: platform/ decodes the field once, when the header is read and before the body, so that responses that end early count; a trailer, a response to another request and a 421 of another process don't. New requests, further attempts and requests chosen but not yet written go elsewhere; if no target is left, the request is refused at once with the cause all-leaving.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(responseGrace))
 	defer cancel()
 	msg := outlet.Message{Method: k.r.Method(), Build: func() ([]byte, error) { return k.buildRequest(k.clock(), t) }, Matches: k.ownsResponse,
-		NewConnection: k.id == ""}
+		NewConnection: k.id == "", OnHeader: func(a *codec.Response) { k.recordNotice(k.clock(), t, a) }}
 	a, err := k.pool.Do(ctx, k.outletTarget(t), msg)
 	done := k.clock()
 	result := k.classify(ctx, a, err)
@@ -137,6 +137,9 @@
 	case s != k.choiceSnapshot && !s.Usable(&t):
 		return nil, errTargetWithdrawn
 	}
+	if err := k.checkNotice(&t); err != nil {
+		return nil, err
+	}
 	return k.r.Append(nil,
 		codec.Field{Name: k.headers.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 		codec.Field{Name: k.headers.Expect, Value: string(t.ID)}), nil
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -66,6 +66,7 @@
 	log     *trace.Log
 	clock   func() time.Time
 	quota   retry.QuotaLimits
+	notices NoticeDecoder
 
 	// stopTime is when the process gives up its requests because it stops; nil until a stop is requested.
 	stopTime     atomic.Pointer[time.Time]
@@ -94,12 +95,14 @@
 	// MaxResponseMemory bounds the total size in bytes of the target responses that are being read. The first 64 KiB of each
 	// response don't count.
 	MaxResponseMemory int64
+	// Notices decodes what responses say about their targets; nil if they say nothing.
+	Notices NoticeDecoder
 }
 
 // New returns a Forwarder without configuration and targets.
 func New(cfg Config) *Forwarder {
 	c := &Forwarder{
-		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, meter: meter.New(),
+		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, notices: cfg.Notices, meter: meter.New(),
 		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1, quotaVMs: 1,
 	}
 	c.pool = outlet.New(cfg.Clock, cfg.MaxResponseMemory, func(t outlet.Target, took time.Duration) {
@@ -145,6 +148,7 @@
 	Targets []pick.TargetState `json:"targets"`
 	Routes  []pick.RouteState  `json:"routes"`
 	VMs     int                `json:"vms-sharing"`
+	Notices []pick.NoticeState `json:"notices"`
 }
 
 // Dump returns the state of all targets and routes.
@@ -152,7 +156,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	targets, routes := c.picker.Dump(now)
-	return State{Targets: targets, Routes: routes, VMs: c.vms}
+	return State{Targets: targets, Routes: routes, VMs: c.vms, Notices: c.picker.Notices()}
 }
 
 // Sweep closes connections that were idle for too long and idle connections to targets that are no longer listed.
--- a/codec/response.go
+++ b/codec/response.go
@@ -54,6 +54,12 @@
 // ReadResponse reads one complete response to a request with the given method and skips up to maxInterimResponses
 // interim responses. A body that ends early is an error. Limit bounds the body in bytes.
 func ReadResponse(br *bufio.Reader, method string, limit int) (*Response, error) {
+	return ReadResponseFunc(br, method, limit, func(*Response) {})
+}
+
+// ReadResponseFunc is ReadResponse with a function that is called with the status and the fields before the body is read, also
+// if the body then ends early. Trailer fields are no part of them.
+func ReadResponseFunc(br *bufio.Reader, method string, limit int, onHeader func(*Response)) (*Response, error) {
 	var resp fasthttp.Response
 	resp.Header.SetNoDefaultContentType(true)
 	for n := 0; ; n++ {
@@ -75,6 +81,8 @@
 		}
 	}
 	a := &Response{Status: resp.StatusCode(), Close: resp.Header.ConnectionClose(), statedLength: -1}
+	a.copyFields(&resp.Header)
+	onHeader(a)
 	a.omitBody = method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
 	if a.omitBody {
 		a.statedLength = max(resp.Header.ContentLength(), -1)
@@ -87,7 +95,6 @@
 		}
 		a.Body = body
 	}
-	a.copyFields(&resp.Header)
 	return a, nil
 }
 
--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -151,6 +151,15 @@
 	// NewConnection is set if the request must not be sent on a connection that has carried another one, since Matches
 	// could not tell the responses apart.
 	NewConnection bool
+	// OnHeader, if set, is called with the header of the response that belongs to the request, before its body is read and also if
+	// the response then ends early.
+	OnHeader func(*codec.Response)
+}
+
+func (m *Message) observeHeader(a *codec.Response) {
+	if m.OnHeader != nil && m.Matches(a) {
+		m.OnHeader(a)
+	}
 }
 
 // Do sends a message and returns the complete response. The error is of type *Error. If ctx ends first, the connection
@@ -201,7 +210,7 @@
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, &Error{Stage: Sent, cause: errors.Wrap(err, "no answer")}
 		}
-		a, err := codec.ReadResponse(c.br, m.Method, MaxResponseBytes)
+		a, err := codec.ReadResponseFunc(c.br, m.Method, MaxResponseBytes, m.observeHeader)
 		if err != nil {
 			return nil, &Error{Stage: Sent, Partial: true, cause: errors.Wrap(err, "broken answer")}
 		}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -78,6 +78,8 @@
 	slowdown float64
 	// replaced is set when another target responded at the address.
 	replaced bool
+	// notice is what the target has said about itself, nil if nothing.
+	notice *notice
 	// lastRequest maps an object to the time of this VM's last request for it at the target.
 	lastRequest map[Object]time.Time
 	pacer       coldPacer
@@ -109,6 +111,8 @@
 	vmHashes   []uint64
 	selfHash   uint64
 	vmsVersion uint64
+	// notices are kept by target also while it isn't registered.
+	notices map[ident.Target]*notice
 	// candidateBuf and suspectBuf are reused buffers of candidates; their contents are valid during one call of Choose.
 	candidateBuf, suspectBuf []candidate
 }
@@ -122,6 +126,7 @@
 		serviceTimes: map[fleet.RouteName]*serviceTimes{},
 		regionRTT:    map[ident.Region]time.Duration{},
 		splits:       map[fleet.RouteName]*split{},
+		notices:      map[ident.Target]*notice{},
 	}
 	p.SetVMs(nil, true)
 	return p
@@ -165,7 +170,7 @@
 			if t == nil || t.StartedUnixMS != ft.StartedUnixMS || t.Address != ft.Address {
 				t = &target{hash: xxhash.Sum64String(string(ft.ID)), slowdown: 1, lastRequest: map[Object]time.Time{}}
 			}
-			t.Target, t.pool = ft, pl
+			t.Target, t.pool, t.notice = ft, pl, p.noticeFor(&ft)
 			t.distance = p.place.To(ft.Place)
 			byID[ft.ID] = t
 			pl.targets = append(pl.targets, t)
@@ -217,11 +222,13 @@
 	// RegionLimit: no target of the object's home region is expected to respond before the deadline, and the request may not
 	// move to another region now.
 	RegionLimit
+	// AllLeaving: all targets that would be eligible have announced that they are leaving.
+	AllLeaving
 )
 
 // String returns the reason in kebab case.
 func (r Reason) String() string {
-	return [...]string{"chosen", "no-target", "cold-only", "too-late", "region-limit"}[r]
+	return [...]string{"chosen", "no-target", "cold-only", "too-late", "region-limit", "all-leaving"}[r]
 }
 
 // candidate is an eligible target with the estimated cost of sending the request to it.
@@ -321,6 +328,12 @@
 		if t.replaced || !a.Route.Allows(t.Place.Region) || slices.Contains(a.Excluded, t.ID) {
 			continue
 		}
+		if t.notice != nil {
+			if reason == NoTarget {
+				reason = AllLeaving
+			}
+			continue
+		}
 		if now.Before(t.ColdUntil) && !p.maySendCold(now, t) {
 			reason = ColdOnly
 			continue
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -88,6 +88,8 @@
 	inProgress     int
 	responseFaults *ResponseFaults
 	slots          chan struct{}
+	notices        Notices
+	received       int // requests received, including refused ones
 }
 
 // NewTarget returns a target that listens on a free port of host and has a queue of three times its slots.
@@ -190,6 +192,7 @@
 		h.Set(headerAttempt, id)
 	}
 	h.Set(headerInstance, t.ID)
+	t.receive().addTo(h)
 	if want := r.Header.Get(headerExpect); want != "" && want != t.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -290,7 +293,7 @@
 		return
 	}
 	defer func() { _ = nc.Close() }()
-	t.writeRaw(nc, bw.Writer, fault, id, body)
+	t.writeRaw(nc, bw.Writer, fault, id, body, w.Header())
 }
 
 // strayResponse is a complete response to a request of another caller.
@@ -301,8 +304,11 @@
 const strayResponseWait = 2 * time.Second
 
 // writeRaw writes a faulty response that net/http cannot produce.
-func (t *Target) writeRaw(nc net.Conn, bw *bufio.Writer, fault ResponseFault, id, body string) {
+func (t *Target) writeRaw(nc net.Conn, bw *bufio.Writer, fault ResponseFault, id, body string, h http.Header) {
 	head := "HTTP/1.1 200 OK\r\n" + headerAttempt + ": " + id + "\r\n" + headerSignature + ": sig-" + id + "\r\n"
+	for _, v := range h[headerLeaving] {
+		head += headerLeaving + ": " + v + "\r\n"
+	}
 	reset := false
 	switch fault {
 	case ResetAfterRun:
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -33,6 +33,8 @@
 	Evacuation         Event = "evacuation"
 	StateAdopted       Event = "adopted"
 	Targets            Event = "targets"
+	Leaving            Event = "leaving"
+	BadNotice          Event = "bad-notice"
 	Registry           Event = "registry"
 	Resumed            Event = "resumed"
 	Members            Event = "members"
