pick, carry: a target that asks for time in a refusal gets no request until its end

Rule: a target that turns a request away with 503 may add Retry-After in seconds: it wants nothing from this VM for so long. Cause: the field was not read; a refusing target stayed a candidate at once. From the moment at which the header is read the VM sends nothing to the target, also no request that was chosen but not yet written; there are no health checks. The latest end counts. Each VM returns at a time of its own after the end, never before it, by a seeded source, with one request in progress and the target's slots 2 s later. If all targets of a service have asked for time, a request is refused at once with 503, the cause backed-off and the earliest return in Retry-After, spread. Whether the refused request has run and whether it may be tried elsewhere is decided as before. Targets of the home region that have asked for time don't lift the limit on moves between regions. A log line names target, cause and end; the dump has the times. stubs/plat refuses with the field, also repeated, in a trailer and in responses that are cut.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -63,6 +63,9 @@
 	case pick.Chosen:
 		k.sends++
 		return choice, nil
+	case pick.BackedOff:
+		k.notBefore = k.earliestReturn(now)
+		return choice, k.giveUp(now, kinds.Overloaded, reason.String())
 	case pick.TooLate, pick.RegionLimit:
 		return choice, k.giveUp(now, kinds.Overloaded, reason.String())
 	}
@@ -137,7 +140,7 @@
 	case s != k.choiceSnapshot && !s.Usable(&t):
 		return nil, errTargetWithdrawn
 	}
-	if err := k.checkNotice(&t); err != nil {
+	if err := k.checkNotice(now, &t); err != nil {
 		return nil, err
 	}
 	return k.r.Append(nil,
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -205,6 +205,8 @@
 	serverError *codec.Response
 	// mayHaveRun is set if a target may have run the request but sent no complete response.
 	mayHaveRun bool
+	// notBefore is when a target may take the request if all have asked for a time without requests; else zero.
+	notBefore time.Time
 }
 
 // Handle implements inlet.Handler.
@@ -300,7 +302,7 @@
 // refuse responds to a request that has not run and will not run.
 func (c *Forwarder) refuse(now time.Time, k *call, kind kinds.Kind, cause string) *codec.Response {
 	fields := []codec.Field{{Name: "Currantpier-Outcome", Value: kind.String()}}
-	after := c.retryAfter(k)
+	after := max(k.notBefore.Sub(now), 0) + c.retryAfter(k)
 	if after > 0 {
 		fields = append(fields, codec.Field{Name: "Retry-After", Value: strconv.FormatFloat(after.Seconds(), 'f', 2, 64)})
 	}
--- /dev/null
+++ b/pick/backoff_test.go
@@ -0,0 +1,185 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+)
+
+// Forty targets take requests of ten VMs, and a third of them asks every VM for a time without requests. Guards against a request
+// that reaches such a target before the end of that time, against VMs that return to it at the same instant, and against a target
+// that never gets requests again.
+func TestThirdOfTargetsAskForTime(t *testing.T) {
+	const vms, targets, step = 10, 40, 5 * time.Millisecond
+	s := oneRegion(targets)
+	names := make([]ident.VM, vms)
+	for i := range names {
+		names[i] = ident.VM(fmt.Sprint("vm", i))
+	}
+	pickers := make([]*Picker, vms)
+	for i := range pickers {
+		pickers[i] = New(names[i], here)
+		pickers[i].SetVMs(names, true)
+		pickers[i].SetTargets(start, s)
+	}
+	until := map[ident.Target]time.Time{}
+	for i := 0; i < targets; i += 3 {
+		tg := s.Targets["s"][i]
+		d := time.Duration(500+100*i) * time.Millisecond
+		until[tg.ID] = at(d)
+		resumes := map[time.Time]bool{}
+		for _, p := range pickers {
+			_, resumeAt, ok := p.RecordBackOff(start, &tg, d)
+			if !ok || resumeAt.Before(at(d)) {
+				t.Fatalf("%s: resumes at %v, asked until %v", tg.ID, resumeAt, at(d))
+			}
+			resumes[resumeAt] = true
+		}
+		if len(resumes) != vms {
+			t.Errorf("%s: %d VMs return at %d times", tg.ID, vms, len(resumes))
+		}
+	}
+	served := map[ident.Target]map[int]bool{}
+	type sent struct {
+		p    *Picker
+		a    Request
+		c    Choice
+		ends time.Time
+	}
+	var open []sent
+	for now := start; now.Before(at(9 * time.Second)); now = now.Add(step) {
+		for len(open) > 0 && !open[0].ends.After(now) {
+			x := open[0]
+			open = open[1:]
+			x.p.RecordEnd(now, x.a, x.c, Outcome{Result: Served, Status: 200, Duration: 50 * time.Millisecond})
+		}
+		for i, p := range pickers {
+			if now.Sub(start)%time.Second == 0 {
+				p.SetTargets(now, s) // a new snapshot must not end the time
+			}
+			a := request(now, fmt.Sprint(i, now.Sub(start))) // each object is new, so that hashing alone distributes them
+			c, reason := p.Choose(now, a)
+			if reason != Chosen {
+				t.Fatalf("%v with targets left", reason)
+			}
+			p.RecordStart(now, a, c)
+			open = append(open, sent{p, a, c, now.Add(50 * time.Millisecond)})
+			id := c.Target.ID
+			end, asked := until[id]
+			if !asked {
+				continue
+			}
+			if now.Before(end) {
+				t.Fatalf("%s gets a request %v before the end of its time", id, end.Sub(now))
+			}
+			if served[id] == nil {
+				served[id] = map[int]bool{}
+			}
+			served[id][i] = true
+		}
+	}
+	for id := range until {
+		if len(served[id]) != vms {
+			t.Errorf("%s gets requests of %d of %d VMs again", id, len(served[id]), vms)
+		}
+	}
+}
+
+// Guards against a VM that returns with its full load at once.
+func TestReturnIsGradual(t *testing.T) {
+	for _, tt := range []struct {
+		after time.Duration
+		want  int
+	}{{-1, 0}, {0, 1}, {resumeRamp / 4, 2}, {resumeRamp / 2, 3}, {resumeRamp, 20}} {
+		p, s := New("vm", here), oneRegion(1)
+		p.SetTargets(start, s)
+		_, resumeAt, _ := p.RecordBackOff(start, &s.Targets["s"][0], 3*time.Second)
+		now, n := resumeAt.Add(tt.after), 0
+		for range 20 {
+			a := request(now, "k")
+			if c, reason := p.Choose(now, a); reason == Chosen {
+				p.RecordStart(now, a, c)
+				n++
+			}
+		}
+		if n != tt.want {
+			t.Errorf("%v after the end: %d of 20 requests at once, want %d", tt.after, n, tt.want)
+		}
+	}
+}
+
+// Guards against a shorter time that ends a longer one, and against a time that outlasts a restart or ends with a snapshot that
+// lacks the target.
+func TestLatestEndOfBackOffCounts(t *testing.T) {
+	p, s := New("vm", here), oneRegion(1)
+	tg := &s.Targets["s"][0]
+	p.SetTargets(start, s)
+	said := *tg
+	p.RecordBackOff(start, &said, 3*time.Second)
+	if _, _, ok := p.RecordBackOff(at(time.Second), &said, time.Second); ok {
+		t.Error("a shorter time replaces a longer one")
+	}
+	until, resumeAt, ok := p.RecordBackOff(at(time.Second), &said, 4*time.Second)
+	if !ok || until != at(5*time.Second) || resumeAt.After(until.Add(resumeGap)) {
+		t.Errorf("a later end: until %v, resumes at %v, %v", until, resumeAt, ok)
+	}
+	p.SetTargets(at(2*time.Second), &fleet.Snapshot{})
+	p.SetTargets(at(3*time.Second), s)
+	a := request(at(3*time.Second), "k")
+	if _, reason := p.Choose(at(3*time.Second), a); reason != BackedOff || !p.BackedOff(at(3*time.Second), tg) {
+		t.Errorf("after a snapshot without the target: %v", reason)
+	}
+	if got := p.EarliestReturn(at(3*time.Second), a); got != resumeAt {
+		t.Errorf("earliest return %v, want %v", got, resumeAt)
+	}
+	if _, reason := p.Choose(resumeAt, request(resumeAt, "k")); reason != Chosen {
+		t.Errorf("at its end: %v", reason)
+	}
+	p.SetTargets(resumeAt.Add(resumeRamp), s)
+	if len(p.Notices()) != 0 {
+		t.Errorf("left over: %+v", p.Notices())
+	}
+	p.RecordBackOff(at(time.Hour), tg, time.Minute)
+	tg.StartedUnixMS++
+	p.SetTargets(at(time.Hour), s)
+	if _, reason := p.Choose(at(time.Hour), request(at(time.Hour), "k")); reason != Chosen {
+		t.Errorf("after a restart: %v", reason)
+	}
+	p.RecordBackOff(at(time.Hour), &said, time.Hour)
+	if p.BackedOff(at(time.Hour), tg) {
+		t.Error("a response of the process before the restart counts")
+	}
+}
+
+// All targets of a VM's region ask for time. Guards against its requests changing the region all at once: like overload, this
+// doesn't lift the limit on moves between regions.
+func TestBackOffMovesRegionsSlowly(t *testing.T) {
+	p, s := New("vm", here), snapshot(5, 10)
+	p.SetTargets(start, s)
+	for _, tg := range s.Targets["s"] {
+		if tg.Place.Region == "a" {
+			p.RecordBackOff(start, &tg, 10*time.Second)
+		}
+	}
+	moved, refused := 0, 0
+	for i := range 200 {
+		now := at(time.Duration(i) * 5 * time.Millisecond)
+		a := request(now, "")
+		switch c, reason := p.Choose(now, a); reason {
+		case Chosen:
+			moved++
+			p.RecordStart(now, a, c)
+			p.RecordEnd(now, a, c, Outcome{Result: Served, Status: 200, Duration: 50 * time.Millisecond})
+		case RegionLimit:
+			refused++
+		default:
+			t.Fatal(reason)
+		}
+	}
+	if moved > 40 || refused == 0 {
+		t.Errorf("%d of 200 requests left the region within a second, %d refused", moved, refused)
+	}
+}
--- a/pick/notice.go
+++ b/pick/notice.go
@@ -24,6 +24,18 @@
 	updated time.Time
 	// leavingSince is the time of the first response that announced that the target is leaving.
 	leavingSince time.Time
+	backOff      backOff
+}
+
+// excludes returns why a target with this notice gets no request now, or Chosen.
+func (n *notice) excludes(now time.Time, t *target) Reason {
+	switch {
+	case !n.leavingSince.IsZero():
+		return AllLeaving
+	case t.inFlight >= n.backOff.limit(now, int(t.Slots)):
+		return BackedOff
+	}
+	return Chosen
 }
 
 // covers reports whether a registered target is the process that gave the notice. An entry of an earlier start is an old row that
@@ -35,13 +47,14 @@
 	return t.StartedUnixMS <= n.startedUnixMS
 }
 
-// noticeFor returns the notice that holds for a registered target, nil if there is none. It drops that of an earlier process.
-func (p *Picker) noticeFor(t *fleet.Target) *notice {
+// noticeFor returns the notice that holds for a registered target, nil if there is none. It drops that of an earlier process and
+// one whose time is over.
+func (p *Picker) noticeFor(now time.Time, t *fleet.Target) *notice {
 	n := p.notices[t.ID]
 	switch {
 	case n == nil:
 		return nil
-	case !n.covers(t):
+	case !n.covers(t), n.leavingSince.IsZero() && n.backOff.over(now):
 		delete(p.notices, t.ID)
 		return nil
 	}
@@ -52,21 +65,37 @@
 // RecordLeaving records that a target has announced in a response that it is leaving, and reports whether this is news. From
 // then on Choose selects other targets, until the target starts anew. It ignores a response of a process that was replaced.
 func (p *Picker) RecordLeaving(now time.Time, t *fleet.Target) bool {
-	n := p.notices[t.ID]
-	current := p.byID[t.ID]
-	switch {
-	case n != nil && n.covers(t):
-		return false
-	case current != nil && current.StartedUnixMS > t.StartedUnixMS:
+	n := p.noticeOf(t)
+	if n == nil || !n.leavingSince.IsZero() {
 		return false
 	}
-	n = &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence, updated: now, leavingSince: now}
+	n.updated, n.leavingSince = now, now
+	p.publishNotice(now, t, n)
+	return true
+}
+
+// noticeOf returns the notice of a target that has responded, a new one if it has none. It returns nil if the response is one of
+// a process that was replaced.
+func (p *Picker) noticeOf(t *fleet.Target) *notice {
+	if n := p.notices[t.ID]; n != nil && n.covers(t) {
+		if n.startedUnixMS > t.StartedUnixMS {
+			return nil
+		}
+		return n
+	}
+	if current := p.byID[t.ID]; current != nil && current.StartedUnixMS > t.StartedUnixMS {
+		return nil
+	}
+	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence}
+}
+
+// publishNotice makes a changed notice effective.
+func (p *Picker) publishNotice(now time.Time, t *fleet.Target, n *notice) {
 	p.notices[t.ID] = n
-	if current != nil {
-		current.notice = p.noticeFor(&current.Target)
+	if current := p.byID[t.ID]; current != nil {
+		current.notice = p.noticeFor(now, &current.Target)
 	}
 	p.boundNotices()
-	return true
 }
 
 // boundNotices drops the oldest notice of a target that isn't registered if there are too many.
@@ -88,7 +117,7 @@
 // Leaving reports whether a target has announced that it is leaving.
 func (p *Picker) Leaving(t *fleet.Target) bool {
 	n := p.notices[t.ID]
-	return n != nil && n.covers(t)
+	return n != nil && n.covers(t) && !n.leavingSince.IsZero()
 }
 
 // NoticeState is one notice in a dump.
@@ -96,13 +125,17 @@
 	ID            ident.Target `json:"id"`
 	StartedUnixMS int64        `json:"started-unix-ms"`
 	LeavingSince  time.Time    `json:"leaving-since,omitzero"`
+	// BackOffUntil is the end of the time that the target asked for, ResumeAt when this VM sends to it again.
+	BackOffUntil time.Time `json:"back-off-until,omitzero"`
+	ResumeAt     time.Time `json:"resume-at,omitzero"`
 }
 
 // Notices returns all notices, sorted by target.
 func (p *Picker) Notices() []NoticeState {
 	var all []NoticeState
 	for id, n := range p.notices {
-		all = append(all, NoticeState{ID: id, StartedUnixMS: n.startedUnixMS, LeavingSince: n.leavingSince})
+		all = append(all, NoticeState{ID: id, StartedUnixMS: n.startedUnixMS, LeavingSince: n.leavingSince,
+			BackOffUntil: n.backOff.until, ResumeAt: n.backOff.resumeAt})
 	}
 	slices.SortFunc(all, func(a, b NoticeState) int { return cmp.Compare(a.ID, b.ID) })
 	return all
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -5,6 +5,7 @@
 package pick
 
 import (
+	"math/rand"
 	"slices"
 	"strings"
 	"time"
@@ -115,6 +116,10 @@
 	notices map[ident.Target]*notice
 	// candidateBuf and suspectBuf are reused buffers of candidates; their contents are valid during one call of Choose.
 	candidateBuf, suspectBuf []candidate
+	// homeBackedOff is set during one call of Choose if a target in the home region has asked for a time without requests.
+	homeBackedOff bool
+	// spread spreads the times at which VMs send to a target again; its seed is the VM's name.
+	spread *rand.Rand
 }
 
 // New returns a Picker without targets for a VM at the given place.
@@ -128,6 +133,7 @@
 		splits:       map[fleet.RouteName]*split{},
 		notices:      map[ident.Target]*notice{},
 	}
+	p.spread = rand.New(rand.NewSource(int64(p.selfHash)))
 	p.SetVMs(nil, true)
 	return p
 }
@@ -170,7 +176,7 @@
 			if t == nil || t.StartedUnixMS != ft.StartedUnixMS || t.Address != ft.Address {
 				t = &target{hash: xxhash.Sum64String(string(ft.ID)), slowdown: 1, lastRequest: map[Object]time.Time{}}
 			}
-			t.Target, t.pool, t.notice = ft, pl, p.noticeFor(&ft)
+			t.Target, t.pool, t.notice = ft, pl, p.noticeFor(now, &ft)
 			t.distance = p.place.To(ft.Place)
 			byID[ft.ID] = t
 			pl.targets = append(pl.targets, t)
@@ -215,6 +221,10 @@
 	Chosen Reason = iota
 	// NoTarget: the service has no eligible target.
 	NoTarget
+	// AllLeaving: all targets that would be eligible have announced that they are leaving.
+	AllLeaving
+	// BackedOff: all targets that would be eligible, except those that are leaving, have asked this VM for a time without requests.
+	BackedOff
 	// ColdOnly: all eligible targets are cold, and this VM may not send to any of them now.
 	ColdOnly
 	// TooLate: no target is expected to respond before the deadline.
@@ -222,13 +232,11 @@
 	// RegionLimit: no target of the object's home region is expected to respond before the deadline, and the request may not
 	// move to another region now.
 	RegionLimit
-	// AllLeaving: all targets that would be eligible have announced that they are leaving.
-	AllLeaving
 )
 
 // String returns the reason in kebab case.
 func (r Reason) String() string {
-	return [...]string{"chosen", "no-target", "cold-only", "too-late", "region-limit", "all-leaving"}[r]
+	return [...]string{"chosen", "no-target", "all-leaving", "backed-off", "cold-only", "too-late", "region-limit"}[r]
 }
 
 // candidate is an eligible target with the estimated cost of sending the request to it.
@@ -274,13 +282,14 @@
 	// cheapest has the least cost of all, atHome the least in the home region, and allowed the least in the regions that the
 	// request may move to now.
 	cheapest, atHome, allowed *candidate
-	// homeEligible is set if the home region has any candidate.
+	// homeEligible is set if the home region has any candidate, or would have one that has asked for a time without requests: like
+	// overload, this doesn't lift the limit on moves between regions.
 	homeEligible bool
 }
 
 // compare estimates the candidates of a request and returns the best ones.
 func (p *Picker) compare(now time.Time, pl *pool, a Request, home ident.Region, list []candidate) selection {
-	var s selection
+	s := selection{homeEligible: p.homeBackedOff}
 	e := p.newEstimator(now, a)
 	left, learned := a.Deadline.Sub(now), e.times.learned()
 	for i := range list {
@@ -324,18 +333,23 @@
 func (p *Picker) candidates(now time.Time, pl *pool, a Request, home ident.Region) ([]candidate, Reason) {
 	list, suspects := p.candidateBuf[:0], p.suspectBuf[:0]
 	reason := NoTarget
+	p.homeBackedOff = false
 	for _, t := range pl.targets {
-		if t.replaced || !a.Route.Allows(t.Place.Region) || slices.Contains(a.Excluded, t.ID) {
+		if t.replaced || !a.Route.Allows(t.Place.Region) {
 			continue
 		}
 		if t.notice != nil {
-			if reason == NoTarget {
-				reason = AllLeaving
+			if r := t.notice.excludes(now, t); r != Chosen {
+				reason = max(reason, r)
+				p.homeBackedOff = p.homeBackedOff || r == BackedOff && t.Place.Region == home
+				continue
 			}
+		}
+		if slices.Contains(a.Excluded, t.ID) {
 			continue
 		}
 		if now.Before(t.ColdUntil) && !p.maySendCold(now, t) {
-			reason = ColdOnly
+			reason = max(reason, ColdOnly)
 			continue
 		}
 		c := candidate{t: t, score: hash.Mix(uint64(a.Object) ^ t.hash)}
--- a/stubs/plat/notices.go
+++ b/stubs/plat/notices.go
@@ -1,15 +1,27 @@
 package plat
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+)
 
 // headerLeaving says in a target's responses that it is leaving.
 const headerLeaving = "Server-Leaving"
 
+// headerRetryAfter says in a refusal how many seconds the target wants no requests from the VM.
+const headerRetryAfter = "Retry-After"
+
 // Notices are what all responses of a target say about the target itself.
 type Notices struct {
 	// Leaving has the values of the Server-Leaving fields.
 	Leaving []string
-	// Trailer sends them in the trailer of a response instead of its header.
+	// Refuse makes the target refuse all requests with status 503. RetryAfter has the values of the Retry-After fields of these
+	// responses.
+	Refuse     bool
+	RetryAfter []string
+	// Cut ends the connection within the body of a refusal.
+	Cut bool
+	// Trailer sends the fields in the trailer of a response instead of its header.
 	Trailer bool
 }
 
@@ -44,4 +56,21 @@
 	for _, v := range n.Leaving {
 		h.Add(prefix+headerLeaving, v)
 	}
+	for _, v := range n.RetryAfter {
+		h.Add(prefix+headerRetryAfter, v)
+	}
+}
+
+// refuse responds to a request that the target does not run.
+func (n Notices) refuse(w http.ResponseWriter) {
+	w.Header().Set(headerNotExecuted, "1")
+	if !n.Cut {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Length", "9")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, "busy")          // an error means that the caller has disconnected
+	_ = http.NewResponseController(w).Flush() // as above
+	panic(http.ErrAbortHandler)               // net/http then closes the connection
 }
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -192,7 +192,8 @@
 		h.Set(headerAttempt, id)
 	}
 	h.Set(headerInstance, t.ID)
-	t.receive().addTo(h)
+	notices := t.receive()
+	notices.addTo(h)
 	if want := r.Header.Get(headerExpect); want != "" && want != t.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -201,6 +202,10 @@
 	if err != nil {
 		return // the caller disconnected
 	}
+	if notices.Refuse {
+		notices.refuse(w)
+		return
+	}
 	if !t.acquireSlot(r, id, string(body)) {
 		h.Set(headerNotExecuted, "1")
 		h.Set(headerLoad, t.loadHeader())
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -34,6 +34,7 @@
 	StateAdopted       Event = "adopted"
 	Targets            Event = "targets"
 	Leaving            Event = "leaving"
+	BackOff            Event = "back-off"
 	BadNotice          Event = "bad-notice"
 	Registry           Event = "registry"
 	Resumed            Event = "resumed"
