carry: a refused request states the time that its targets asked for

Cause: a request that may not be sent again after a refusal with Retry-After was refused with the usual 0.1 to 0.8 s, so that its caller came back to a target that still wants no requests, and was refused once more. Change: if all targets that aren't leaving have asked for time, the refusal states the earliest return, spread.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -310,6 +310,9 @@
 	case !routeFound && !k.mayHaveRun:
 		return k.giveUpUnroutable(now)
 	case !routeFound, k.rejectedWhenFull(a), !retriable, k.sends >= maxSends, !notSent && len(k.tried) >= k.route.MaxAttempts, !notSent && !k.takeRetry(now):
+		if k.askedForTime {
+			k.notBefore = k.earliestReturn(now)
+		}
 		return k.giveUp(now, failureKind(result), failureCause(a, err))
 	}
 	k.Counters.Retries.Add(1)
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -207,6 +207,8 @@
 	mayHaveRun bool
 	// notBefore is when a target may take the request if all have asked for a time without requests; else zero.
 	notBefore time.Time
+	// askedForTime is set if a target has refused the request and asked for a time without requests.
+	askedForTime bool
 }
 
 // Handle implements inlet.Handler.
--- a/carry/notice.go
+++ b/carry/notice.go
@@ -45,6 +45,7 @@
 			"cause", "announced in a response", "id", k.id, "status", a.Status, "until", "restart")
 	}
 	if n.BackOff > 0 {
+		k.askedForTime = true
 		if until, resumeAt, ok := k.recordBackOff(now, &t, n.BackOff); ok {
 			k.log.Add(now, trace.BackOff, "target", t.ID, "service", t.Service, "started-unix-ms", t.StartedUnixMS,
 				"cause", "asked for in a response", "id", k.id, "status", a.Status, "asked", n.BackOff,
@@ -59,7 +60,7 @@
 	return c.picker.RecordBackOff(now, t, d)
 }
 
-// earliestReturn returns when the first target that has asked for a time without requests gets some again.
+// earliestReturn returns when a target may take the request again if all have asked for a time without requests; else zero.
 func (k *call) earliestReturn(now time.Time) time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pick/backoff.go
+++ b/pick/backoff.go
@@ -61,8 +61,8 @@
 	return n != nil && n.covers(t) && now.Before(n.backOff.resumeAt)
 }
 
-// EarliestReturn returns the earliest time at which this VM sends again to a target for the request that has asked for a time
-// without requests, and zero if there is no such target.
+// EarliestReturn returns the earliest time at which this VM sends the request to a target again, if all that aren't leaving have
+// asked for a time without requests; else zero.
 func (p *Picker) EarliestReturn(now time.Time, a Request) time.Time {
 	var earliest time.Time
 	pl := p.pools[a.Service]
@@ -70,12 +70,19 @@
 		return earliest
 	}
 	for _, t := range pl.targets {
-		n := t.notice
-		if n == nil || t.replaced || !a.Route.Allows(t.Place.Region) || n.excludes(now, t) != BackedOff {
+		if t.replaced || !a.Route.Allows(t.Place.Region) {
 			continue
 		}
-		if earliest.IsZero() || n.backOff.resumeAt.Before(earliest) {
-			earliest = n.backOff.resumeAt
+		reason := Chosen
+		if t.notice != nil {
+			reason = t.notice.excludes(now, t)
+		}
+		switch {
+		case reason == AllLeaving:
+		case reason == Chosen:
+			return time.Time{}
+		case earliest.IsZero() || t.notice.backOff.resumeAt.Before(earliest):
+			earliest = t.notice.backOff.resumeAt
 		}
 	}
 	return earliest
