front: a panic releases the slot of its request and gives its order a final record

Would be seen by callers: refusals for good, since each panic took one slot of a target; "in progress" for an order until the process ends, and a planned stop that waits for it up to its timeout.

Cause: the panic is recovered where the request is answered, above the code that releases the slot and records the order.

Change: slots and records are ended by deferred calls. An order that was claimed becomes unknown, one that was not is aborted; the answer stays 500, which promises nothing. Front takes the scheduler and the records by interfaces, so that a test needs neither a store nor a scheduler.

--- a/front/attempt.go
+++ b/front/attempt.go
@@ -41,7 +41,9 @@
 	parsedRequest
 	retryState retry.Call
 	slot       sched.Slot
-	tried      []route.TargetRef
+	// holdsSlot is set while the slot is in use, claimed while the order may be sent and has no record of how that ended.
+	holdsSlot, claimed bool
+	tried              []route.TargetRef
 	// lastTarget is the target of the last attempt.
 	lastTarget ident.Target
 	// http is the request as it is sent to targets.
@@ -50,7 +52,7 @@
 	newConnection bool
 }
 
-// newAttempts copies the request in r without the headers that are meant for the entry. The caller must call release.
+// newAttempts copies the request in r without the headers that are meant for the entry. The caller must call end.
 func (f *Front) newAttempts(r *fasthttp.RequestCtx, c parsedRequest) *attempts {
 	req := fasthttp.AcquireRequest()
 	r.Request.CopyTo(req)
@@ -63,7 +65,20 @@
 	return &attempts{parsedRequest: c, retryState: retry.Call{Request: c.kind, Deadline: c.deadline}, http: req}
 }
 
-func (a *attempts) release() { fasthttp.ReleaseRequest(a.http) }
+// end releases the copy of the request and, after a panic, a slot that is still in use. Otherwise the slot would be lost
+// until the process ends.
+func (f *Front) end(a *attempts) {
+	fasthttp.ReleaseRequest(a.http)
+	if a.holdsSlot {
+		f.releaseUnused(a)
+	}
+}
+
+// releaseUnused releases a slot without a result.
+func (f *Front) releaseUnused(a *attempts) {
+	a.holdsSlot = false
+	f.scheduler.Release(a.slot, 0, route.Abandoned, sched.Traffic{})
+}
 
 // acquire waits for a slot for the next attempt, at a target that was not tried yet.
 func (f *Front) acquire(a *attempts) error {
@@ -71,7 +86,7 @@
 		Service: a.service, Customer: a.customer, Class: a.class(), Deadline: a.deadline, Exclude: a.tried,
 		Retry: len(a.tried) > 0,
 	})
-	a.slot = slot
+	a.slot, a.holdsSlot = slot, err == nil
 	return err
 }
 
@@ -94,6 +109,7 @@
 
 // finishAttempt releases the slot and reports the result of the attempt to the scheduler.
 func (f *Front) finishAttempt(a *attempts, res send.Result) {
+	a.holdsSlot = false
 	f.scheduler.Release(a.slot, res.Latency, routeResult(res), sched.Traffic{Sent: res.Sent, Received: res.Received})
 	a.tried = append(a.tried, a.slot.Ref)
 	a.lastTarget = a.slot.Target.Name
@@ -118,7 +134,7 @@
 // runIdempotent sends an idempotent request, with retries as the retry budget allows, and answers the caller.
 func (f *Front) runIdempotent(r *fasthttp.RequestCtx, c parsedRequest) {
 	a := f.newAttempts(r, c)
-	defer a.release()
+	defer f.end(a)
 	if err := f.acquire(a); err != nil {
 		f.refuse(r, err)
 		return
@@ -186,8 +202,25 @@
 		return
 	}
 	a := f.newAttempts(r, c)
-	defer a.release()
+	defer f.end(a)
+	returned := false
+	defer func() {
+		if !returned {
+			f.recordPanic(a)
+		}
+	}()
 	f.sendOrder(r, a)
+	returned = true
+}
+
+// recordPanic gives an order whose handling panicked a final record. Without one, a planned stop would wait for the order,
+// and callers that ask for it would be told that it is in progress.
+func (f *Front) recordPanic(a *attempts) {
+	if a.claimed {
+		f.orders.RecordUnknown(a.id, "internal error of the entry while the order was sent")
+		return
+	}
+	f.orders.Abort(a.id)
 }
 
 // sendOrder sends an order of this process and answers the caller. On every return path the order's record is final:
@@ -199,13 +232,15 @@
 	}
 	for {
 		if !f.orders.ClaimSend(a.id) {
-			f.scheduler.Release(a.slot, 0, route.Abandoned, sched.Traffic{})
+			f.releaseUnused(a)
 			f.replyFromRecord(r, a.parsedRequest, f.orders.Find(a.id))
 			return
 		}
+		a.claimed = true
 		res := f.attempt(a, &r.Response)
 		f.finishAttempt(a, res)
 		if res.OK {
+			a.claimed = false
 			f.orders.RecordAnswer(a.id, once.Response{
 				Status: r.Response.StatusCode(), ContentType: string(r.Response.Header.ContentType()), Body: r.Response.Body(),
 			})
@@ -215,10 +250,12 @@
 		r.Response.Reset()
 		v := f.budget.decide(f.clock(), &a.retryState, res.Failure, res.Written)
 		if v == retry.Unknown {
+			a.claimed = false
 			f.orders.RecordUnknown(a.id, "target "+string(a.slot.Target.Name)+" gave no whole answer")
 			f.replyFromRecord(r, a.parsedRequest, f.orders.Find(a.id))
 			return
 		}
+		a.claimed = false
 		f.orders.RecordNotRun(a.id)
 		if v != retry.OtherTarget {
 			f.abortOrder(r, a, kinds.Errorf(kinds.Overloaded, "%d targets refused the order", len(a.tried)))
--- a/front/front.go
+++ b/front/front.go
@@ -28,6 +28,7 @@
 	"github.com/currantpier/currantpier/once"
 	"github.com/currantpier/currantpier/orders"
 	"github.com/currantpier/currantpier/retry"
+	"github.com/currantpier/currantpier/route"
 	"github.com/currantpier/currantpier/sched"
 	"github.com/currantpier/currantpier/send"
 )
@@ -70,6 +71,26 @@
 	Members *node.Snapshot
 }
 
+// slots gives and takes back the slots of targets. *sched.Scheduler implements it.
+type slots interface {
+	Acquire(ctx context.Context, r sched.Request) (sched.Slot, error)
+	Release(slot sched.Slot, latency time.Duration, res route.Result, traffic sched.Traffic)
+}
+
+// orderRecords keeps the records of orders. *orders.Service implements it.
+type orderRecords interface {
+	Ticket(now time.Time) (ident.Ticket, bool)
+	Begin(ctx context.Context, id ident.RequestID, deadline time.Time, d orders.Detail) once.Decision
+	ClaimSend(id ident.RequestID) bool
+	RecordNotRun(id ident.RequestID)
+	RecordAnswer(id ident.RequestID, resp once.Response)
+	RecordUnknown(id ident.RequestID, reason string)
+	Abort(id ident.RequestID) bool
+	Find(id ident.RequestID) once.Decision
+	FindEnded(ctx context.Context, id ident.RequestID, t ident.Ticket) (once.Decision, error)
+	JournalClosed(ctx context.Context, t ident.Ticket) bool
+}
+
 // Front is the service that accepts requests from callers. Its methods are safe for concurrent use.
 type Front struct {
 	self      node.Self
@@ -78,8 +99,8 @@
 	maxBody   int
 	clock     func() time.Time
 	logger    log.Logger
-	scheduler *sched.Scheduler
-	orders    *orders.Service
+	scheduler slots
+	orders    orderRecords
 	client    *send.Client
 	members   *node.Members
 
