send: a request starts only on a connection on which nothing has arrived

Would be seen by callers of the product's own interface: the answer to an earlier request of somebody else, when a target sends an answer once more on a connection that is kept.

Cause: the HTTP client reads the next answer from wherever the socket stands. It does not look at an idle connection before it writes.

Evidence, on the code before: TestResponseSentAgainIsNotReturned: OK:true "first" for the second request.

Change: the first write of a request fails if bytes, or the end of the connection, have arrived since the last read; the attempt counts as one on a stale connection and is repeated on a new one. Orders always had connections of their own.

Open: a copy that arrives after the check and before the true answer. This interface has no id that targets return, so nothing tells the two apart.

--- a/outlet/socket.go
+++ b/outlet/socket.go
@@ -32,11 +32,11 @@
 
 // isOpenAndQuiet reports whether an idle connection is open and has no bytes to read, as it must be between two
 // requests.
-func (c *conn) isOpenAndQuiet() bool {
-	if c.br.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
+func (c *conn) isOpenAndQuiet() bool { return c.br.Buffered() == 0 && IsOpenAndQuiet(c.Conn) }
+
+// IsOpenAndQuiet reports whether a connection is open and has no bytes to read.
+func IsOpenAndQuiet(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/send/send.go
+++ b/send/send.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, errDial)
 	}
-	return conn, nil
+	return &quietConn{Conn: conn}, nil
 }
 
 // Do makes one attempt and stores the response in resp. The response is complete if and only if OK is set.
@@ -170,6 +170,8 @@
 		return Result{OK: true, Written: true}
 	case errors.Is(err, errDial), errors.Is(err, fasthttp.ErrNoFreeConns):
 		return Result{Failure: retry.Refused}
+	case errors.Is(err, errNotQuiet):
+		return Result{Failure: retry.Stale}
 	case isTimeout(err) && until.Before(r.Deadline):
 		return Result{Failure: retry.Silent, Written: true, Silent: true}
 	case isTimeout(err):
