relay, node: a process that starts after a restore asks other VMs before it is ready

A process that started after the store had come back from an earlier copy would have been ready at once with the restored configuration, while all other VMs follow a later one that the store has lost. Callers saw requests run by superseded rules until its first fetch from a peer.

Cause: the store's answer counted as the newest version, also that of a store that has lost versions. Evidence: TestStartAfterRestore on the code before: 'ready with configuration 5 of era 1 from a store in era 2 before another VM was asked'; TestStartWithOutdatedStore: '2 peers that do not answer: ready after 0s, before 3 rounds'. Why this works: a document of an earlier era than the store's may be outdated, so the node asks the relays of every domain, as if the store were down, and is ready with the newest of what they have. If nobody answers in three rounds (3 s), because all processes start anew, the store's answer counts. Price: until the next accepted configuration after a restore, a start waits for the answers of two VMs, about 0.5 s.

--- a/node/sync.go
+++ b/node/sync.go
@@ -304,7 +304,7 @@
 	if a.Kind == relay.Config && s.rewrite != nil && inForce.Version > doc.Version && MayBeOutdated(inForce, row) {
 		s.rewrite(ctx, row, inForce)
 	}
-	return relay.Result{OK: true, Doc: doc}
+	return relay.Result{OK: true, Doc: doc, Outdated: MayBeOutdated(doc, row)}
 }
 
 // addresses returns the control addresses of vm that serve documents, in the order in which they are to be tried. For
--- a/relay/node.go
+++ b/relay/node.go
@@ -70,7 +70,9 @@
 	// startFetches counts the start-up fetches in progress; answered has the peers that sent a document in this round.
 	startFetches int
 	nextRound    time.Time
-	answered     map[ident.VM]bool
+	// startRounds counts the rounds of start-up fetches that have begun.
+	startRounds int
+	answered    map[ident.VM]bool
 	// hintedVersion is the newest version in a peer's hint; hintFrom is that peer until the fetch is issued, then empty.
 	hintedVersion ident.Version
 	hintFrom      ident.VM
@@ -319,6 +321,7 @@
 		return dst
 	}
 	d.nextRound = now.Add(startRound)
+	d.startRounds++
 	d.answered = map[ident.VM]bool{}
 	for _, vm := range n.startPeers(now) {
 		d.startFetches++
@@ -494,7 +497,7 @@
 	case forPoll:
 		d.pollInProgress = false
 		// The store's answer counts even if the store has no document yet: then no version was ever accepted.
-		d.servable = d.servable || res.OK
+		d.servable = d.servable || res.OK && (!res.Outdated || d.startRounds > maxOutdatedRounds)
 	case forExchange:
 		if newer {
 			n.forward(now, action.kind)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -74,6 +74,9 @@
 	OK bool
 	// Doc is the document in the answer; version 0 if there was none.
 	Doc Document
+	// Outdated is set if the answer is the store's and the store may have lost a newer version, since it has returned to
+	// an earlier copy of itself.
+	Outdated bool
 }
 
 // Options configures a Node.
@@ -124,6 +127,9 @@
 	// maxStartBackoff is the maximum number of times that the interval between store reads is doubled for a starting
 	// node that is not a relay.
 	maxStartBackoff = 3
+	// maxOutdatedRounds is the number of rounds of start-up fetches after which an outdated answer of the store counts.
+	// If all nodes start after the store has lost documents, none of them can answer the others.
+	maxOutdatedRounds = 3
 	// startAnswers is the number of peers that must answer at start-up, or all peers if there are fewer.
 	startAnswers = 2
 )
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -221,6 +221,45 @@
 	}
 }
 
+// Guards against a node that is ready with what a restored store has while other nodes have newer documents, and against
+// a node that is never ready because no other node has a document.
+func TestStartWithOutdatedStore(t *testing.T) {
+	for _, peers := range []int{0, 2} {
+		for _, answer := range []bool{true, false} {
+			n := relay.NewNode(start, relay.Options{Self: relay.Peer{VM: "self", Place: ident.Place{Region: "r", Domain: "x"}}})
+			var list []relay.Peer
+			for i := range peers {
+				list = append(list, relay.Peer{VM: ident.VM(fmt.Sprint("p", i)), Place: ident.Place{Region: "r", Domain: "x"}})
+			}
+			n.SetMembers(start, list)
+			readyAfter := time.Duration(-1)
+			for at := time.Duration(0); at < 20*time.Second && readyAfter < 0; at += 100 * time.Millisecond {
+				now := start.Add(at)
+				for _, a := range n.Next(now, nil) {
+					res := relay.Result{OK: true, Outdated: true, Doc: relay.Document{Kind: a.Kind, Version: 5}}
+					if a.Op != relay.PollStore {
+						res = relay.Result{OK: answer, Doc: relay.Document{Kind: a.Kind, Version: 7}}
+					}
+					n.Complete(now, a.ID, res)
+				}
+				if n.Ready() {
+					readyAfter = at
+				}
+			}
+			want, limit := ident.Version(5), 15*time.Second
+			if answer && peers > 0 {
+				want, limit = 7, 2*time.Second
+			}
+			if got := n.Current(relay.Config).Version; got != want || readyAfter < 0 || readyAfter > limit {
+				t.Errorf("%d peers, answers %v: ready after %v with version %d, want %d within %v", peers, answer, readyAfter, got, want, limit)
+			}
+			if want == 5 && readyAfter < 3*time.Second {
+				t.Errorf("%d peers that do not answer: ready after %v, before %d rounds", peers, readyAfter, 3)
+			}
+		}
+	}
+}
+
 // Guards against a version that decreases, a document of another kind, and an action that counts twice.
 func TestVersionsOnlyIncrease(t *testing.T) {
 	self := relay.Peer{VM: "self", Place: ident.Place{Region: "r", Domain: "x"}}
