peers, state, join: a VM that has an older configuration than another one gets it from there

Callers would see requests run by a superseded configuration, after the store was restored from an earlier copy: a VM that starts before the operators have written the lost configuration again reads the older one from the store, and is the newest that the store's versions know. So would the callers of any VM that has a wrong idea of the version up to which it has read.

Cause: whether a VM lacks a configuration was decided by versions of the store alone. The operators number configurations themselves, and that number was sent nowhere. Evidence: TestStartAfterRestore, with the real programs, on the code before: 'condition not reached within 2.5s: the new configuration is in force at vm1'. TestConfigThatTheStoreHasLost with lacksConfig always false: 'a VM of the lost history is not asked for configuration 3 although the store has none that is newer'. Why this works: all messages state the version of the configuration in force. A VM that has heard of a newer one for 0.4 s reads the operators' table; if a reading that began since lacks it, it asks the VM that stated it for that row alone, pausing longer each time. A VM that starts states its version with its request for departures. Versions of configurations only increase, so nothing can go back. Builds that don't state a version are never ahead. Price: 2 to 5 bytes a heartbeat. Open: evacuations that the copy lacks, on a VM that starts before they are written again.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -77,6 +77,7 @@
 		&join.StateFetcher{
 			Self: cfg.Self, Peers: cfg.Peers, Port: cfg.StatePort, Log: cfg.Log, Clock: cfg.Clock, Ready: n.stateLoaded,
 			PeerStates: n.state.PeerStates(), ShouldQueryPeers: n.state.ShouldQueryPeers, LacksChange: n.state.LacksChange,
+			LacksConfig: n.state.LacksConfig, ConfigVersion: n.state.Version,
 		},
 		forwarderService{n},
 		&listenService{name: "callers", ln: ln, server: n.callerServer},
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/currantpier/currantpier/codec"
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/join"
 	"github.com/currantpier/currantpier/meter"
 )
@@ -39,7 +42,7 @@
 		err = n.kernel.WriteDump(&b, arrived, requestedServices(r.URI())...)
 	case join.StatePath, join.DeparturesPath:
 		contentType = "application/octet-stream"
-		encoded := n.state.EncodeState(ctx, r.Path() == join.DeparturesPath)
+		encoded := n.state.EncodeState(ctx, r.Path() == join.DeparturesPath, requestedConfig(r.URI()))
 		if encoded == nil {
 			return codec.NewResponse(http.StatusServiceUnavailable, "")
 		}
@@ -63,6 +66,21 @@
 	return q["service"]
 }
 
+// requestedConfig returns the version that a request for the configuration states: only a newer one is requested. A request
+// that states none, as those of an earlier build, is for no configuration.
+func requestedConfig(uri string) ident.Version {
+	_, query, _ := strings.Cut(uri, "?")
+	q, err := url.ParseQuery(query)
+	if err != nil {
+		return math.MaxUint64
+	}
+	v, err := strconv.ParseUint(q.Get(join.ConfigParameter), 10, 64)
+	if err != nil {
+		return math.MaxUint64
+	}
+	return ident.Version(v)
+}
+
 // writeMetrics writes the metrics in the text format.
 func (n *Node) writeMetrics(b *bytes.Buffer) error {
 	if err := n.cfg.Forwarder.Meter().WriteText(b); err != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -33,6 +33,8 @@
 	Compacted bool
 	// Era is the era in which the store answered.
 	Era ident.Era
+	// Begun is when the call began: changes that were written before it are in Rows.
+	Begun time.Time
 }
 
 // OlderThan reports whether a reading lacks changes up to version, which was reached while the reading was in progress. A
@@ -319,7 +321,7 @@
 			f.With(func(f *Follower) { f.RequestFullRead(now) })
 			continue
 		}
-		rows.After = step.After
+		rows.After, rows.Begun = step.After, begun
 		f.With(func(f *Follower) { f.RecordResult(now, begun, rows, err) })
 		sink(now, rows, err)
 	}
--- a/join/fetch.go
+++ b/join/fetch.go
@@ -37,10 +37,11 @@
 )
 
 // StatePath is the HTTP path that returns a VM's state, DeparturesPath the one that returns the targets that have left
-// recently.
+// recently and, with ConfigParameter, the configuration in force if it is newer than the version that the parameter states.
 const (
-	StatePath      = "/state"
-	DeparturesPath = "/departures"
+	StatePath       = "/state"
+	DeparturesPath  = "/departures"
+	ConfigParameter = "config"
 )
 
 // maxDepartureRequests bounds the number of requests of a VM that has received everything else from the store: it only
@@ -48,8 +49,9 @@
 const maxDepartureRequests = 3
 
 // StateFetcher is the service that requests the state of other VMs. When its VM starts, it takes the place of the store
-// while that does not respond, and supplies the targets that left before the start, of which the store may still have
-// late heartbeats. Later, it replaces the store while this VM is cut off from it.
+// while that does not respond, and supplies what the store may lack: the targets that left before the start, of which it may
+// still have late heartbeats, and the configuration in force, which a restored store has lost. Later, it replaces the store
+// while this VM is cut off from it.
 type StateFetcher struct {
 	Self  proto.VMInfo
 	Peers *peers.Service
@@ -62,6 +64,10 @@
 	// ShouldQueryPeers reports whether this VM can't reach the store and gets changes from other VMs, LacksChange whether it
 	// knows of a change that it lacks.
 	ShouldQueryPeers, LacksChange func() bool
+	// LacksConfig reports whether another VM has a newer configuration in force that the store can't supply, ConfigVersion
+	// returns the version of this VM's.
+	LacksConfig   func() bool
+	ConfigVersion func() ident.Version
 	// PeerStates receives the responses of other VMs.
 	PeerStates chan<- *proto.Message
 }
@@ -105,10 +111,15 @@
 		case <-ctx.Done():
 			return nil
 		}
-		if !schedule.due(a.Clock(), a.ShouldQueryPeers(), a.LacksChange()) {
+		query := a.ShouldQueryPeers()
+		if !schedule.due(a.Clock(), query || a.LacksConfig(), a.LacksChange()) {
 			continue
 		}
-		m, err := a.requestFromAny(ctx, client, rnd, StatePath, a.readyPeers(false))
+		path, vms := StatePath, a.readyPeers(false)
+		if !query {
+			path, vms = DeparturesPath, a.configHolder()
+		}
+		m, err := a.requestFromAny(ctx, client, rnd, path, vms)
 		if err != nil {
 			a.Log.Add(a.Clock(), trace.DependencyLost, "dependency", "peer", "call", "state", "err", err)
 		}
@@ -140,14 +151,31 @@
 func (c *catchUpSchedule) record(now time.Time, m *proto.Message, err error) {
 	c.last = now
 	c.pause = min(2*c.pause, maxCatchUpPause)
+	newest := ident.Version(0)
+	if m != nil {
+		newest = m.Registry.Version
+		if m.OperatorChange != nil {
+			newest = max(newest, m.OperatorChange.Version)
+		}
+	}
 	switch {
 	case err != nil:
 		c.pause = minCatchUpPause
-	case m != nil && max(m.Registry.Version, m.OperatorChange.Version) > c.known:
-		c.pause, c.known = minCatchUpPause, max(m.Registry.Version, m.OperatorChange.Version)
+	case newest > c.known:
+		c.pause, c.known = minCatchUpPause, newest
 	}
 }
 
+// configHolder returns the VM that has announced the newest configuration, if any.
+func (a *StateFetcher) configHolder() []proto.VMInfo {
+	var holder proto.VMInfo
+	a.Peers.With(func(v *peers.View) { holder, _ = v.ConfigHolder() })
+	if holder.PeerAddress == "" {
+		return nil
+	}
+	return []proto.VMInfo{holder}
+}
+
 // readyPeers returns the other VMs that are ready; only those of the own region if preferOwnRegion is set and there are
 // any.
 func (a *StateFetcher) readyPeers(preferOwnRegion bool) []proto.VMInfo {
@@ -202,6 +230,9 @@
 		return nil, kinds.Wrap(kinds.Internal, err, "address of "+string(i.VM))
 	}
 	url := "http://" + net.JoinHostPort(ip, strconv.Itoa(a.Port)) + path
+	if path == DeparturesPath {
+		url += "?" + ConfigParameter + "=" + strconv.FormatUint(uint64(a.ConfigVersion()), 10)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, kinds.Wrap(kinds.Internal, err, "build request")
--- a/join/fetch_test.go
+++ b/join/fetch_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"io"
+	"math/rand"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
 )
 
@@ -63,6 +68,37 @@
 	if c.due(now.Add(time.Hour), false, true) {
 		t.Error("a VM that reads the store requests another VM's state")
 	}
+	c.record(now, &proto.Message{Registry: &proto.RegistryDelta{}}, nil)
+	if c.due(now.Add(minCatchUpPause), true, false) {
+		t.Error("a response without a newer configuration is followed by the next request at once")
+	}
+}
+
+// Guards against a request for the departures that doesn't state the configuration in force: the response would lack a newer
+// one, or contain the whole configuration each time.
+func TestDeparturesRequestStatesConfig(t *testing.T) {
+	var uri string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		uri = r.RequestURI
+		m := proto.Message{Registry: &proto.RegistryDelta{}}
+		_, _ = w.Write(m.Append(nil))
+	}))
+	defer srv.Close()
+	host, port, err := net.SplitHostPort(srv.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &StateFetcher{ConfigVersion: func() ident.Version { return 7 }}
+	a.Peers = peers.NewService(peers.NewView(time.Unix(1000, 0), proto.VMInfo{VM: "vm"}, nil, rand.NewSource(1)), nil, nil, time.Now, nil)
+	if a.Port, err = strconv.Atoi(port); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.fetch(t.Context(), srv.Client(), proto.VMInfo{VM: "other", PeerAddress: net.JoinHostPort(host, "1")}, DeparturesPath); err != nil {
+		t.Fatal(err)
+	}
+	if want := "/departures?config=7"; uri != want {
+		t.Errorf("request for %q, want %q", uri, want)
+	}
 }
 
 // Guards against the state of a VM that is cut between two fields and then decoded as one with fewer rows.
--- a/peers/view.go
+++ b/peers/view.go
@@ -121,6 +121,11 @@
 	// newest that a peer has announced, and behindSince when that first exceeded operatorVersion.
 	operatorVersion, peerOperatorVersion ident.Version
 	behindSince                          time.Time
+	// configVersion is the version of the configuration that this VM has in force, peerConfigVersion the newest that a peer
+	// has announced, configHolder the last such peer, and configBehindSince when that first exceeded configVersion.
+	configVersion, peerConfigVersion ident.Version
+	configHolder                     proto.VMInfo
+	configBehindSince                time.Time
 }
 
 // Option changes a setting of a View.
@@ -169,6 +174,36 @@
 	return max(v.operatorVersion, v.peerOperatorVersion)
 }
 
+// SetConfigVersion sets the version of the configuration that this VM has in force, which all its messages announce.
+func (v *View) SetConfigVersion(version ident.Version) { v.configVersion = version }
+
+// ConfigBehind reports whether a peer has announced a newer configuration than this VM has in force, and it has not
+// arrived within behindGrace.
+func (v *View) ConfigBehind(now time.Time) bool {
+	return v.peerConfigVersion > v.configVersion && now.Sub(v.configBehindSince) >= behindGrace
+}
+
+// ConfigHolder returns the VM that has announced the newest configuration, and that configuration's version.
+func (v *View) ConfigHolder() (proto.VMInfo, ident.Version) {
+	return v.configHolder, v.peerConfigVersion
+}
+
+// receiveConfigVersion records the configuration that a peer has in force.
+func (v *View) receiveConfigVersion(now time.Time, from proto.VMInfo, version ident.Version) {
+	if version < v.peerConfigVersion || version <= v.configVersion {
+		return
+	}
+	if v.peerConfigVersion <= v.configVersion {
+		v.configBehindSince = now
+	}
+	v.peerConfigVersion, v.configHolder = version, from
+}
+
+// newMessage returns a message with what all messages of this VM state.
+func (v *View) newMessage() proto.Message {
+	return proto.Message{From: v.self, OperatorVersion: v.operatorVersion, ConfigVersion: v.configVersion}
+}
+
 // AddListed adds the VMs that the store lists.
 func (v *View) AddListed(now time.Time, vms []proto.VMInfo) {
 	for _, i := range vms {
@@ -222,10 +257,12 @@
 		}
 		v.peerOperatorVersion = msg.OperatorVersion
 	}
+	v.receiveConfigVersion(now, msg.From, msg.ConfigVersion)
 	var reply []Packet
 	if v.unknownHeartbeat && now.Sub(v.lastMembersRequest) >= minMembersRequestInterval {
 		v.lastMembersRequest = now
-		ask := proto.Message{From: v.self, RequestMembers: true, Heartbeats: []proto.Heartbeat{v.heartbeat}, OperatorVersion: v.operatorVersion}
+		ask := v.newMessage()
+		ask.RequestMembers, ask.Heartbeats = true, []proto.Heartbeat{v.heartbeat}
 		reply = append(reply, Packet{To: msg.From.PeerAddress, Message: &ask})
 	}
 	v.unknownHeartbeat = false
@@ -239,7 +276,8 @@
 func (v *View) membersReply(now time.Time, to string) []Packet {
 	var packets []Packet
 	for list := range slices.Chunk(v.sorted, maxRegionHeartbeats) {
-		msg := proto.Message{From: v.self, Heartbeats: []proto.Heartbeat{v.heartbeat}, OperatorVersion: v.operatorVersion}
+		msg := v.newMessage()
+		msg.Heartbeats = []proto.Heartbeat{v.heartbeat}
 		for _, m := range list {
 			if m.gossiped(now) {
 				msg.VMs = append(msg.VMs, m.VMInfo)
@@ -418,7 +456,8 @@
 // digestMessage returns a message with heartbeats, the addresses of new members, and the address of one member chosen
 // at random, so that every address reaches all VMs eventually.
 func (v *View) digestMessage(now time.Time, limits digestLimits) proto.Message {
-	msg := proto.Message{From: v.self, Heartbeats: []proto.Heartbeat{v.heartbeat}, OperatorVersion: v.operatorVersion}
+	msg := v.newMessage()
+	msg.Heartbeats = []proto.Heartbeat{v.heartbeat}
 	var sameDomain, sameRegion, otherRegions []*member
 	for _, m := range v.sorted {
 		if now.Sub(m.addedAt) < advertiseFor && m.gossiped(now) && len(msg.VMs) < maxAdvertised {
@@ -493,7 +532,8 @@
 // group. Either may be nil.
 func (v *View) GroupMessages(now time.Time, registry *proto.RegistryDelta, operator *proto.OperatorDelta) []Packet {
 	var packets []Packet
-	msg := proto.Message{From: v.self, Registry: registry, OperatorChange: operator, OperatorVersion: v.operatorVersion}
+	msg := v.newMessage()
+	msg.Registry, msg.OperatorChange = registry, operator
 	for _, i := range v.RegionGroup(now) {
 		if i.VM != v.self.VM {
 			packets = append(packets, Packet{To: i.PeerAddress, Message: &msg})
--- a/peers/view_test.go
+++ b/peers/view_test.go
@@ -190,6 +190,43 @@
 	}
 }
 
+// Guards against a VM that serves an older configuration than its peers and is never told so, or that asks a peer that has
+// none that is newer.
+func TestConfigBehind(t *testing.T) {
+	v := NewView(start, proto.VMInfo{VM: "vm0", PeerAddress: address(0)}, nil, rand.NewSource(1))
+	v.SetConfigVersion(3)
+	at := start
+	for _, tt := range []struct {
+		name    string
+		from    ident.VM
+		version ident.Version
+		after   time.Duration
+		behind  bool
+		holder  ident.VM
+	}{
+		{"a build that states none", "vm1", 0, time.Minute, false, ""},
+		{"an older one", "vm1", 2, time.Minute, false, ""},
+		{"the same", "vm1", 3, time.Minute, false, ""},
+		{"a newer one, just now", "vm1", 5, 0, false, "vm1"},
+		{"a newer one for a while", "vm2", 5, behindGrace, true, "vm2"},
+		{"one that is older than the newest", "vm3", 4, 0, true, "vm2"},
+		{"a still newer one", "vm4", 6, 0, true, "vm4"},
+	} {
+		at = at.Add(tt.after)
+		v.Receive(at, proto.Message{From: proto.VMInfo{VM: tt.from, PeerAddress: address(1)}, ConfigVersion: tt.version})
+		if holder, _ := v.ConfigHolder(); v.ConfigBehind(at) != tt.behind || holder.VM != tt.holder {
+			t.Errorf("%s: behind %v, holder %q", tt.name, v.ConfigBehind(at), holder.VM)
+		}
+	}
+	v.SetConfigVersion(6)
+	if v.ConfigBehind(at.Add(time.Hour)) {
+		t.Error("still behind with the newest configuration")
+	}
+	if m := v.Tick(at)[0].Message; m.ConfigVersion != 6 {
+		t.Errorf("a message states configuration %d, want 6", m.ConfigVersion)
+	}
+}
+
 // Guards against a VM that the others ignore after a restart, because the wall clock was ahead when the previous
 // process started (fault clock_step).
 func TestRestartAfterClockStep(t *testing.T) {
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -28,6 +28,7 @@
 	fieldOperatorVersion
 	fieldRegistry
 	fieldOperatorChange
+	fieldConfigVersion
 )
 
 // Field numbers of a VMInfo.
@@ -107,6 +108,7 @@
 		b = appendMessage(b, fieldVM, appendVMInfo(nil, &m.VMs[i]))
 	}
 	b = appendUint(b, fieldOperatorVersion, uint64(m.OperatorVersion))
+	b = appendUint(b, fieldConfigVersion, uint64(m.ConfigVersion))
 	if m.Registry != nil {
 		b = appendMessage(b, fieldRegistry, appendRegistryDelta(nil, m.Registry))
 	}
@@ -278,6 +280,8 @@
 			m.VMs = append(m.VMs, i)
 		case fieldOperatorVersion:
 			m.OperatorVersion = ident.Version(x.num)
+		case fieldConfigVersion:
+			m.ConfigVersion = ident.Version(x.num)
 		case fieldRegistry:
 			m.Registry, err = decodeRegistryDelta(x.bytes)
 		case fieldOperatorChange:
--- a/proto/codec_test.go
+++ b/proto/codec_test.go
@@ -16,7 +16,7 @@
 	info := VMInfo{VM: "riga-1", PeerAddress: "10.0.0.1:7660", CallerAddress: "10.0.0.1:8080", Place: ident.Place{Region: "riga", Domain: "riga-a"},
 		Incarnation: 1764840000000}
 	return Message{
-		From: info, RequestMembers: true, VMs: []VMInfo{info, {VM: "riga-2", PeerAddress: "10.0.0.2:7660"}}, OperatorVersion: 7,
+		From: info, RequestMembers: true, VMs: []VMInfo{info, {VM: "riga-2", PeerAddress: "10.0.0.2:7660"}}, OperatorVersion: 7, ConfigVersion: 12,
 		Heartbeats: []Heartbeat{{VM: KeyOf("riga-1"), Incarnation: 1764840000000, Count: 300, Ready: true}, {VM: KeyOf("riga-2"), Stopping: true}},
 		Registry: &RegistryDelta{From: "riga-1", After: 3, Version: 9, Rows: []fleet.Row{
 			{Entry: fleet.Entry{ID: "i-1", Service: "workshop", Address: "10.0.1.1:80", Place: info.Place, Slots: 6, Ready: true,
--- a/proto/message.go
+++ b/proto/message.go
@@ -49,6 +49,9 @@
 	VMs []VMInfo
 	// OperatorVersion is the newest version of the operators' table that the sender has read.
 	OperatorVersion ident.Version
+	// ConfigVersion is the version of the configuration that the sender has in force. The operators number configurations, so
+	// it orders them also where the store's versions don't. Zero if the sender has none, or is of a build that doesn't state it.
+	ConfigVersion ident.Version
 	// Registry and OperatorChange are nil in most messages.
 	Registry       *RegistryDelta
 	OperatorChange *OperatorDelta
--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -222,25 +222,28 @@
 // awaitConfig waits until all VMs send requests of the route /move/ to the given service.
 func (tc *testCluster) awaitConfig(t *testing.T, service string, limit time.Duration) {
 	t.Helper()
+	for _, v := range tc.vms {
+		tc.eventually(limit, "the new configuration is in force at "+v.name, func() bool { return tc.moveIsServedBy(v, service) })
+	}
+}
+
+// moveIsServedBy reports whether a VM sends a request of the route /move/ to the given service.
+func (tc *testCluster) moveIsServedBy(v *vm, service string) bool {
 	from, to := 0, 4
 	if service == "desk" {
 		from, to = 4, targetCount
 	}
-	for _, v := range tc.vms {
-		tc.eventually(limit, "the new configuration is in force at "+v.name, func() bool {
-			probeCount++
-			id := fmt.Sprint("move", probeCount)
-			if !v.send(request{id, "GET", "/move/x", "", 1500}).isCompleteFor(id) {
-				return false
-			}
-			for _, tg := range tc.targets[from:to] {
-				if tg.Executions()[id] > 0 {
-					return true
-				}
-			}
-			return false
-		})
+	probeCount++
+	id := fmt.Sprint("move", probeCount)
+	if !v.send(request{id, "GET", "/move/x", "", 1500}).isCompleteFor(id) {
+		return false
+	}
+	for _, tg := range tc.targets[from:to] {
+		if tg.Executions()[id] > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // Guards against an execution that continues at the target after the caller has disconnected.
--- a/state/apply.go
+++ b/state/apply.go
@@ -89,6 +89,9 @@
 	if s.startsEra(r) {
 		s.restore.begin(r.at)
 	}
+	if r.rows.Full && r.source == fromStore {
+		s.operatorReadBegun = r.rows.Begun
+	}
 	s.advance(Operator, r.rows.After, r.rows.Version, r.rows.Full)
 	s.restore.recordRemovals(s.operatorRows, r.rows)
 	s.updateOperatorRows(r.rows)
@@ -139,6 +142,7 @@
 		if !s.view.SetConfig(c.Config) {
 			return false
 		}
+		s.cfg.Peers.With(func(v *peers.View) { v.SetConfigVersion(c.Config.Version) })
 		s.cfg.Log.Add(now, trace.Config, "version", c.Config.Version, "routes", len(c.Config.Routes), "restricted", c.Config.Restricted(),
 			"from", from, "store-version", version)
 		return true
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -8,6 +8,7 @@
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
+	"github.com/currantpier/currantpier/trace"
 )
 
 // catchUpMaxRank is the highest rank at which a VM without access to the store requests state from other VMs all the time
@@ -28,6 +29,36 @@
 	return s.unreachable[Operator] && !s.behindSince.IsZero() || s.unreachable[Registry] && s.missedRegistry > s.applied[Registry]
 }
 
+// lacksConfig reports whether a peer has a newer configuration in force than this VM, which the store can't supply: it is out
+// of reach, or a reading that began since lacks it. A restored store lacks it until the operators have written it again.
+func (s *State) lacksConfig() bool {
+	return !s.configBehindSince.IsZero() && (s.unreachable[Operator] || s.operatorReadBegun.After(s.configBehindSince))
+}
+
+// adoptConfig puts the configuration that another VM has in force into force, if it is newer than the own one.
+func (s *State) adoptConfig(now time.Time, c *proto.OperatorDelta) bool {
+	if s.operatorRows == nil {
+		return false
+	}
+	changed := false
+	for _, row := range c.Rows {
+		d, err := s.cfg.Decoder.DecodeChange(row)
+		if err != nil {
+			s.cfg.Log.Add(now, trace.InternalFault, "row", row.Key, "version", row.Version, "err", err)
+			continue
+		}
+		if d == nil || d.Config == nil || d.Config.Version <= s.view.Version() {
+			continue
+		}
+		source := row.Version
+		row.Version = s.operatorRows[row.Key].Version
+		s.operatorRows[row.Key] = row
+		s.keepNewestConfig(d.Config, row)
+		changed = s.applyChange(now, d, fromPeerTables, source) || changed
+	}
+	return changed
+}
+
 // catchUp applies another VM's tables in place of those that this VM can't read from the store, and forwards the
 // changes within its region as if it had read them itself. The store can be unreachable for one region while its
 // contents change for the others. It reports whether anything changed.
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -190,3 +190,53 @@
 		t.Error("nothing was sent to the region")
 	}
 }
+
+// Guards against a VM that has an older configuration than others and never learns of theirs, because the store has lost it:
+// the VM has started from a restored copy, which no version of the store tells apart.
+func TestConfigThatTheStoreHasLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holder, _ := configState(now)
+	newer := readingOf(now, Operator, 4, 9, false)
+	newer.rows.Rows = []feed.Row{configRow("3", 9)}
+	holder.applyReading(newer)
+	sameEra, _ := configState(now)
+	sameEra.applyReading(newer)
+	sameEra.applyReading(restoredReading(now, 6, configRow("1", inEra(4))))
+
+	for name, holder := range map[string]*State{"of the lost history": holder, "that has read the copy": sameEra} {
+		s, _ := newTestState(now)
+		s.cfg.Decoder = configDecoder{}
+		read := func(at time.Time) {
+			r := restoredReading(at, 6, configRow("1", inEra(4)))
+			r.source, r.rows.Begun = fromStore, at
+			s.applyReading(r)
+		}
+		read(now)
+		var announced ident.Version
+		holder.cfg.Peers.With(func(v *peers.View) { announced = v.Tick(now)[0].Message.ConfigVersion })
+		hear := func(at time.Time) {
+			s.cfg.Peers.With(func(v *peers.View) {
+				v.Receive(at, proto.Message{From: proto.VMInfo{VM: "other"}, ConfigVersion: announced})
+				s.recordConfigBehind(at, v.ConfigBehind(at), announced)
+			})
+		}
+		hear(now)
+		later := now.Add(time.Second)
+		hear(later)
+		if s.configBehindSince.IsZero() || s.lacksConfig() {
+			t.Errorf("a VM %s: behind since %v, asks it before the store was read again: %v", name, s.configBehindSince, s.lacksConfig())
+		}
+		read(later.Add(time.Millisecond))
+		if !s.lacksConfig() {
+			t.Errorf("a VM %s is not asked for configuration %d although the store has none that is newer", name, announced)
+		}
+		s.applyPeerState(later, holder.respond(later, stateRequest{departures: true, config: s.view.Version()}))
+		read(later.Add(time.Second))
+		if got := string(s.operatorRows["config"].Value); s.view.Version() != 3 || got != "3" {
+			t.Errorf("a VM %s: configuration %d is in force, %s is handed to VMs that start, want 3", name, s.view.Version(), got)
+		}
+		if m := holder.respond(later, stateRequest{departures: true, config: 3}); m.OperatorChange != nil {
+			t.Errorf("a VM %s sends its configuration to one that has it", name)
+		}
+	}
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -54,6 +54,8 @@
 		accepted = s.initOperator(now, m.OperatorChange)
 		accepted = s.initRegistry(now, m.Registry) || accepted
 		accepted = s.catchUp(now, m) || accepted
+	} else if m.OperatorChange != nil {
+		accepted = s.adoptConfig(now, m.OperatorChange)
 	}
 	left := s.view.ApplyDepartures(now, m.Registry.Rows)
 	s.logTargets(now, left)
@@ -88,9 +90,11 @@
 	return accepted
 }
 
-// stateRequest requests the full state, or with departures only the targets that have left recently.
+// stateRequest requests the full state, or with departures only the targets that have left recently and the configuration
+// in force, if that is newer than version config.
 type stateRequest struct {
 	departures bool
+	config     ident.Version
 	reply      chan<- *proto.Message
 }
 
@@ -99,18 +103,22 @@
 	if !req.departures {
 		return s.fullState(now)
 	}
-	return &proto.Message{From: s.cfg.Self, Registry: &proto.RegistryDelta{From: s.cfg.Self.VM, Rows: s.view.Departures(now)}}
+	m := &proto.Message{From: s.cfg.Self, Registry: &proto.RegistryDelta{From: s.cfg.Self.VM, Rows: s.view.Departures(now)}}
+	if row := s.restore.config; row.Key != "" && s.view.Version() > req.config {
+		m.OperatorChange = &proto.OperatorDelta{Rows: []feed.Row{row}}
+	}
+	return m
 }
 
 // EncodeState returns this VM's state as an encoded message: everything, or with departures only the targets that have left
-// recently. It returns nil if the state is not available within stateRequestTimeout, and for the full state also if
+// recently and the configuration in force, if that is newer than version config. It returns nil if the state is not available within stateRequestTimeout, and for the full state also if
 // this VM has not read both tables yet.
-func (s *State) EncodeState(ctx context.Context, departures bool) []byte {
+func (s *State) EncodeState(ctx context.Context, departures bool, config ident.Version) []byte {
 	ctx, cancel := context.WithTimeout(ctx, stateRequestTimeout)
 	defer cancel()
 	reply := make(chan *proto.Message, 1)
 	select {
-	case s.stateRequests <- stateRequest{departures, reply}:
+	case s.stateRequests <- stateRequest{departures, config, reply}:
 	case <-ctx.Done():
 		return nil
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -120,14 +120,18 @@
 	// behindSince is when this VM was first found to lack a change of the operators' table that a peer has announced;
 	// zero if it lacks none.
 	behindSince time.Time
+	// configBehindSince is when this VM was first found to have an older configuration in force than a peer; zero if it has
+	// not. operatorReadBegun is when the last full reading of the operators' table began.
+	configBehindSince, operatorReadBegun time.Time
 	// missedRegistry is the newest version of the registry after which a peer's delta was rejected because of a gap.
 	missedRegistry ident.Version
 	// usableTargets is the number of targets in the last snapshot.
 	usableTargets int
 	// summary is what Dump returns.
 	summary atomic.Pointer[Summary]
-	// queryPeers and lacking are the last results of shouldQueryPeers and lacksChange, for other goroutines.
-	queryPeers, lacking atomic.Bool
+	// queryPeers, lacking and noConfig are the last results of shouldQueryPeers, lacksChange and lacksConfig, for other
+	// goroutines.
+	queryPeers, lacking, noConfig atomic.Bool
 	// era is the newest known era of the store, zero before the first reading.
 	era atomic.Uint32
 }
@@ -145,7 +149,7 @@
 	RegistryVersion ident.Version `json:"registry-version"`
 	// Era is the newest known era of the store. Versions of later eras have it in their upper bits.
 	Era ident.Era `json:"store-era"`
-	// Behind says that a peer has announced a change of the operators' table that this VM lacks.
+	// Behind says that a peer has announced a change of the operators' table or a configuration that this VM lacks.
 	Behind bool `json:"behind"`
 }
 
@@ -188,6 +192,9 @@
 // LacksChange reports whether this VM knows of a change of a table that it lacks.
 func (s *State) LacksChange() bool { return s.lacking.Load() }
 
+// LacksConfig reports whether a peer has a newer configuration than this VM, and the store has not.
+func (s *State) LacksConfig() bool { return s.noConfig.Load() }
+
 // Version returns the version of the operators' configuration.
 func (s *State) Version() ident.Version { return s.summary.Load().Version }
 
@@ -235,6 +242,7 @@
 	s.checkOperatorAge(now)
 	s.queryPeers.Store(s.shouldQueryPeers())
 	s.lacking.Store(s.lacksChange())
+	s.noConfig.Store(s.lacksConfig())
 }
 
 // applyInput calls apply and publishes the state if it changed. It recovers from a panic in apply: the VM continues
@@ -284,7 +292,7 @@
 	sum := &Summary{
 		Version: s.view.Version(), Evacuated: s.view.Evacuated(), Targets: map[string]int{}, Outage: s.view.Outage(),
 		OperatorVersion: s.applied[Operator], OperatorChange: s.operatorVersion, RegistryVersion: s.applied[Registry],
-		Behind: !s.behindSince.IsZero(), Era: s.Era(),
+		Behind: !s.behindSince.IsZero() || !s.configBehindSince.IsZero(), Era: s.Era(),
 	}
 	usableTargets := 0
 	for svc, list := range snap.Targets {
@@ -305,12 +313,14 @@
 	ready := snap.Config != nil && snap.RegistryRead && !stopping
 	var vms []ident.VM
 	var group []proto.VMInfo
-	behind, quorum := false, false
-	announced := ident.Version(0)
+	behind, configBehind, quorum := false, false, false
+	announced, peerConfig := ident.Version(0), ident.Version(0)
 	s.cfg.Peers.With(func(v *peers.View) {
 		v.SetState(ready, stopping)
 		vms, quorum = v.SharingVMs(now), v.HasQuorum(now)
 		behind, announced = v.OperatorTableBehind(now), v.NewestOperatorVersion()
+		configBehind = v.ConfigBehind(now)
+		_, peerConfig = v.ConfigHolder()
 		group = v.RegionGroup(now)
 	})
 	s.enterEra(now, announced.Era())
@@ -321,7 +331,8 @@
 	}
 	s.cfg.Forwarder.SetVMs(vms, quorum)
 	s.recordBehind(now, behind, announced)
-	if behind {
+	s.recordConfigBehind(now, configBehind, peerConfig)
+	if behind || configBehind && !s.lacksConfig() {
 		s.requestRefresh()
 	}
 }
@@ -340,6 +351,20 @@
 	}
 }
 
+// recordConfigBehind logs when this VM starts and ceases to have an older configuration in force than a peer.
+func (s *State) recordConfigBehind(now time.Time, behind bool, announced ident.Version) {
+	switch {
+	case behind == !s.configBehindSince.IsZero():
+	case behind:
+		s.configBehindSince = now
+		s.cfg.Log.Add(now, trace.Behind, "announced-config", announced, "config", s.view.Version(), "applied", s.applied[Operator],
+			"store-reachable", !s.unreachable[Operator])
+	default:
+		s.cfg.Log.Add(now, trace.Behind, "caught-up-config", s.view.Version(), "after", now.Sub(s.configBehindSince))
+		s.configBehindSince = time.Time{}
+	}
+}
+
 // requestRefresh requests a full reading of the operators' table, unless a request is pending.
 func (s *State) requestRefresh() {
 	select {
