state: a copy of the store without a configuration doesn't leave VMs that start without one

Callers of a VM that starts would get refusals ('no configuration yet') after the store was restored from a copy of before the first configuration, until the operators have written it again.

Cause: the rows that a VM hands to VMs that start are those of its last full reading. The row of the configuration in force was kept only in place of an older one, not where the copy has none. Evidence: TestCopyWithoutConfig without the new call: 'a VM that starts gets configuration 0, want 1'. Why this works: a full reading without the row keeps the row in force. Operators never remove the configuration.

--- a/state/apply.go
+++ b/state/apply.go
@@ -126,6 +126,7 @@
 	}
 	s.cfg.Peers.With(func(v *peers.View) { v.SetOperatorVersion(s.operatorVersion) })
 	if r.rows.Full {
+		s.keepMissingConfig()
 		for _, d := range s.view.Evacuated() {
 			if !present[d] && !settling {
 				changed = s.applyChange(r.at, &fleet.Change{Domain: d, Ended: true}, r.source, r.rows.Version) || changed
--- a/state/restore.go
+++ b/state/restore.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// keepMissingConfig keeps the row of the configuration in force if a full reading has none, as an earlier copy of the store
+// may.
+func (s *State) keepMissingConfig() {
+	if kept := s.restore.config; kept.Key != "" && s.operatorRows[kept.Key].Key == "" {
+		s.operatorRows[kept.Key] = kept
+	}
+}
+
 // settle applies the operators' table as it is, once its settle time is over, and reports whether anything changed: what the
 // operators have not written again by then is not in force any more.
 func (s *State) settle(now time.Time) bool {
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -240,3 +240,16 @@
 		}
 	}
 }
+
+// Guards against a VM that hands no configuration to VMs that start, after a reading of a copy from before the first one.
+func TestCopyWithoutConfig(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := configState(now)
+	s.applyReading(restoredReading(now, 2))
+	started, _ := newTestState(now)
+	started.cfg.Decoder = configDecoder{}
+	started.applyPeerState(now, s.fullState(now))
+	if got := started.view.Version(); got != 1 {
+		t.Errorf("a VM that starts gets configuration %d, want 1", got)
+	}
+}
