state: property test of VMs that follow a store that is restored

Random faults: restores from earlier copies, compaction, refused and lost calls, cut and paused and restarted VMs, lost, delayed and duplicated datagrams.

--- /dev/null
+++ b/state/model_test.go
@@ -0,0 +1,706 @@
+package state
+
+import (
+	"fmt"
+	"math/rand"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantpier/currantpier/carry"
+	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kinds"
+	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
+	"github.com/currantpier/currantpier/trace"
+)
+
+const (
+	// modelStep is the resolution of the simulated time.
+	modelStep = 20 * time.Millisecond
+	// modelPoll, modelLongPoll and modelSilence are the intervals that package platform configures, and modelCallTimeout bounds
+	// a call as there.
+	modelPoll        = time.Second
+	modelLongPoll    = 20 * time.Second
+	modelSilence     = 2*modelPoll + 300*time.Millisecond
+	modelCallTimeout = time.Second
+	// heartbeatPeriod is the time between two writes of a target. A target that writes again after a restore does so within it.
+	heartbeatPeriod = 1500 * time.Millisecond
+	// rewriteTime bounds the time after a restore within which operators and targets write again what was lost.
+	rewriteTime = 2 * time.Second
+	// maxDelay bounds the delay of a datagram or of a call in calm, maxQueueDelay the time that a received input waits.
+	maxDelay      = 40 * time.Millisecond
+	maxQueueDelay = 60 * time.Millisecond
+	// The state of another VM is requested as in package join.
+	modelRequestDelay   = 400 * time.Millisecond
+	modelRequestPause   = 300 * time.Millisecond
+	modelRequestTimeout = time.Second
+	modelCatchUpPause   = 500 * time.Millisecond
+	modelMaxCatchUp     = 8 * time.Second
+	modelStartRequests  = 3
+)
+
+// storeRow is one write of a row in the history of the store.
+type storeRow struct {
+	feed.Row
+	topic  Topic
+	number uint64
+	at     time.Time
+}
+
+// modelStore is the platform's store: two tables with one counter of versions.
+type modelStore struct {
+	era ident.Era
+	// version is the newest number, compacted the one up to which the history is no longer available.
+	version, compacted uint64
+	// history has all writes of an era, with those of earlier eras that its copy contained.
+	history   map[ident.Era][]storeRow
+	downUntil time.Time
+}
+
+func newModelStore() *modelStore {
+	return &modelStore{era: ident.FirstEra, history: map[ident.Era][]storeRow{}}
+}
+
+// write writes or removes a row. Skip is the number of other transactions before it.
+func (m *modelStore) write(now time.Time, t Topic, skip int, row feed.Row) {
+	m.version += 1 + uint64(skip)
+	m.history[m.era] = append(m.history[m.era], storeRow{row, t, m.version, now})
+}
+
+// restore returns to the copy as of a time.
+func (m *modelStore) restore(asOf time.Time) {
+	before := m.history[m.era]
+	n := 0
+	for n < len(before) && !before[n].at.After(asOf) {
+		n++
+	}
+	m.version = 0
+	if n > 0 {
+		m.version = before[n-1].number
+	}
+	m.compacted = min(m.compacted, m.version)
+	m.era++
+	m.history[m.era] = slices.Clone(before[:n])
+}
+
+// row returns a row of the history as a reading of an era has it.
+func (r *storeRow) row(e ident.Era) feed.Row {
+	out := r.Row
+	out.Version = ident.NewVersion(e, r.number)
+	return out
+}
+
+// contents returns the rows of a table at a version, and whether the store ever had that version.
+func (m *modelStore) contents(t Topic, v ident.Version) (rows map[string]feed.Row, known bool) {
+	rows = map[string]feed.Row{}
+	newest := uint64(0)
+	for i := range m.history[v.Era()] {
+		r := &m.history[v.Era()][i]
+		newest = r.number
+		if r.topic != t || r.number > v.Number() {
+			continue
+		}
+		if r.Removed {
+			delete(rows, r.Key)
+		} else {
+			rows[r.Key] = r.row(v.Era())
+		}
+	}
+	return rows, v.Number() <= newest
+}
+
+// read returns a full reading.
+func (m *modelStore) read(t Topic) feed.Rows {
+	out := feed.Rows{Full: true, Version: ident.NewVersion(m.era, m.version), Era: m.era}
+	rows, _ := m.contents(t, out.Version)
+	for _, row := range rows {
+		out.Rows = append(out.Rows, row)
+	}
+	return out
+}
+
+// changes returns the changes after a version as the client of package platform does, and whether the store answers at once.
+func (m *modelStore) changes(t Topic, after ident.Version) (rows feed.Rows, answers bool) {
+	version := ident.NewVersion(m.era, m.version)
+	gone := after.Number() < m.compacted || after.Number() > m.version
+	for i := range m.history[m.era] {
+		if r := &m.history[m.era][i]; r.topic == t && r.number > after.Number() {
+			rows.Rows = append(rows.Rows, r.row(m.era))
+		}
+	}
+	answers = gone || len(rows.Rows) > 0
+	if gone || version.Era() != after.Era() {
+		return feed.Rows{Compacted: true, Era: m.era}, answers
+	}
+	rows.Version, rows.Era = version, m.era
+	return rows, answers
+}
+
+// call is a call of a VM to the store.
+type call struct {
+	step  feed.Step
+	topic Topic
+	begun time.Time
+	// reaches is when the store handles the call, ends when the VM has the result; zero while the store has not answered.
+	reaches, ends time.Time
+	rows          feed.Rows
+	err           error
+	// lost is set if no answer arrives.
+	lost bool
+}
+
+var errStoreDown = kinds.Errorf(kinds.StoreDown, "refused")
+
+// input is a reading, a delta or the state of another VM that waits to be applied.
+type input struct {
+	at time.Time
+	// what is logged, unless it is nil.
+	what  any
+	apply func(now time.Time) bool
+}
+
+type datagram struct {
+	at  time.Time
+	msg proto.Message
+}
+
+// stateCall is a request for the state of another VM.
+type stateCall struct {
+	to            *modelVM
+	departures    bool
+	reaches, ends time.Time
+	m             *proto.Message
+	answered      bool
+}
+
+// modelVM is one VM: a State with its followers and its view of the others, and what is on the way to it.
+type modelVM struct {
+	w       *network
+	info    proto.VMInfo
+	s       *State
+	started time.Time
+
+	pausedUntil, refusedUntil, cutUntil time.Time
+	datagrams                           []datagram
+	calls                               [2]*call
+	// readings, deltas and states are the inputs of the state's goroutine.
+	readings, deltas, states []input
+	nextTick, nextHeartbeat  time.Time
+
+	// The fields below are those of join.StateFetcher.
+	request             *stateCall
+	requests            int
+	responded, catchUp  bool
+	nextRequest         time.Time
+	lastCatchUp         time.Time
+	catchUpPause        time.Duration
+	catchUpKnown        ident.Version
+	config, lastApplied ident.Version
+	targets             map[incarnation]targetUse
+}
+
+// modelConn sends the deltas that a State broadcasts.
+type modelConn struct {
+	net.PacketConn
+	v *modelVM
+}
+
+// WriteTo implements net.PacketConn.
+func (c modelConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	m, err := proto.DecodeDatagram(b)
+	c.v.w.send(c.v, to.String(), &m)
+	return len(b), err
+}
+
+// incarnation is one start of a target.
+type incarnation struct {
+	id   ident.Target
+	born int64
+}
+
+// targetUse is what a VM has known of a target.
+type targetUse uint8
+
+const (
+	targetUsed targetUse = iota + 1
+	// targetGone is a target that left, and that the VM has found not usable since.
+	targetGone
+)
+
+// modelTarget is a target. Its row has the fields of its entry.
+type modelTarget struct {
+	incarnation
+	sequence    uint64
+	ready, left bool
+	// nextWrite is when it writes its entry or, if it has left, its removal.
+	nextWrite time.Time
+}
+
+func (t *modelTarget) row() feed.Row {
+	return feed.Row{Key: string(t.id), Removed: t.left, Value: fmt.Appendf(nil, "%d %d %t", t.born, t.sequence, t.ready)}
+}
+
+// modelDecoder decodes the rows of modelTarget.
+type modelDecoder struct{ configDecoder }
+
+// DecodeEntry implements Decoder.
+func (modelDecoder) DecodeEntry(r feed.Row) (fleet.Entry, error) {
+	e := fleet.Entry{ID: ident.Target(r.Key), Service: "svc", Slots: 1, Address: "127.0.0.1:9"}
+	_, err := fmt.Sscanf(string(r.Value), "%d %d %t", &e.StartedUnixMS, &e.Sequence, &e.Ready)
+	return e, err
+}
+
+// failer is the part of rapid.T and testing.T that the model uses.
+type failer interface {
+	Helper()
+	Logf(format string, args ...any)
+	Fatalf(format string, args ...any)
+}
+
+// network is the model: VMs, store, operators and targets. Small choices, such as delays, come from rnd.
+type network struct {
+	t     failer
+	rnd   *rand.Rand
+	now   time.Time
+	store *modelStore
+	vms   []*modelVM
+
+	// config is the operators' newest configuration and evacuated the failure domains under evacuation; operatorWrites has the
+	// time from which on the operators write a row that the store lacks.
+	config         ident.Version
+	evacuated      map[string]bool
+	operatorWrites map[string]time.Time
+	targets        []*modelTarget
+	// settled is when the first configuration was in force everywhere.
+	settled time.Time
+	// noisyUntil is the end of a time in which datagrams are lost, duplicated and delayed.
+	noisyUntil time.Time
+}
+
+var modelStart = time.Unix(1000, 0)
+
+var modelDomains = []string{"a1", "b1"}
+
+const evacuationPrefix = "evacuate/"
+
+func newNetwork(t failer, vms, regions int, seed int64) *network {
+	w := &network{t: t, rnd: rand.New(rand.NewSource(seed)), now: modelStart, store: newModelStore(), config: 1,
+		evacuated: map[string]bool{}, operatorWrites: map[string]time.Time{}}
+	for i := range vms {
+		region := string(rune('a' + i%regions))
+		v := &modelVM{w: w, info: proto.VMInfo{VM: ident.VM(fmt.Sprint("vm-", i)), PeerAddress: fmt.Sprintf("127.0.0.1:%d", 1000+i),
+			Place: ident.Place{Region: ident.Region(region), Domain: ident.Domain(region + "1")}}}
+		w.vms = append(w.vms, v)
+		v.start()
+	}
+	return w
+}
+
+// start starts the VM's process with a fresh state.
+func (v *modelVM) start() {
+	w := v.w
+	clock := func() time.Time { return w.now }
+	*v = modelVM{w: w, info: v.info, started: w.now, refusedUntil: v.refusedUntil, cutUntil: v.cutUntil,
+		nextTick: w.now.Add(w.upTo(tickInterval)), nextHeartbeat: w.now, nextRequest: w.now.Add(modelRequestDelay), targets: map[incarnation]targetUse{}}
+	v.info.Incarnation = ident.Incarnation(w.now.UnixMilli())
+	var seeds []string
+	for _, o := range w.vms {
+		seeds = append(seeds, o.info.PeerAddress)
+	}
+	follower := func(poll, longPoll time.Duration) *feed.SyncFollower {
+		return feed.NewSyncFollower(feed.NewFollower(poll, longPoll, rand.NewSource(w.rnd.Int63())))
+	}
+	view := peers.NewView(w.now, v.info, seeds, rand.NewSource(w.rnd.Int63()))
+	log := trace.New(v.info.VM)
+	v.s = New(Config{
+		Self: v.info, OperatorFollower: follower(0, modelLongPoll), RegistryFollower: follower(modelPoll, 0), Clock: clock, Log: log,
+		Peers:     peers.NewService(view, modelConn{v: v}, nil, clock, func(any) {}),
+		Forwarder: carry.New(carry.Config{VM: v.info.VM, Log: log, Clock: clock}),
+		Decoder:   modelDecoder{}, MaxOperatorSilence: modelSilence,
+	}, func() bool { return false })
+}
+
+// upTo returns a random duration below d.
+func (w *network) upTo(d time.Duration) time.Duration { return time.Duration(w.rnd.Int63n(int64(d))) }
+
+// send puts a datagram on the way to an address.
+func (w *network) send(from *modelVM, to string, m *proto.Message) {
+	if w.now.Before(from.cutUntil) {
+		return
+	}
+	copies, delay := 1, maxDelay
+	if w.now.Before(w.noisyUntil) {
+		copies, delay = w.rnd.Intn(3), time.Second
+	}
+	for _, v := range w.vms {
+		for range copies {
+			if v.info.PeerAddress == to {
+				v.datagrams = append(v.datagrams, datagram{w.now.Add(w.upTo(delay)), *m})
+			}
+		}
+	}
+}
+
+func (w *network) sendAll(from *modelVM, packets []peers.Packet) {
+	for _, p := range packets {
+		w.send(from, p.To, p.Message)
+	}
+}
+
+// run lets time pass.
+func (w *network) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(modelStep)
+		w.stepWriters()
+		for _, i := range w.rnd.Perm(len(w.vms)) {
+			if v := w.vms[i]; !w.now.Before(v.pausedUntil) {
+				v.step()
+			}
+		}
+	}
+}
+
+// stepWriters makes the writes of the operators and targets that are due.
+func (w *network) stepWriters() {
+	if w.now.Before(w.store.downUntil) {
+		return
+	}
+	present := w.store.read(Operator)
+	have := map[string]string{}
+	for _, r := range present.Rows {
+		have[r.Key] = string(r.Value)
+	}
+	for _, row := range w.operatorRows() {
+		at, pending := w.operatorWrites[row.Key]
+		if !pending || w.now.Before(at) {
+			continue
+		}
+		delete(w.operatorWrites, row.Key)
+		if value, ok := have[row.Key]; ok == row.Removed || value != string(row.Value) {
+			w.store.write(w.now, Operator, w.rnd.Intn(3), row)
+		}
+	}
+	for _, t := range w.targets {
+		if w.now.Before(t.nextWrite) {
+			continue
+		}
+		t.nextWrite = w.now.Add(heartbeatPeriod)
+		t.sequence++
+		if !t.left {
+			w.store.write(w.now, Registry, w.rnd.Intn(3), t.row())
+		} else if rows, _ := w.store.contents(Registry, ident.NewVersion(w.store.era, w.store.version)); len(rows[string(t.id)].Value) > 0 {
+			w.store.write(w.now, Registry, w.rnd.Intn(3), t.row())
+		}
+	}
+}
+
+// operatorRows returns the operators' table as the operators want it.
+func (w *network) operatorRows() []feed.Row {
+	rows := []feed.Row{{Key: "config", Value: fmt.Append(nil, uint64(w.config))}}
+	for _, d := range modelDomains {
+		rows = append(rows, feed.Row{Key: evacuationPrefix + d, Removed: !w.evacuated[d]})
+	}
+	return rows
+}
+
+// restore returns the store to a copy as of a time and makes operators and targets write again what it lacks.
+func (w *network) restore(asOf time.Time, down time.Duration) {
+	w.store.restore(asOf)
+	back := w.now.Add(down)
+	w.store.downUntil = back
+	for _, row := range w.operatorRows() {
+		w.operatorWrites[row.Key] = back.Add(w.upTo(rewriteTime))
+	}
+	for _, t := range w.targets {
+		t.nextWrite = back.Add(w.upTo(rewriteTime))
+	}
+	for _, v := range w.vms {
+		for _, c := range v.calls {
+			// Open connections end, or they stay and the call waits on.
+			if c != nil && c.ends.IsZero() && w.rnd.Intn(2) == 0 {
+				c.err, c.ends = errStoreDown, w.now.Add(w.upTo(maxDelay))
+			}
+		}
+	}
+}
+
+// step processes what is due on a VM.
+func (v *modelVM) step() {
+	v.receive()
+	v.applyInputs()
+	now := v.w.now
+	if !now.Before(v.nextTick) {
+		v.s.tick(now)
+		v.nextTick = now.Add(tickInterval)
+	}
+	if !now.Before(v.nextHeartbeat) {
+		v.nextHeartbeat = now.Add(peers.HeartbeatInterval)
+		var packets []peers.Packet
+		v.s.cfg.Peers.With(func(view *peers.View) { packets = view.Tick(now) })
+		v.w.sendAll(v, packets)
+	}
+	v.follow(Operator)
+	v.follow(Registry)
+	v.fetchState()
+	v.check()
+}
+
+// receive takes the datagrams that have arrived.
+func (v *modelVM) receive() {
+	now := v.w.now
+	slices.SortStableFunc(v.datagrams, func(a, b datagram) int { return a.at.Compare(b.at) })
+	for len(v.datagrams) > 0 && !v.datagrams[0].at.After(now) {
+		d := v.datagrams[0]
+		v.datagrams = v.datagrams[1:]
+		if d.at.Before(v.cutUntil) {
+			continue
+		}
+		var replies []peers.Packet
+		v.s.cfg.Peers.With(func(view *peers.View) { replies = view.Receive(now, d.msg) })
+		v.w.sendAll(v, replies)
+		if (d.msg.Registry != nil || d.msg.OperatorChange != nil) && len(v.deltas) < PeerMessageBuffer {
+			v.deltas = append(v.deltas, v.input(loggedMessage(d.msg), func(now time.Time) bool { return v.s.applyPeerMessage(now, d.msg) }))
+		}
+	}
+}
+
+func (v *modelVM) input(what any, apply func(now time.Time) bool) input {
+	return input{v.w.now.Add(v.w.upTo(maxQueueDelay)), what, apply}
+}
+
+// applyInputs applies the inputs whose time has come, in the order of each channel and in random order otherwise.
+func (v *modelVM) applyInputs() {
+	queues := []*[]input{&v.readings, &v.deltas, &v.states}
+	for {
+		var due []*[]input
+		for _, q := range queues {
+			if len(*q) > 0 && !(*q)[0].at.After(v.w.now) {
+				due = append(due, q)
+			}
+		}
+		if len(due) == 0 {
+			return
+		}
+		q := due[v.w.rnd.Intn(len(due))]
+		in := (*q)[0]
+		*q = (*q)[1:]
+		if in.what != nil {
+			v.w.t.Logf("%v %s applied %v: %v", v.w.now.Sub(modelStart), v.info.VM, v.s.applied, in.what)
+		}
+		if in.apply(v.w.now) {
+			v.s.publish(v.w.now)
+		}
+		v.check()
+	}
+}
+
+// follow begins or ends a call for a table as feed.Run does.
+func (v *modelVM) follow(t Topic) {
+	now := v.w.now
+	f := v.s.follower(t)
+	c := v.calls[t]
+	if t == Operator && (c == nil || !c.step.Full) && len(v.s.refreshRequests) > 0 {
+		<-v.s.refreshRequests
+		f.With(func(f *feed.Follower) { f.RequestFullRead(now) })
+		c, v.calls[t] = nil, nil
+	}
+	if c == nil {
+		var step feed.Step
+		f.With(func(f *feed.Follower) { step = f.Next() })
+		if step.Full {
+			step.Wait = 0
+		}
+		if !step.At.After(now) {
+			v.calls[t] = &call{step: step, topic: t, begun: now, reaches: now.Add(v.w.upTo(maxDelay))}
+		}
+		return
+	}
+	if v.advanceCall(c); c.ends.IsZero() || c.ends.After(now) {
+		return
+	}
+	v.calls[t] = nil
+	c.rows.After = c.step.After
+	f.With(func(f *feed.Follower) { f.RecordResult(now, c.begun, c.rows, c.err) })
+	r := reading{at: now, topic: t, source: fromStore, rows: c.rows, err: c.err}
+	var what any
+	if t == Operator || c.err != nil || len(c.rows.Rows) > 0 {
+		what = c
+	}
+	v.readings = append(v.readings, v.input(what, func(time.Time) bool { return v.s.applyReading(r) }))
+}
+
+// advanceCall lets the store handle a call, or ends it after its timeout.
+func (v *modelVM) advanceCall(c *call) {
+	now := v.w.now
+	if !c.ends.IsZero() || now.Before(c.reaches) {
+		return
+	}
+	if !c.lost && (now.Before(v.refusedUntil) || now.Before(v.w.store.downUntil)) {
+		c.lost = true
+		if v.w.rnd.Intn(2) == 0 {
+			c.err, c.ends = errStoreDown, now.Add(v.w.upTo(maxDelay))
+		}
+	}
+	if !c.lost && c.ends.IsZero() {
+		answers := true
+		var rows feed.Rows
+		if c.step.Full {
+			rows = v.w.store.read(c.topic)
+		} else {
+			rows, answers = v.w.store.changes(c.topic, c.step.After)
+		}
+		if answers || now.Sub(c.reaches) >= c.step.Wait {
+			c.rows, c.ends = rows, now.Add(v.w.upTo(maxDelay))
+		}
+	}
+	if c.ends.IsZero() && now.Sub(c.begun) >= c.step.Wait+modelCallTimeout {
+		c.err, c.ends = errStoreDown, now
+	}
+}
+
+// fetchState requests the state of other VMs as join.StateFetcher does.
+func (v *modelVM) fetchState() {
+	now := v.w.now
+	if v.request != nil {
+		v.advanceRequest()
+		return
+	}
+	if now.Before(v.nextRequest) {
+		return
+	}
+	snap := v.s.cfg.Forwarder.Snapshot()
+	ready := snap.Config != nil && snap.RegistryRead
+	if !v.catchUp && ready && (v.responded || v.requests >= modelStartRequests) {
+		v.catchUp, v.catchUpPause = true, modelCatchUpPause
+	}
+	if v.catchUp {
+		v.nextRequest = now.Add(modelCatchUpPause)
+		if !v.s.ShouldQueryPeers() {
+			v.catchUpPause = modelCatchUpPause
+			return
+		}
+		if !v.s.LacksChange() && now.Sub(v.lastCatchUp) < v.catchUpPause {
+			return
+		}
+		v.beginRequest(false, false)
+		return
+	}
+	v.requests++
+	v.nextRequest = now.Add(modelRequestPause)
+	v.beginRequest(ready, true)
+}
+
+func (v *modelVM) beginRequest(departures, ownRegion bool) {
+	var ready, own []proto.VMInfo
+	v.s.cfg.Peers.With(func(view *peers.View) { ready = view.Ready(v.w.now) })
+	ready = slices.DeleteFunc(ready, func(i proto.VMInfo) bool { return i.VM == v.info.VM })
+	for _, i := range ready {
+		if i.Place.Region == v.info.Place.Region {
+			own = append(own, i)
+		}
+	}
+	if ownRegion && len(own) > 0 {
+		ready = own
+	}
+	if len(ready) == 0 {
+		return
+	}
+	to := ready[v.w.rnd.Intn(len(ready))]
+	for _, o := range v.w.vms {
+		if o.info.VM == to.VM {
+			v.request = &stateCall{to: o, departures: departures, reaches: v.w.now.Add(v.w.upTo(maxDelay)), ends: v.w.now.Add(modelRequestTimeout)}
+		}
+	}
+}
+
+// advanceRequest lets the other VM answer, and applies the answer.
+func (v *modelVM) advanceRequest() {
+	now, r := v.w.now, v.request
+	reachable := !now.Before(v.cutUntil) && !now.Before(r.to.cutUntil) && !now.Before(r.to.pausedUntil)
+	if !r.answered && reachable && !now.Before(r.reaches) {
+		r.answered, r.ends = true, now.Add(v.w.upTo(maxDelay))
+		if m := r.to.s.respond(now, stateRequest{departures: r.departures}); m != nil {
+			decoded, err := proto.DecodeMessage(m.Append(nil))
+			if err != nil {
+				v.w.t.Fatalf("state of %s: %v", r.to.info.VM, err)
+			}
+			r.m = &decoded
+		}
+	}
+	if now.Before(r.ends) {
+		return
+	}
+	v.request = nil
+	newest := ident.Version(0)
+	v.s.cfg.Peers.With(func(view *peers.View) { newest = view.NewestOperatorVersion() })
+	ok := r.m != nil && (r.departures || r.m.OperatorChange.Version >= newest)
+	v.responded = v.responded || ok
+	if v.catchUp {
+		v.recordCatchUp(r.m, ok)
+	}
+	if ok {
+		v.states = append(v.states, v.input(loggedMessage(*r.m), func(now time.Time) bool { return v.s.applyPeerState(now, r.m) }))
+	}
+}
+
+func (v *modelVM) recordCatchUp(m *proto.Message, ok bool) {
+	v.lastCatchUp = v.w.now
+	v.catchUpPause = min(2*v.catchUpPause, modelMaxCatchUp)
+	if !ok {
+		v.catchUpPause = modelCatchUpPause
+	} else if offered := max(m.Registry.Version, m.OperatorChange.Version); offered > v.catchUpKnown {
+		v.catchUpPause, v.catchUpKnown = modelCatchUpPause, offered
+	}
+}
+
+// usable returns the targets that a VM uses.
+func (v *modelVM) usable() map[incarnation]bool {
+	all := map[incarnation]bool{}
+	for _, e := range v.s.view.Registered(v.w.now) {
+		all[incarnation{e.ID, e.StartedUnixMS}] = true
+	}
+	return all
+}
+
+// evacuations returns the failure domains of rows of the operators' table.
+func evacuations(rows map[string]feed.Row) map[string]bool {
+	all := map[string]bool{}
+	for key := range rows {
+		if d, ok := strings.CutPrefix(key, evacuationPrefix); ok {
+			all[d] = true
+		}
+	}
+	return all
+}
+
+// String describes the result of the call for the log.
+func (c *call) String() string {
+	return fmt.Sprintf("reading of the table %s, full %v, compacted %v, after %s, version %s: %v, error %v", c.topic, c.step.Full,
+		c.rows.Compacted, c.step.After, c.rows.Version, c.rows.Rows, c.err)
+}
+
+// messageLog is a message as the log shows it.
+type messageLog proto.Message
+
+// loggedMessage returns what is logged of a message, nil if it has no rows.
+func loggedMessage(m proto.Message) any {
+	if m.OperatorChange == nil && (m.Registry == nil || len(m.Registry.Rows) == 0) {
+		return nil
+	}
+	return messageLog(m)
+}
+
+func (m messageLog) String() string {
+	out := "message of " + string(m.From.VM)
+	if c := m.OperatorChange; c != nil {
+		out += fmt.Sprintf(", operators' table, full %v, after %s, version %s: %v", c.Full, c.After, c.Version, c.Rows)
+	}
+	if n := m.Registry; n != nil {
+		out += fmt.Sprintf(", registry, full %v, after %s, version %s: %v", n.Full, n.After, n.Version, n.Rows)
+	}
+	return out
+}
