state: an older configuration row no longer replaces the newest one for VMs that start

A VM that started from another VM's state served an older configuration, labelled with the newest version of the table, so that nothing told it of the newer one until the next change.

Cause: if a reading or a peer's change has the rows of several configurations, keepNewestConfig put the one in force in place of each older row, although a later row of the same reading had replaced that row in the table. Two readers of a region send the same changes, so the second message regularly begins with rows that the first one had: no restore of the store is needed.

--- a/state/restore.go
+++ b/state/restore.go
@@ -94,13 +94,14 @@
 }
 
 // keepNewestConfig remembers the row of the newest configuration. VMs that start get it in place of an older one, which a
-// restored store has until the operators have written the newest one again.
+// restored store has until the operators have written the newest one again. A row that is followed by another one in the same
+// reading is not in the table.
 func (s *State) keepNewestConfig(c *fleet.Config, row feed.Row) {
 	if c.Version >= s.view.Version() {
 		s.restore.config = row
 		return
 	}
-	if kept := s.restore.config; kept.Key == row.Key {
+	if kept := s.restore.config; kept.Key == row.Key && s.operatorRows[row.Key].Version == row.Version {
 		kept.Version = row.Version
 		s.operatorRows[row.Key] = kept
 	}
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -253,3 +253,19 @@
 		t.Errorf("a VM that starts gets configuration %d, want 1", got)
 	}
 }
+
+// Guards against rows of one reading, an older configuration before a newer one, that leave the older one in the table for VMs that
+// start: both readers of a region send the same changes, and the second message repeats what the first one had.
+func TestOlderRowOfAReadingIsNotKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := configState(now)
+	first := proto.OperatorDelta{After: 4, Version: 7, Rows: []feed.Row{configRow("2", 6), configRow("3", 7)}}
+	second := first
+	second.Version, second.Rows = 8, append(second.Rows, configRow("4", 8))
+	for _, c := range []proto.OperatorDelta{first, second} {
+		s.applyPeerMessage(now, proto.Message{OperatorChange: &c})
+	}
+	if got := string(s.operatorRows["config"].Value); got != "4" || s.view.Version() != 4 {
+		t.Errorf("a VM that starts gets configuration %s, in force is %d, want 4", got, s.view.Version())
+	}
+}
