state, fleet: a restored copy does not bring back targets that were removed before

After a restore, VMs that had been told that a target left used it again, until its removal was written and told again, up to two seconds later (DRAIN: a VM that knows of a departure is bound by it also while the store is impaired).

Cause: an entry of the copy counted as old only if its sequence was not above the known one. Heartbeats alone are no change that the reader of the registry sends on, so all other VMs know the sequence of the first entry, and any later heartbeat in the copy looked like a return. A second full reading in the settle time had no check at all, nor had the state of another VM. Why it works: in the settle time of the registry, a full table doesn't bring back a target that was removed, whatever its sequence. If there was one, the table is read once more after the settle time, so that a target that lives on is used again: its later heartbeats would be no change for a reader that never lost it. VMs that had no such target make no further call.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -85,6 +85,8 @@
 	outage, firstAfterOutage bool
 	// graceUntil is the time until which entries may be missing only because of an outage of the store.
 	graceUntil time.Time
+	// withheld is set if the last restored reading had entries of targets that were removed before.
+	withheld bool
 	// nextTick is the time of the next change that needs no reading, zero if there is none.
 	nextTick time.Time
 }
@@ -165,7 +167,7 @@
 	// GraceElapsed is set if the reading comes from another VM that has already waited for lapsed entries to be written again.
 	GraceElapsed bool
 	// Restored is set if the store was restored from an earlier copy since the last reading. The copy lacks targets that have
-	// registered since, and has older entries of others, until these write again.
+	// registered since, and has older entries of others, also of targets that have left, until these write again.
 	Restored bool
 }
 
@@ -203,7 +205,7 @@
 	for _, id := range order {
 		if rows[id].Removed {
 			removed = append(removed, id)
-		} else if r.Restored && v.knowsNewer(&rows[id].Entry) {
+		} else if r.Restored && v.outdated(now, &rows[id].Entry) {
 			continue
 		} else if v.applyEntry(now, rows[id].Entry) {
 			changed = append(changed, id)
@@ -227,8 +229,12 @@
 	}
 	for _, id := range removed {
 		keepUntil := v.graceUntil
-		if row := rows[id]; row != nil && row.Lapsed {
+		switch row := rows[id]; {
+		case row == nil:
+		case row.Lapsed:
 			keepUntil = now.Add(RegistryGrace)
+		case r.Restored:
+			keepUntil = time.Time{} // another VM knows that the target left
 		}
 		if v.markMissing(now, id, keepUntil) {
 			changed = append(changed, id)
@@ -237,10 +243,24 @@
 	return changed
 }
 
-// knowsNewer reports whether e is older than the entry that is known.
-func (v *View) knowsNewer(e *Entry) bool {
+// outdated reports whether an entry of a restored store is older than what is known of the target: a newer entry or, whatever the
+// sequence, its removal. VMs know few heartbeats of a target before its removal, and the copy may have a later one.
+func (v *View) outdated(now time.Time, e *Entry) bool {
 	r := v.records[e.ID]
-	return r != nil && e.older(&r.Entry)
+	if r == nil || e.StartedUnixMS > r.StartedUnixMS {
+		return false
+	}
+	gone := !r.missingSince.IsZero() && !r.usable(now)
+	v.withheld = v.withheld || gone
+	return gone || e.older(&r.Entry)
+}
+
+// Withheld reports whether a restored store had entries of targets that were removed before, since the last call. A target that
+// writes again nevertheless is found by a full reading once the others' entries have been removed again.
+func (v *View) Withheld() bool {
+	withheld := v.withheld
+	v.withheld = false
+	return withheld
 }
 
 // Lapsed reports whether the entry of a target is missing while the target is still usable.
--- a/state/apply.go
+++ b/state/apply.go
@@ -156,7 +156,7 @@
 }
 
 func (s *State) applyRegistry(r reading) bool {
-	in := fleet.RegistryUpdate{Full: r.rows.Full, Restored: s.startsEra(r)}
+	in := fleet.RegistryUpdate{}
 	for _, row := range r.rows.Rows {
 		out := fleet.Row{Entry: fleet.Entry{ID: ident.Target(row.Key)}, Removed: true}
 		if !row.Removed {
@@ -166,7 +166,12 @@
 		}
 		in.Rows = append(in.Rows, out)
 	}
-	changed := s.view.Apply(r.at, in)
+	var changed []ident.Target
+	if r.rows.Full {
+		changed = s.applyFullRegistry(r.at, s.applied[Registry], r.rows.Version, in)
+	} else {
+		changed = s.view.Apply(r.at, in)
+	}
 	s.advance(Registry, r.rows.After, r.rows.Version, r.rows.Full)
 	s.logTargets(r.at, changed)
 	s.broadcastRegistry(r, append(changed, rewrittenTargets(r.rows.Rows)...))
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -100,7 +100,7 @@
 	}
 	// Changes that were not broadcast before are included, since the version range of the delta starts at the last
 	// broadcast.
-	changed := s.view.Apply(now, fleet.RegistryUpdate{Rows: n.Rows, Full: true, GraceElapsed: true})
+	changed := s.applyFullRegistry(now, after, n.Version, fleet.RegistryUpdate{Rows: n.Rows, GraceElapsed: true})
 	s.advance(Registry, after, n.Version, true)
 	s.logTargets(now, changed)
 	rows, lastSent := s.nextDelta(now, changed)
--- a/state/restore.go
+++ b/state/restore.go
@@ -27,6 +27,9 @@
 	removed map[string]ident.Version
 	// config is the row of the configuration in force.
 	config feed.Row
+	// registrySettlesAt is the end of the settle time of the registry. Reread is set if the registry is read again after it.
+	registrySettlesAt time.Time
+	reread            bool
 }
 
 // begin starts the settle time.
@@ -115,6 +118,27 @@
 	}
 }
 
+// applyFullRegistry applies a full registry after one as of a version, from the store or another VM. In the settle time, it may
+// lack targets that write again, and have ones that left. If it has these, it is read again after the settle time.
+func (s *State) applyFullRegistry(now time.Time, after, version ident.Version, u fleet.RegistryUpdate) []ident.Target {
+	if after != 0 && version.Era() > after.Era() {
+		s.restore.registrySettlesAt = now.Add(settleTime)
+	}
+	u.Full, u.Restored = true, now.Before(s.restore.registrySettlesAt)
+	changed := s.view.Apply(now, u)
+	s.restore.reread = s.view.Withheld() || s.restore.reread
+	return changed
+}
+
+// rereadRegistry requests the reading that applyFullRegistry finds necessary.
+func (s *State) rereadRegistry(now time.Time) {
+	if !s.restore.reread || now.Before(s.restore.registrySettlesAt) {
+		return
+	}
+	s.restore.reread = false
+	s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.RequestFullRead(now) })
+}
+
 // settle applies the operators' table as it is, once its settle time is over, and reports whether anything changed: what the
 // operators have not written again by then is not in force any more.
 func (s *State) settle(now time.Time) bool {
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -269,3 +269,56 @@
 		t.Errorf("a VM that starts gets configuration %s, in force is %d, want 4", got, s.view.Version())
 	}
 }
+
+// Guards against a target that left and is used again because the copy has its entry, with a later heartbeat than this VM knows: only
+// the VM that reads the registry for its region knows all heartbeats (DRAIN). A target that is alive nevertheless is used again
+// after the settle time.
+func TestRestoredCopyDoesNotBringTargetsBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	restored := func(version uint64) reading {
+		r := readingOf(now, Registry, 0, inEra(version), true, "t1", "t2")
+		r.rows.Era = 2
+		return r
+	}
+	for _, tt := range []struct {
+		name    string
+		restore func(s *State)
+	}{
+		{"reading", func(s *State) { s.applyReading(restored(5)) }},
+		{"two readings", func(s *State) {
+			s.applyReading(restored(5))
+			s.applyReading(restored(6))
+		}},
+		{"state of a VM that does not know that the target left", func(s *State) {
+			s.recordReachability(reading{at: now, topic: Registry, err: errUnreachable})
+			other, _ := newTestState(now)
+			other.applyReading(restoredReading(now, 3, configRow("1", inEra(3))))
+			other.applyReading(restored(5))
+			s.applyPeerState(now, other.fullState(now))
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, _ := configState(now)
+			s.applyPeerMessage(now, proto.Message{Registry: &proto.RegistryDelta{After: 5, Version: 9,
+				Rows: []fleet.Row{{Entry: fleet.Entry{ID: "t1"}, Removed: true}}}})
+			tt.restore(s)
+			if got := registered(s, now); got["t1"] || !got["t2"] {
+				t.Errorf("targets %v, want t2", got)
+			}
+			s.rereadRegistry(now)
+			settled := now.Add(settleTime)
+			s.rereadRegistry(settled)
+			s.cfg.RegistryFollower.With(func(f *feed.Follower) {
+				if step := f.Next(); !step.Full {
+					t.Errorf("next call %+v, want a full reading after the settle time", step)
+				}
+			})
+			again := restored(7)
+			again.at = settled
+			s.applyReading(again)
+			if got := registered(s, settled); !got["t1"] {
+				t.Errorf("targets %v, want t1 as well", got)
+			}
+		})
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -240,6 +240,7 @@
 	}
 	s.syncPeers(now)
 	s.checkOperatorAge(now)
+	s.rereadRegistry(now)
 	s.queryPeers.Store(s.shouldQueryPeers())
 	s.lacking.Store(s.lacksChange())
 	s.noConfig.Store(s.lacksConfig())
