state, fleet: a VM that starts or catches up from another's state learns which entries have lapsed

A VM that started, or caught up without the store, while others waited for lapsed entries to be written again used targets for good that never wrote again, until its next full reading.

Cause: the full state listed the targets that the sender still uses as registered, under a version that covers the removal of their entries. The removal is no change for any reader later, so nobody told the receiver. Deltas mark such rows; the full state did not. Why it works: the row has the entry and is marked as removed and lapsed; the receiver uses the target for the same grace. A VM of the old build takes the row as a removal and uses the target again when it writes.

--- a/fleet/departures.go
+++ b/fleet/departures.go
@@ -27,7 +27,7 @@
 	var changed []ident.Target
 	for i := range rows {
 		e := &rows[i].Entry
-		if !rows[i].Removed || e.Sequence == 0 && e.StartedUnixMS == 0 {
+		if !rows[i].Removed || rows[i].Lapsed || e.Sequence == 0 && e.StartedUnixMS == 0 {
 			continue
 		}
 		r := v.records[e.ID]
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -154,7 +154,7 @@
 	Entry
 	Removed bool
 	// Lapsed is set for a removed entry that may only have lapsed during an outage of the store. Its target stays usable for
-	// RegistryGrace.
+	// RegistryGrace. In a full registry, the row has the whole entry.
 	Lapsed bool
 }
 
@@ -205,6 +205,9 @@
 	for _, id := range order {
 		if rows[id].Removed {
 			removed = append(removed, id)
+			if r.Full && rows[id].Lapsed && v.applyEntry(now, rows[id].Entry) {
+				changed = append(changed, id)
+			}
 		} else if r.Restored && v.outdated(now, &rows[id].Entry) {
 			continue
 		} else if v.applyEntry(now, rows[id].Entry) {
--- a/state/catchup_test.go
+++ b/state/catchup_test.go
@@ -218,3 +218,36 @@
 		t.Errorf("configuration %d and newest change %d, want 2 and 8", misled.view.Version(), misled.operatorVersion)
 	}
 }
+
+// Simulates entries that have lapsed during an outage of the store. Guards against a VM that starts, or catches up, from the state
+// of a VM that keeps their targets for a while, and uses them for good: nothing tells it again that they were removed.
+func TestFullStateMarksLapsedEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, returns := range []bool{true, false} {
+		sender, _ := configState(now)
+		sender.view.RecordFailure()
+		sender.applyReading(readingOf(now, Registry, 5, 7, true))
+		started, _ := newTestState(now)
+		behind, _ := configState(now)
+		behind.recordReachability(reading{at: now, topic: Registry, err: net.ErrClosed})
+		b := sender.fullState(now).Append(nil)
+		m, err := proto.DecodeMessage(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, s := range map[string]*State{"a VM that starts": started, "a VM that catches up": behind} {
+			s.cfg.Decoder = configDecoder{}
+			s.applyPeerState(now, &m)
+			if got := registered(s, now); !got["t1"] {
+				t.Errorf("%s: targets %v, want t1, which may write again", name, got)
+			}
+			if returns {
+				s.applyPeerMessage(now, proto.Message{Registry: &proto.RegistryDelta{After: 7, Version: 9,
+					Rows: []fleet.Row{{Entry: fleet.Entry{ID: "t1", Ready: true, Sequence: 9}}}}})
+			}
+			if got := registered(s, now.Add(fleet.RegistryGrace+time.Second)); got["t1"] != returns {
+				t.Errorf("%s: targets %v after the grace, t1 returned: %v", name, got, returns)
+			}
+		}
+	}
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -25,8 +25,10 @@
 		change.Rows = append(change.Rows, row)
 	}
 	delta := &proto.RegistryDelta{From: s.cfg.Self.VM, Full: true, Version: s.applied[Registry]}
-	for _, e := range s.view.Registered(now) {
-		delta.Rows = append(delta.Rows, fleet.Row{Entry: e})
+	for id, e := range s.view.Registered(now) {
+		// The version covers the removal of an entry that has lapsed, so nothing else tells the receiver of it.
+		lapsed := s.view.Lapsed(now, id)
+		delta.Rows = append(delta.Rows, fleet.Row{Entry: e, Removed: lapsed, Lapsed: lapsed})
 	}
 	delta.Rows = append(delta.Rows, s.view.Departures(now)...)
 	return &proto.Message{From: s.cfg.Self, OperatorChange: change, Registry: delta, OperatorVersion: s.operatorVersion}
