join: a VM writes its entry in the list once, also if the store doesn't state its era

With a store that states no era, up to three VMs of each region wrote their entry in the list of VMs every 2 s for good, which costs calls to the store.

Cause: the era in which the entry was written was taken from the answer, zero if it states none, while the state's era is at least the first one, which every version has that another VM announces. The entry counted as one of an earlier era. Evidence: TestRegistrarInStoreWithoutEras on the code before: 'written 2 times, want 1', 'written 3 times, want 1'. Why this works: a write takes effect in the era that is known when it is sent, or a later one, so the entry counts for that era whatever the answer states. An answer without an era in a later era, or one whose era went back, causes no more writes either.

--- a/join/registrar.go
+++ b/join/registrar.go
@@ -30,7 +30,7 @@
 
 // Directory is the list of VMs in the platform's store.
 type Directory interface {
-	// Register adds this VM or replaces its entry. It returns the store's era.
+	// Register adds this VM or replaces its entry. It returns the store's era, zero if the store doesn't state it.
 	Register(ctx context.Context, i proto.VMInfo) (ident.Era, error)
 	// Withdraw removes a VM's entry.
 	Withdraw(ctx context.Context, vm ident.VM) error
@@ -115,11 +115,13 @@
 func (a *Registrar) callDirectory(ctx context.Context, write, list bool) error {
 	if write {
 		a.maybeListed.Store(true)
+		known := a.Era()
 		era, err := a.Directory.Register(ctx, a.Self)
 		if err != nil {
 			return err
 		}
-		a.listedEra = era
+		// The store may not state its era, but it can't be earlier than the one known when the write was sent.
+		a.listedEra = max(era, known)
 		a.listed.Store(true)
 	}
 	if !list {
--- a/join/registrar_test.go
+++ b/join/registrar_test.go
@@ -61,3 +61,15 @@
 		}
 	}
 }
+
+// Guards against a VM that writes its entry in the list every two seconds, because the store doesn't state an era and that of the
+// state is then the first.
+func TestRegistrarInStoreWithoutEras(t *testing.T) {
+	d := &eraDirectory{}
+	a := &Registrar{Directory: d, Era: func() ident.Era { return ident.FirstEra }}
+	for range 3 {
+		if err := a.callDirectory(t.Context(), a.writeDue(), false); err != nil || d.written != 1 {
+			t.Errorf("written %d times, want 1, error %v", d.written, err)
+		}
+	}
+}
