platform, ident: an era that doesn't fit into a version is malformed

A VM that had received one answer with such an era would have taken the versions in it for those of an early era and, since its known era is then beyond all that follow, would not end an open call for changes at the next restore.

Only a malformed answer has such an era. Why this works: the bound follows from the version's layout (ident.EraBits), here and in the client of the product's own store, so that an answer with a larger one is an error like any other that can't be decoded.

--- a/ident/version.go
+++ b/ident/version.go
@@ -16,6 +16,9 @@
 // 34 years, and the rest for 16 million eras.
 const numberBits = 40
 
+// EraBits is the number of bits of an era, which the rest of a Version holds.
+const EraBits = 64 - numberBits
+
 // Version is the version of a table row, a configuration or a traffic plan: the era of the store and, in the low bits,
 // a number within that era. A version of a later era is therefore greater, whatever the numbers are. Zero means that
 // there is none. A version of the first era equals its number, and so does a version from a process that does not know
--- a/store/client.go
+++ b/store/client.go
@@ -298,7 +298,7 @@
 	if text == "" {
 		return 0, nil
 	}
-	era, err := strconv.ParseUint(text, 10, 24)
+	era, err := strconv.ParseUint(text, 10, ident.EraBits)
 	switch {
 	case err != nil:
 		return 0, kinds.Errorf(failure, "%s %s: malformed era %q", r.method, r.path, text)
