feed, state: a call in progress while the store was restored does not withdraw the request for a new reading

A VM that was paused, or whose call took longer than the restore, could have stayed on the lost history: requests were handled by an older configuration until another VM announced a change, or its own next call 30 to 60 s later.

Cause: the request to read a table in full was one flag, which each successful result cleared, also that of a call that began before the request and so doesn't answer it: changes, or a reading of the era before. A state of a peer of the earlier era cleared it as well. After changes that a peer had sent before, the flag stayed, but the reading was put off by the whole interval. Evidence, on the code before: TestResultOfEarlierEraKeepsRequest fails in all five cases, for example 'next call {At: ...+31 s Full:false After:6}, want a full reading at once'; TestPeerStateOfEarlierEraKeepsRequest 'Full:false After:9 after a peer's state of the earlier era'. Found by reading. Why this works: the Follower knows when and from which era on a full reading was requested. A result clears the request only if its call began later, or is a full reading in that era. A reading that begins after the request can't be of an earlier era, since the store's answers are linearizable, so there is at most one more reading for each request, whatever era a message claims.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -98,6 +98,10 @@
 
 	// needFull is set if the next call must read the whole table.
 	needFull bool
+	// requestedAt is the time of the last request for a full reading, and requestedEra the earliest era of the store in which
+	// it must be made; zero for any.
+	requestedAt  time.Time
+	requestedEra ident.Era
 	// version is the version up to which the table is known.
 	version ident.Version
 	// failures counts consecutive failed calls.
@@ -166,18 +170,22 @@
 }
 
 // ApplyPeerSnapshot records that the whole table was received from a peer while this VM's own calls fail. It returns
-// whether the version is newer than the known one. The schedule of calls doesn't change.
+// whether the version is newer than the known one. The schedule of calls doesn't change, and a request for a reading in a later
+// era stays.
 func (f *Follower) ApplyPeerSnapshot(version ident.Version) bool {
 	if f.version == 0 || version <= f.version {
 		return false
 	}
-	f.needFull, f.version = false, version
+	f.needFull, f.version = version.Era() < f.requestedEra, version
 	return true
 }
 
 // RequestCatchUp schedules a call within peerTimeoutPerRank if version is newer than the known one. The call is for the
 // whole table if version is of a later era.
 func (f *Follower) RequestCatchUp(now time.Time, version ident.Version) {
+	if version.Era() > f.version.Era() {
+		f.requestedAt, f.requestedEra = now, max(f.requestedEra, version.Era())
+	}
 	if f.needFull || version <= f.version {
 		return
 	}
@@ -239,14 +247,21 @@
 
 // RequestFullRead schedules a full reading at now or, if the last call failed, after the current backoff.
 func (f *Follower) RequestFullRead(now time.Time) {
-	f.needFull = true
+	f.needFull, f.requestedAt = true, now
 	if f.failures == 0 {
 		f.nextCall = now
 	}
 }
 
+// RequestEra is RequestFullRead for a reading in an era of the store, or a later one.
+func (f *Follower) RequestEra(now time.Time, era ident.Era) {
+	f.requestedEra = max(f.requestedEra, era)
+	f.RequestFullRead(now)
+}
+
 // RecordResult records the result of a call that was started at begun and schedules the next one. A full reading that is
-// older than what peers have reported since is repeated.
+// older than what peers have reported since is repeated. A request for a full reading that was made during the call stays, unless
+// the call was such a reading, in the requested era.
 func (f *Follower) RecordResult(now, begun time.Time, rows Rows, err error) {
 	switch {
 	case err != nil:
@@ -260,15 +275,25 @@
 		f.needFull = true
 		f.nextCall = now.Add(f.backoff())
 	case rows.OlderThan(f.version):
-		f.nextCall = begun.Add(f.interval())
+		f.scheduleNext(now, begun)
 	default:
-		f.needFull = false
+		inEra := rows.Version.Era() >= f.requestedEra
+		f.needFull = !f.requestedAt.Before(begun) && !(rows.Full && inEra)
 		f.version = rows.Version
-		f.nextCall = begun.Add(f.interval())
+		f.scheduleNext(now, begun)
 	}
 	f.failures = 0
 }
 
+// scheduleNext schedules the call after one that was started at begun and has ended at now.
+func (f *Follower) scheduleNext(now, begun time.Time) {
+	if f.needFull {
+		f.nextCall = now
+		return
+	}
+	f.nextCall = begun.Add(f.interval())
+}
+
 // SyncFollower is a Follower that is safe for concurrent use.
 type SyncFollower struct {
 	mu sync.Mutex
--- a/state/restore.go
+++ b/state/restore.go
@@ -87,7 +87,7 @@
 		}
 		s.cfg.Log.Add(now, trace.StoreRestored, "table", t, "era", era, "before", before, "applied", s.applied[t],
 			"newest-change", s.operatorVersion)
-		s.follower(t).With(func(f *feed.Follower) { f.RequestFullRead(now) })
+		s.follower(t).With(func(f *feed.Follower) { f.RequestEra(now, era) })
 		if t == Operator {
 			s.requestRefresh() // a call for changes may be open for another 20 s
 		} else {
