feed: a refresh is not lost if the call that it interrupts still succeeds

After a restore of the store, a VM without others whose announcements repeat the request could have handled requests by an older configuration until its call for changes ended, up to 20 s later.

Cause: a refresh, which requests a full reading of the operators' table, cancelled the call for changes and counted only if that call then failed. If the answer arrived at the same time, the refresh was gone, although the answer may be of the time before what the refresh is for. Evidence: TestRefreshIsNotLostWithAnswer on the code before: 'calls [full changes changes], want a full reading after the refresh'. Why this works: a refresh that was taken from the channel always requests a full reading. Changes that still arrived are applied.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -344,7 +344,9 @@
 		now := clock()
 		if refreshed {
 			f.With(func(f *Follower) { f.RequestFullRead(now) })
-			continue
+		}
+		if refreshed && err != nil {
+			continue // the refresh has cancelled the call
 		}
 		rows.After, rows.Begun = step.After, begun
 		f.With(func(f *Follower) { f.RecordResult(now, begun, rows, err) })
@@ -353,7 +355,8 @@
 	return nil
 }
 
-// call makes the call of a step. A refresh cancels a call for changes and sets refreshed. A full reading isn't cancelled:
+// call makes the call of a step. A refresh cancels a call for changes and sets refreshed, also if the call still succeeds: its
+// answer may be of before what the refresh is for. A full reading isn't cancelled:
 // refreshes that arrive faster than the store responds would otherwise prevent it from ever completing.
 func call(ctx context.Context, t Table, s Step, refresh <-chan struct{}) (rows Rows, refreshed bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -375,7 +378,7 @@
 	case <-refresh:
 		cancel()
 		<-done
-		refreshed = err != nil
+		refreshed = true
 	}
 	return rows, refreshed, err
 }
--- a/feed/request_test.go
+++ b/feed/request_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"math/rand"
 	"testing"
 	"time"
@@ -55,3 +56,42 @@
 		t.Errorf("next call %+v after a peer's state of the new era, want changes", f.Next())
 	}
 }
+
+// crossingTable answers a call for changes when it is cancelled: the answer had arrived already.
+type crossingTable struct{ calls []string }
+
+func (c *crossingTable) Read(context.Context) (Rows, error) {
+	c.calls = append(c.calls, "full")
+	return Rows{Full: true, Version: 5}, nil
+}
+
+func (c *crossingTable) Changes(ctx context.Context, after ident.Version, _ time.Duration) (Rows, error) {
+	c.calls = append(c.calls, "changes")
+	<-ctx.Done()
+	return Rows{Version: after}, nil
+}
+
+// Guards against a refresh that is lost because the call for changes that it interrupts ends with an answer.
+func TestRefreshIsNotLostWithAnswer(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	refresh := make(chan struct{}, 1)
+	c := &crossingTable{}
+	sink := func(time.Time, Rows, error) {
+		if len(c.calls) == 3 {
+			cancel()
+			return
+		}
+		refresh <- struct{}{}
+	}
+	follower := NewFollower(0, time.Hour, rand.NewSource(1))
+	follower.SetRank(start, 0)
+	now := start
+	clock := func() time.Time { now = now.Add(time.Millisecond); return now }
+	if err := Run(ctx, c, NewSyncFollower(follower), sink, refresh, clock); err != nil {
+		t.Fatal(err)
+	}
+	if len(c.calls) < 3 || c.calls[2] != "full" {
+		t.Errorf("calls %v, want a full reading after the refresh", c.calls)
+	}
+}
