state: a VM that starts from another VM's state gets the operators' rows that a restored store has lost

A VM that started after a restore and got another VM's state would have sent requests to targets of a failure domain under evacuation until the operators wrote it again, or refused everything if the copy lacks the configuration.

Cause: what another VM gets was the table as in the restored copy, while what is in force during the settle time also includes rows that the copy lacks. Only an older configuration was replaced by the one in force, not a missing one. Evidence: TestStartAfterRestoreFromPeer on the code before: 'not written again: started: evacuation false, want true; configuration 0, want 1' and 'started later: configuration 0, want 1', the configuration also in the other cases. Why this works: a VM keeps the rows that the copy lacks until they are written again or the store has settled, and its state has them with their versions of the earlier era. A VM that starts recognizes them by that era, puts them in force and lets the store settle as well, so that they end if nobody writes them again. A VM that catches up leaves them out: it has its own. The row of the configuration stays in the state for good. A VM that starts and reads the store first still lacks these rows, as it lacks the newest configuration.

--- a/state/apply.go
+++ b/state/apply.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"maps"
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
@@ -87,11 +88,12 @@
 func (s *State) applyOperator(r reading) bool {
 	s.group.confirmedAt = r.at
 	if s.startsEra(r) {
-		s.restore.begin(r.at)
+		s.restore.beginEra(r.at, maps.Values(s.operatorRows))
 	}
 	if r.rows.Full && r.source == fromStore {
 		s.operatorReadBegun = r.rows.Begun
 	}
+	s.restore.recordWrites(r.rows.Rows)
 	s.advance(Operator, r.rows.After, r.rows.Version, r.rows.Full)
 	s.restore.recordRemovals(s.operatorRows, r.rows)
 	s.updateOperatorRows(r.rows)
@@ -126,7 +128,6 @@
 	}
 	s.cfg.Peers.With(func(v *peers.View) { v.SetOperatorVersion(s.operatorVersion) })
 	if r.rows.Full {
-		s.keepMissingConfig()
 		for _, d := range s.view.Evacuated() {
 			if !present[d] && !settling {
 				changed = s.applyChange(r.at, &fleet.Change{Domain: d, Ended: true}, r.source, r.rows.Version) || changed
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -81,10 +81,11 @@
 	if !accepted && newest <= s.operatorVersion {
 		return false
 	}
+	present, _ := splitLost(c)
 	r := reading{at: now, topic: Operator, source: fromPeerTables,
-		rows: feed.Rows{Rows: diffRows(s.operatorRows, c.Rows), After: min(after, c.Version), Version: c.Version}}
+		rows: feed.Rows{Rows: diffRows(s.operatorRows, present), After: min(after, c.Version), Version: c.Version}}
 	if c.Version.Era() > after.Era() {
-		r.rows.Rows, r.rows.Full = c.Rows, true
+		r.rows.Rows, r.rows.Full = present, true
 	}
 	// The rows of a table do not include its removals, which count as changes as well.
 	s.operatorVersion = max(s.operatorVersion, newest)
--- a/state/restore.go
+++ b/state/restore.go
@@ -1,11 +1,13 @@
 package state
 
 import (
+	"iter"
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
 
@@ -30,10 +32,27 @@
 	// registrySettlesAt is the end of the settle time of the registry. Reread is set if the registry is read again after it.
 	registrySettlesAt time.Time
 	reread            bool
+	// lost has the rows that the copy lacks, by key, until they are written again or the store has settled.
+	lost map[string]feed.Row
 }
 
-// begin starts the settle time.
-func (r *restoreState) begin(now time.Time) { r.settlesAt = now.Add(settleTime) }
+// beginEra starts the settle time of a store that was restored, whose copy may lack some of the rows of a table.
+func (r *restoreState) beginEra(now time.Time, table iter.Seq[feed.Row]) {
+	r.settlesAt = now.Add(settleTime)
+	if r.lost == nil {
+		r.lost = map[string]feed.Row{}
+	}
+	for row := range table {
+		r.lost[row.Key] = row
+	}
+}
+
+// recordWrites removes rows that the store has from those that it has lost.
+func (r *restoreState) recordWrites(rows []feed.Row) {
+	for _, row := range rows {
+		delete(r.lost, row.Key)
+	}
+}
 
 // settling reports whether the store may still lack what the operators will write again.
 func (r *restoreState) settling(now time.Time) bool { return now.Before(r.settlesAt) }
@@ -111,14 +130,6 @@
 	}
 }
 
-// keepMissingConfig keeps the row of the configuration in force if a full reading has none, as an earlier copy of the store
-// may.
-func (s *State) keepMissingConfig() {
-	if kept := s.restore.config; kept.Key != "" && s.operatorRows[kept.Key].Key == "" {
-		s.operatorRows[kept.Key] = kept
-	}
-}
-
 // applyFullRegistry applies a full registry after one as of a version, from the store or another VM. In the settle time, it may
 // lack targets that write again, and have ones that left. If it has these, it is read again after the settle time.
 func (s *State) applyFullRegistry(now time.Time, after, version ident.Version, u fleet.RegistryUpdate) []ident.Target {
@@ -140,13 +151,25 @@
 	s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.RequestFullRead(now) })
 }
 
+// splitLost separates the rows of a peer's table that the store has from those that it has lost: these are of an earlier era.
+func splitLost(c *proto.OperatorDelta) (present, lost []feed.Row) {
+	for _, row := range c.Rows {
+		if row.Version.Era() < c.Version.Era() {
+			lost = append(lost, row)
+		} else {
+			present = append(present, row)
+		}
+	}
+	return present, lost
+}
+
 // settle applies the operators' table as it is, once its settle time is over, and reports whether anything changed: what the
 // operators have not written again by then is not in force any more.
 func (s *State) settle(now time.Time) bool {
 	if s.restore.settlesAt.IsZero() || s.restore.settling(now) {
 		return false
 	}
-	s.restore.settlesAt = time.Time{}
+	s.restore.settlesAt, s.restore.lost = time.Time{}, nil
 	r := reading{at: now, topic: Operator, source: fromStore, rows: feed.Rows{Full: true, Version: s.applied[Operator]}}
 	for _, row := range s.operatorRows {
 		r.rows.Rows = append(r.rows.Rows, row)
--- /dev/null
+++ b/state/restore_start_test.go
@@ -0,0 +1,61 @@
+package state
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/feed"
+)
+
+// Guards against a VM that starts after a restore, gets another VM's state, and sends requests to targets of a failure domain under
+// evacuation, or has no configuration, because the restored copy lacks the row; and against one that keeps the evacuation for good
+// although the operators don't write it again.
+func TestStartAfterRestoreFromPeer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a1 := feed.Row{Key: "evacuate/a1", Version: 20}
+	again, ended := a1, a1
+	again.Version, ended.Version, ended.Removed = inEra(4), inEra(5), true
+	for _, tt := range []struct {
+		name string
+		// written are the operators' writes after the restore and before the start.
+		written []feed.Row
+		// started and settled say whether the VM that starts has the evacuation, at once and after the settle time.
+		started, settled bool
+	}{
+		{"not written again", nil, true, false},
+		{"written again", []feed.Row{again}, true, true},
+		{"written again and ended", []feed.Row{again, ended}, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s, _ := configState(now)
+			change := readingOf(now, Operator, 4, 20, false)
+			change.rows.Rows = []feed.Row{a1}
+			s.applyReading(change)
+			s.applyReading(restoredReading(now, 3))
+			for _, row := range tt.written {
+				change := readingOf(now, Operator, s.applied[Operator], row.Version, false)
+				change.rows.Rows, change.rows.Era = []feed.Row{row}, 2
+				s.applyReading(change)
+			}
+			started, _ := newTestState(now)
+			started.cfg.Decoder = configDecoder{}
+			started.applyPeerState(now, s.fullState(now))
+			if got := slices.Contains(started.view.Evacuated(), "a1"); got != tt.started || started.view.Version() != 1 {
+				t.Errorf("started: evacuation %v, want %v; configuration %d, want 1", got, tt.started, started.view.Version())
+			}
+			for _, x := range []*State{s, started} {
+				x.settle(now.Add(settleTime))
+				if got := slices.Contains(x.view.Evacuated(), "a1"); got != tt.settled {
+					t.Errorf("settled: evacuation %v, want %v", got, tt.settled)
+				}
+			}
+			later, _ := newTestState(now)
+			later.cfg.Decoder = configDecoder{}
+			later.applyPeerState(now, started.fullState(now))
+			if got := slices.Contains(later.view.Evacuated(), "a1"); got != tt.settled || later.view.Version() != 1 {
+				t.Errorf("started later: evacuation %v, want %v; configuration %d, want 1", got, tt.settled, later.view.Version())
+			}
+		})
+	}
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
@@ -15,7 +16,7 @@
 const stateRequestTimeout = 500 * time.Millisecond
 
 // fullState returns a message with the full operators' table and registry as this VM has applied them, or nil before
-// it has read both.
+// it has read both. Rows that the store has lost and that are still in force are included.
 func (s *State) fullState(now time.Time) *proto.Message {
 	if s.operatorRows == nil || !s.view.RegistryRead() {
 		return nil
@@ -24,6 +25,9 @@
 	for _, row := range s.operatorRows {
 		change.Rows = append(change.Rows, row)
 	}
+	for _, row := range s.restore.lost {
+		change.Rows = append(change.Rows, row)
+	}
 	delta := &proto.RegistryDelta{From: s.cfg.Self.VM, Full: true, Version: s.applied[Registry]}
 	for id, e := range s.view.Registered(now) {
 		// The version covers the removal of an entry that has lapsed, so nothing else tells the receiver of it.
@@ -34,7 +38,8 @@
 	return &proto.Message{From: s.cfg.Self, OperatorChange: change, Registry: delta, OperatorVersion: s.operatorVersion}
 }
 
-// updateOperatorRows updates the stored copy of the operators' table with the rows of a reading.
+// updateOperatorRows updates the stored copy of the operators' table with the rows of a reading. The row of the configuration stays
+// also if a restored store has lost it.
 func (s *State) updateOperatorRows(rows feed.Rows) {
 	if rows.Full || s.operatorRows == nil {
 		s.operatorRows = map[string]feed.Row{}
@@ -46,6 +51,11 @@
 			s.operatorRows[row.Key] = row
 		}
 	}
+	if c := s.restore.config; c.Key != "" && s.operatorRows[c.Key].Key == "" {
+		c.Version = max(c.Version, ident.NewVersion(rows.Version.Era(), 1))
+		s.operatorRows[c.Key] = c
+		delete(s.restore.lost, c.Key)
+	}
 }
 
 // applyPeerState applies another VM's state: its tables, where this VM has not read its own or can't reach the store,
@@ -74,8 +84,16 @@
 func (s *State) initOperator(now time.Time, c *proto.OperatorDelta) bool {
 	accepted := false
 	s.cfg.OperatorFollower.With(func(f *feed.Follower) { accepted = f.InitFromPeer(now, c.Version) })
-	if accepted {
-		s.applyOperator(reading{at: now, topic: Operator, source: fromPeerTables, rows: feed.Rows{Rows: c.Rows, Version: c.Version, Full: true}})
+	if !accepted {
+		return false
+	}
+	present, lost := splitLost(c)
+	r := reading{at: now, topic: Operator, source: fromPeerTables, rows: feed.Rows{Rows: present, Version: c.Version, Full: true}}
+	s.applyOperator(r)
+	if len(lost) > 0 {
+		s.restore.beginEra(now, slices.Values(lost))
+		r.rows.Rows, r.rows.Full = lost, false
+		s.applyOperatorRows(r)
 	}
 	return accepted
 }
