steer, node, relay: a process that doesn't know the newest configuration refuses proposals

After the store had come back from an earlier copy, an accepted configuration would have been replaced by a proposal that was based on the one before: all VMs followed it, and callers were handled by rules that had been superseded.

Cause: a proposal is refused if a newer configuration than the expected one is in force at the process that gets it. A process that has started after the restore has only the restored one, which the operator's expected version matches; the conflict of eras at the write then counted as a configuration that was written again. Found by reading. Until then it refuses with the kind 'stopping', which sends the operator to another VM; nothing is written. An answer of the store that apply reads itself counts for this like one of the regular readings.

--- a/node/sync.go
+++ b/node/sync.go
@@ -109,6 +109,13 @@
 	return s.node.Ready()
 }
 
+// Known reports whether this process has obtained the newest document of kind k since its start.
+func (s *Sync) Known(k relay.Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Servable(k)
+}
+
 // handlePeerVersions handles the versions of the documents that are in force at a peer.
 func (s *Sync) handlePeerVersions(vm ident.VM, config, plan ident.Version) {
 	s.mu.Lock()
@@ -260,9 +267,11 @@
 // Poll reads a document from the store and puts it in force if it is newer. If the store has lost the configuration in
 // force, Poll has it written again.
 func (s *Sync) Poll(ctx context.Context, k relay.Kind) {
-	if res := s.readStore(ctx, relay.Action{Kind: k}); res.OK {
-		s.Offer(res.Doc)
+	res := s.readStore(ctx, relay.Action{Kind: k})
+	if !res.OK || res.Doc.Version != 0 && s.check(res.Doc) != nil {
+		return
 	}
+	s.update(res.Doc, func(now time.Time) bool { return s.node.HandleStoreAnswer(now, res) })
 }
 
 // perform carries out one action within its timeout, checks a document that it returned, and passes the result to the
--- a/relay/node.go
+++ b/relay/node.go
@@ -579,6 +579,16 @@
 	return true
 }
 
+// HandleStoreAnswer handles an answer of the store that was read without an action, and whose document was checked. It returns
+// true if a newer document came into force, or if the node may now serve the document.
+func (n *Node) HandleStoreAnswer(now time.Time, res Result) bool {
+	newer := n.HandlePush(now, res.Doc)
+	d := &n.docs[res.Doc.Kind]
+	wasServable := d.servable
+	d.servable = d.servable || !res.Outdated
+	return newer || d.servable != wasServable
+}
+
 // Hint handles a version from a peer's probe message. The node fetches a newer version from that peer, once for each
 // version; if the fetch fails, the other paths deliver it.
 func (n *Node) Hint(from ident.VM, k Kind, v ident.Version) {
@@ -668,5 +678,8 @@
 // Ready reports whether the node may serve: for each kind, either the store has answered, or two peers have (all of
 // them if there are fewer) after every relay was queried.
 func (n *Node) Ready() bool {
-	return n.docs[Config].servable && n.docs[Plan].servable
+	return n.Servable(Config) && n.Servable(Plan)
 }
+
+// Servable reports whether the node may serve the document of kind k, see Ready.
+func (n *Node) Servable(k Kind) bool { return n.docs[k].servable }
--- a/steer/peer.go
+++ b/steer/peer.go
@@ -64,6 +64,9 @@
 	if inForce := d.sync.Current(relay.Config); inForce.Version > expected {
 		return &wire.ApplyReply{Version: uint64(inForce.Version), Current: inForce.Body}, nil
 	}
+	if !d.sync.Known(relay.Config) {
+		return nil, kinds.Errorf(kinds.Stopping, "the newest configuration is not known yet")
+	}
 	if expected == 0 {
 		if row, err = d.store.Get(ctx, node.ConfigKey); err != nil {
 			return nil, err
--- a/steer/restore_test.go
+++ b/steer/restore_test.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/lease"
 	"github.com/currantpier/currantpier/lists"
 	"github.com/currantpier/currantpier/node"
@@ -152,3 +153,26 @@
 		t.Errorf("row: %s", row.Value)
 	}
 }
+
+// Guards against a proposal that replaces an accepted configuration that its operator has not seen, because it is made to a process
+// that has started after the restore and knows the restored configuration only.
+func TestProposalToStartingProcessAfterRestore(t *testing.T) {
+	c := newCluster(t)
+	running := c.daemon("running")
+	first := c.accept(running, configuration("one"), 0)
+	c.platform.Save()
+	second := c.accept(running, configuration("two"), first)
+	c.platform.Restore()
+	proposal := &wire.ApplyRequest{Body: configuration("other"), ExpectedVersion: uint64(first)}
+	starting := c.daemon("starting")
+	if reply, err := starting.apply(t.Context(), proposal); kinds.Of(err) != kinds.Stopping {
+		t.Errorf("proposal to a process that has not asked others: %+v, error %v", reply, err)
+	}
+	starting.sync.Offer(running.sync.Current(relay.Config))
+	if reply := c.apply(starting, configuration("other"), first); reply.GetAccepted() || ident.Version(reply.GetVersion()) != second {
+		t.Errorf("proposal after version %d to a process that has version %d: %+v", first, second, reply)
+	}
+	if got := c.poll(running); got != second {
+		t.Errorf("version %d of era %d in force, want %d", got.Number(), got.Era(), second)
+	}
+}
