state: after a pause, an answer without rows doesn't confirm the state

Callers of a VM that was paused while the store was restored, or compacted its history, would have been sent to targets that have left, in the time between the first answer of the store and the full reading (a round trip, 110 ms between regions).

Cause: after a pause requests wait until the registry was read. The answer that the store doesn't have the VM's version counted as such a reading, although it has no rows and only requests a full one. After a restore each VM gets it first, as a version of another era is always unknown. Evidence: TestPauseLastsUntilRegistryIsRead on the code before: 'the state counts as up to date after an answer without rows'. Why this works: the wait ends with a reading that was made, or with a failed call, as before.

--- a/state/apply.go
+++ b/state/apply.go
@@ -62,8 +62,8 @@
 // when it becomes unreachable or reachable again.
 func (s *State) recordReachability(r reading) {
 	ok := r.err == nil
-	if r.topic == Registry {
-		// A failed call also ends the wait after a pause: newer data is not available.
+	if r.topic == Registry && !r.rows.Compacted {
+		// A failed call also ends the wait after a pause: newer data is not available. It is after a compaction.
 		s.resumedAt = time.Time{}
 	}
 	if r.topic == Registry && !ok {
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -342,3 +342,21 @@
 		t.Errorf("evacuations %v, want a1", s.view.Evacuated())
 	}
 }
+
+// Guards against a VM that was paused while the store was restored, or compacted its history, and that sends requests by its old
+// state: the answer that its version is unknown brings nothing newer, and the full reading is still to come.
+func TestPauseLastsUntilRegistryIsRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := configState(now)
+	s.resumedAt = now
+	s.applyReading(reading{at: now, topic: Registry, rows: feed.Rows{After: 5, Compacted: true, Era: 2}})
+	if s.resumedAt.IsZero() {
+		t.Error("the state counts as up to date after an answer without rows")
+	}
+	r := readingOf(now, Registry, 5, inEra(2), true, "t1")
+	r.rows.Era = 2
+	s.applyReading(r)
+	if !s.resumedAt.IsZero() {
+		t.Error("the state doesn't count as up to date after a full reading")
+	}
+}
