steer: a proposal during a restore is not refused in favour of an older version

An operator whose proposal crossed a restore of the store would have been told that it was refused and that a version is in force which is older than the one they had seen; a proposal on that older version would have been the next step. If the response of the write was lost, the proposal could also have been accepted, since other processes may have read it before the restore.

Cause: the version that is read back after a conflict or a lost response counted as the one in force, also if it is older than the expected one. That can only be the restored copy. Evidence: TestRestoreDuringProposal on the code before: '0 responses lost, restored true: accepted false, version 1', and the same with 1 response lost, with version 2 expected and in force. Found by reading. Why this works: a version below the expected one shows that the store has lost that one. The process has it written again, as after any restore, and tries again; if it doesn't have it either, the call ends as of unknown outcome, not as refused.

--- a/steer/peer.go
+++ b/steer/peer.go
@@ -90,6 +90,9 @@
 				// The row was written by an earlier attempt of this call whose reply was lost, or by another operator who
 				// proposed an identical configuration. Both count as accepted.
 				return d.putInForce(ctx, r, c.Version, body), nil
+			case doc.Version < expected:
+				// The store has lost the expected configuration since the call began. Poll has it written again.
+				d.sync.Poll(ctx, relay.Config)
 			case doc.Version != expected:
 				return &wire.ApplyReply{Version: uint64(doc.Version), Current: doc.Body}, nil
 			case read.Version != row.Version && kinds.Of(err) == kinds.Conflict:
--- a/steer/restore_test.go
+++ b/steer/restore_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"testing"
@@ -176,3 +177,34 @@
 		t.Errorf("version %d of era %d in force, want %d", got.Number(), got.Era(), second)
 	}
 }
+
+// Guards against a proposal that is refused in favour of a version that is older than the one in force, because the store is
+// restored after the proposal was checked and before it is written, or before the result of its write is read back.
+func TestRestoreDuringProposal(t *testing.T) {
+	for _, lost := range []int{0, 1} {
+		c := newCluster(t)
+		d := c.daemon("a")
+		first := c.accept(d, configuration("one"), 0)
+		c.platform.Save()
+		second := c.accept(d, configuration("two"), first)
+		restored := false
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			writes := c.platform.Counts().Lost
+			if write := r.Method == http.MethodPut; !restored && (write && lost == 0 || !write && writes > 0) {
+				restored = true
+				c.platform.Restore()
+			}
+			c.platform.ServeHTTP(w, r)
+		}))
+		t.Cleanup(srv.Close)
+		c.platform.SetFaults(stubs.PlatformFaults{LoseResponses: lost})
+		d.store = store.New(srv.URL)
+		reply := c.apply(d, configuration("three"), second)
+		if v := ident.Version(reply.GetVersion()); !reply.GetAccepted() || v.Era() != 2 || !restored {
+			t.Errorf("%d responses lost, restored %v: accepted %v, version %s", lost, restored, reply.GetAccepted(), v)
+		}
+		if row := c.platform.Row(node.ConfigKey); planName(t, relay.Document{Body: row.Value}) != "three" {
+			t.Errorf("%d responses lost: row %s", lost, row.Value)
+		}
+	}
+}
