feed: a VM that starts with a peer's state of an earlier era reads the table in the new one

A VM that starts in the moments after a restore, while other VMs have not all noticed it, could have served by a state of the lost history until another message told it of the new era again.

Cause: the state of a peer takes the place of the first reading, whatever era another VM has announced before. Found by reading. Most such states are refused already, since their operators' table is older than the announced version. Why this works: the request for a reading in the announced era stays, as with the state that a VM gets while it is cut off.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -195,13 +195,13 @@
 }
 
 // InitFromPeer records that the whole table was received from a peer, in place of the first reading. It returns false
-// if the table was read before or version is zero.
+// if the table was read before or version is zero. A request for a reading in a later era stays.
 func (f *Follower) InitFromPeer(now time.Time, version ident.Version) bool {
 	if f.version > 0 || version == 0 {
 		return false
 	}
-	f.needFull, f.version, f.failures = false, version, 0
-	f.nextCall = now.Add(f.interval())
+	f.needFull, f.version, f.failures = version.Era() < f.requestedEra, version, 0
+	f.scheduleNext(now, now)
 	return true
 }
 
--- a/feed/request_test.go
+++ b/feed/request_test.go
@@ -57,6 +57,20 @@
 	}
 }
 
+// Guards against a VM that starts with the state of a peer of the lost history, although another one has told it of the new era, and
+// that does not read the table for up to a minute.
+func TestStartWithStateOfEarlierEra(t *testing.T) {
+	f := NewFollower(0, 20*time.Second, rand.NewSource(1))
+	f.RequestCatchUp(at(1), ident.NewVersion(2, 3))
+	if !f.InitFromPeer(at(1.1), 9) || !f.Next().Full || f.Next().At.After(at(1.2)) {
+		t.Errorf("next call %+v after a peer's state of the earlier era, want a full reading at once", f.Next())
+	}
+	f.RecordResult(at(1.3), at(1.2), Rows{After: 9, Version: ident.NewVersion(2, 4), Full: true}, nil)
+	if f.Next().Full {
+		t.Errorf("next call %+v after the reading of the new era, want changes", f.Next())
+	}
+}
+
 // crossingTable answers a call for changes when it is cancelled: the answer had arrived already.
 type crossingTable struct{ calls []string }
 
