state: a VM that starts gets the rows that a restored store has lost, also if it has read the store

Callers of a VM that starts in the moments after a restore of the store would have been sent to targets of a failure domain under evacuation, until the operators had written the lost row again.

Cause: such rows were part of the state that a VM gives to one that hasn't read the store. One that has read it asks for the departures only. Evidence: TestStartReadsStoreThatLostAnEvacuation without adoptLost: 'written again false, another VM asked: evacuation false, want true', and the same with true. Why this works: the response with departures has these rows, under their versions of the earlier era, next to a newer configuration. They are put in force as those of a whole state are, and end with the settle time if the operators don't write them again.

--- a/state/catchup.go
+++ b/state/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
@@ -35,28 +36,49 @@
 	return !s.configBehindSince.IsZero() && (s.unreachable[Operator] || s.operatorReadBegun.After(s.configBehindSince))
 }
 
-// adoptConfig puts the configuration that another VM has in force into force, if it is newer than the own one.
-func (s *State) adoptConfig(now time.Time, c *proto.OperatorDelta) bool {
+// adoptRows puts into force what another VM has in force and the store may have lost: a newer configuration than the own one,
+// and rows of an earlier era that the store doesn't have. These end if the operators don't write them again.
+func (s *State) adoptRows(now time.Time, rows []feed.Row) bool {
 	if s.operatorRows == nil {
 		return false
 	}
 	changed := false
-	for _, row := range c.Rows {
-		d, err := s.cfg.Decoder.DecodeChange(row)
-		if err != nil {
+	var lost []feed.Row
+	for _, row := range rows {
+		c, err := s.cfg.Decoder.DecodeChange(row)
+		switch {
+		case err != nil:
 			s.cfg.Log.Add(now, trace.InternalFault, "row", row.Key, "version", row.Version, "err", err)
-			continue
+		case c == nil:
+		case c.Config != nil:
+			changed = s.adoptConfig(now, c, row) || changed
+		case row.Version.Era() < s.applied[Operator].Era() && s.operatorRows[row.Key].Key == "":
+			lost = append(lost, row)
 		}
-		if d == nil || d.Config == nil || d.Config.Version <= s.view.Version() {
-			continue
-		}
-		source := row.Version
-		row.Version = s.operatorRows[row.Key].Version
-		s.operatorRows[row.Key] = row
-		s.keepNewestConfig(d.Config, row)
-		changed = s.applyChange(now, d, fromPeerTables, source) || changed
 	}
-	return changed
+	return s.adoptLost(now, lost) || changed
+}
+
+// adoptConfig puts the configuration in a row into force if it is newer than the own one. The row takes the place of the one that
+// was read from the store.
+func (s *State) adoptConfig(now time.Time, c *fleet.Change, row feed.Row) bool {
+	if c.Config.Version <= s.view.Version() {
+		return false
+	}
+	written := row.Version
+	row.Version = s.operatorRows[row.Key].Version
+	s.operatorRows[row.Key] = row
+	s.keepNewestConfig(c.Config, row)
+	return s.applyChange(now, c, fromPeerTables, written)
+}
+
+// adoptLost puts rows into force that the store has lost, until they are written again or the store has settled.
+func (s *State) adoptLost(now time.Time, lost []feed.Row) bool {
+	if len(lost) == 0 {
+		return false
+	}
+	s.restore.beginEra(now, slices.Values(lost))
+	return s.applyOperatorRows(reading{at: now, topic: Operator, source: fromPeerTables, rows: feed.Rows{Rows: lost, Version: s.applied[Operator]}})
 }
 
 // catchUp applies another VM's tables in place of those that this VM can't read from the store, and forwards the
--- a/state/restore_start_test.go
+++ b/state/restore_start_test.go
@@ -59,3 +59,36 @@
 		})
 	}
 }
+
+// Guards against a VM that starts after a restore, reads the store first, and sends requests to targets of a failure domain
+// under evacuation until the operators have written the lost row again; and against one that keeps it if they don't.
+func TestStartReadsStoreThatLostAnEvacuation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, writtenAgain := range []bool{false, true} {
+		holder, _ := configState(now)
+		change := readingOf(now, Operator, 4, 9, false)
+		change.rows.Rows = []feed.Row{{Key: "evacuate/a1", Version: 9}}
+		holder.applyReading(change)
+		s, _ := newTestState(now)
+		s.cfg.Decoder = configDecoder{}
+		for _, vm := range []*State{holder, s} {
+			vm.applyReading(restoredReading(now, 6, configRow("1", inEra(4))))
+		}
+		check := func(when string, want bool) {
+			t.Helper()
+			if got := slices.Contains(s.view.Evacuated(), "a1"); got != want {
+				t.Errorf("written again %v, %s: evacuation %v, want %v", writtenAgain, when, got, want)
+			}
+		}
+		check("store read", false)
+		s.applyPeerState(now, holder.respond(now, stateRequest{departures: true, config: 1}))
+		check("another VM asked", true)
+		if writtenAgain {
+			again := readingOf(now, Operator, inEra(6), inEra(7), false)
+			again.rows.Rows, again.rows.Era = []feed.Row{{Key: "evacuate/a1", Version: inEra(7)}}, 2
+			s.applyReading(again)
+		}
+		s.settle(now.Add(settleTime))
+		check("settled", writtenAgain)
+	}
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -67,7 +68,7 @@
 		accepted = s.initRegistry(now, m.Registry) || accepted
 		accepted = s.catchUp(now, m) || accepted
 	} else if m.OperatorChange != nil {
-		accepted = s.adoptConfig(now, m.OperatorChange)
+		accepted = s.adoptRows(now, m.OperatorChange.Rows)
 	}
 	left := s.view.ApplyDepartures(now, m.Registry.Rows)
 	s.logTargets(now, left)
@@ -90,12 +91,8 @@
 	present, lost := splitLost(c)
 	r := reading{at: now, topic: Operator, source: fromPeerTables, rows: feed.Rows{Rows: present, Version: c.Version, Full: true}}
 	s.applyOperator(r)
-	if len(lost) > 0 {
-		s.restore.beginEra(now, slices.Values(lost))
-		r.rows.Rows, r.rows.Full = lost, false
-		s.applyOperatorRows(r)
-	}
-	return accepted
+	s.adoptLost(now, lost)
+	return true
 }
 
 // initRegistry applies another VM's registry if this VM has not read it yet.
@@ -110,8 +107,8 @@
 	return accepted
 }
 
-// stateRequest requests the full state, or with departures only the targets that have left recently and the configuration
-// in force, if that is newer than version config.
+// stateRequest requests the full state, or with departures only what the store may lack: the targets that have left recently,
+// the configuration in force if that is newer than version config, and rows that a restored store has lost.
 type stateRequest struct {
 	departures bool
 	config     ident.Version
@@ -124,14 +121,18 @@
 		return s.fullState(now)
 	}
 	m := &proto.Message{From: s.cfg.Self, Registry: &proto.RegistryDelta{From: s.cfg.Self.VM, Rows: s.view.Departures(now)}}
+	rows := slices.Collect(maps.Values(s.restore.lost))
 	if row := s.restore.config; row.Key != "" && s.view.Version() > req.config {
-		m.OperatorChange = &proto.OperatorDelta{Rows: []feed.Row{row}}
+		rows = append(rows, row)
+	}
+	if len(rows) > 0 {
+		m.OperatorChange = &proto.OperatorDelta{Rows: rows}
 	}
 	return m
 }
 
-// EncodeState returns this VM's state as an encoded message: everything, or with departures only the targets that have left
-// recently and the configuration in force, if that is newer than version config. It returns nil if the state is not available within stateRequestTimeout, and for the full state also if
+// EncodeState returns this VM's state as an encoded message: everything, or with departures only what the store may lack, for a
+// VM with version config of the configuration. It returns nil if the state is not available within stateRequestTimeout, and for the full state also if
 // this VM has not read both tables yet.
 func (s *State) EncodeState(ctx context.Context, departures bool, config ident.Version) []byte {
 	ctx, cancel := context.WithTimeout(ctx, stateRequestTimeout)
