pick: a notice also holds for requests that were chosen by an earlier heartbeat

Callers would see refusals again, or lose requests: where the entries of a target have no start time, a request that was chosen before a heartbeat and not yet written was still sent to a target that had announced that it is leaving, or had asked for time in between. A late response to such a request started a new notice with a shorter time and dropped the longer one. Cause: the sequence identifies the process if the start time is unknown, and the notice follows the highest one. A chosen target is a copy with the sequence of its time, which is lower after a heartbeat, so that it passed for another process.

--- a/pick/backoff.go
+++ b/pick/backoff.go
@@ -55,10 +55,10 @@
 	return until, n.backOff.resumeAt, true
 }
 
-// BackedOff reports whether a target has asked for a time without requests that isn't over.
+// BackedOff reports whether a target that was chosen has asked for a time without requests that isn't over.
 func (p *Picker) BackedOff(now time.Time, t *fleet.Target) bool {
 	n := p.notices[t.ID]
-	return n != nil && n.covers(t) && now.Before(n.backOff.resumeAt)
+	return n != nil && n.coversChosen(t) && now.Before(n.backOff.resumeAt)
 }
 
 // EarliestReturn returns the earliest time at which this VM sends the request to a target again, if all that aren't leaving have
--- a/pick/notice.go
+++ b/pick/notice.go
@@ -47,6 +47,12 @@
 	return t.StartedUnixMS <= n.startedUnixMS
 }
 
+// coversChosen is covers for a target as it was chosen for a request. Its entry may be an earlier one of the same process, with a
+// lower sequence: after a restart, SetTargets has dropped the notice.
+func (n *notice) coversChosen(t *fleet.Target) bool {
+	return n.startedUnixMS == 0 && t.StartedUnixMS == 0 || n.covers(t)
+}
+
 // noticeFor returns the notice that holds for a registered target, nil if there is none. It drops that of an earlier process and
 // one whose time is over.
 func (p *Picker) noticeFor(now time.Time, t *fleet.Target) *notice {
@@ -77,7 +83,7 @@
 // noticeOf returns the notice of a target that has responded, a new one if it has none. It returns nil if the response is one of
 // a process that was replaced.
 func (p *Picker) noticeOf(t *fleet.Target) *notice {
-	if n := p.notices[t.ID]; n != nil && n.covers(t) {
+	if n := p.notices[t.ID]; n != nil && n.coversChosen(t) {
 		if n.startedUnixMS > t.StartedUnixMS {
 			return nil
 		}
@@ -114,10 +120,10 @@
 	}
 }
 
-// Leaving reports whether a target has announced that it is leaving.
+// Leaving reports whether a target that was chosen has announced that it is leaving.
 func (p *Picker) Leaving(t *fleet.Target) bool {
 	n := p.notices[t.ID]
-	return n != nil && n.covers(t) && !n.leavingSince.IsZero()
+	return n != nil && n.coversChosen(t) && !n.leavingSince.IsZero()
 }
 
 // NoticeState is one notice in a dump.
--- a/pick/notice_test.go
+++ b/pick/notice_test.go
@@ -59,6 +59,7 @@
 	type entry struct {
 		started  int64
 		sequence uint64
+		address  string
 	}
 	for _, tt := range []struct {
 		name       string
@@ -66,24 +67,25 @@
 		withdrawn  bool
 		want       Reason
 	}{
-		{"a later heartbeat", entry{1000, 7}, entry{1000, 9}, false, AllLeaving},
-		{"an older row", entry{1000, 7}, entry{900, 30}, false, AllLeaving},
-		{"withdrawn and written again", entry{1000, 7}, entry{1000, 7}, true, AllLeaving},
-		{"a restart", entry{1000, 7}, entry{1001, 1}, false, Chosen},
-		{"withdrawn and restarted", entry{1000, 7}, entry{2000, 1}, true, Chosen},
-		{"no start time, a later heartbeat", entry{0, 7}, entry{0, 8}, true, AllLeaving},
-		{"no start time, a restart", entry{0, 7}, entry{0, 1}, false, Chosen},
+		{"a later heartbeat", entry{1000, 7, "h:1"}, entry{1000, 9, "h:1"}, false, AllLeaving},
+		{"an older row", entry{1000, 7, "h:1"}, entry{900, 30, "h:1"}, false, AllLeaving},
+		{"withdrawn and written again", entry{1000, 7, "h:1"}, entry{1000, 7, "h:1"}, true, AllLeaving},
+		{"a restart", entry{1000, 7, "h:1"}, entry{1001, 1, "h:1"}, false, Chosen},
+		{"withdrawn and restarted", entry{1000, 7, "h:1"}, entry{2000, 1, "h:1"}, true, Chosen},
+		{"no start time, a later heartbeat", entry{0, 7, "h:1"}, entry{0, 8, "h:1"}, true, AllLeaving},
+		{"no start time, a restart", entry{0, 7, "h:1"}, entry{0, 1, "h:1"}, false, Chosen},
+		{"a later heartbeat with another address", entry{1000, 7, "h:1"}, entry{1000, 9, "h:2"}, false, AllLeaving},
 	} {
 		p, s := New("vm", here), oneRegion(1)
 		tg := &s.Targets["s"][0]
-		tg.StartedUnixMS, tg.Sequence = tt.said.started, tt.said.sequence
+		tg.StartedUnixMS, tg.Sequence, tg.Address = tt.said.started, tt.said.sequence, tt.said.address
 		p.SetTargets(start, s)
 		said := *tg
 		p.RecordLeaving(start, &said)
 		if tt.withdrawn {
 			p.SetTargets(at(time.Hour), &fleet.Snapshot{})
 		}
-		tg.StartedUnixMS, tg.Sequence = tt.next.started, tt.next.sequence
+		tg.StartedUnixMS, tg.Sequence, tg.Address = tt.next.started, tt.next.sequence, tt.next.address
 		p.SetTargets(at(2*time.Hour), s)
 		if _, reason := p.Choose(at(2*time.Hour), request(at(2*time.Hour), "k")); reason != tt.want {
 			t.Errorf("%s: %v, want %v", tt.name, reason, tt.want)
@@ -108,3 +110,29 @@
 		t.Errorf("%d notices, the registered target's kept: %v", n, p.Leaving(&s.Targets["s"][0]))
 	}
 }
+
+// The entries of a target have no start time. Guards against a request that was chosen by an earlier heartbeat and not yet written,
+// and against a late response to such a request that replaces what the target has said since.
+func TestNoticeHoldsForEarlierHeartbeats(t *testing.T) {
+	p, s := New("vm", here), oneRegion(1)
+	tg := &s.Targets["s"][0]
+	tg.StartedUnixMS = 0
+	p.SetTargets(start, s)
+	chosen := *tg
+	p.RecordBackOff(start, &chosen, 40*time.Second)
+	tg.Sequence++
+	p.SetTargets(at(time.Second), s)
+	if !p.BackedOff(at(time.Second), &chosen) {
+		t.Error("a request chosen before the heartbeat may be written within the time")
+	}
+	p.RecordBackOff(at(time.Second), &chosen, time.Second)
+	if now := at(10 * time.Second); !p.BackedOff(now, tg) {
+		t.Error("a late response with a shorter time ends the longer one")
+	}
+	p.RecordLeaving(at(10*time.Second), tg)
+	tg.Sequence++
+	p.SetTargets(at(11*time.Second), s)
+	if !p.Leaving(&chosen) || p.RecordLeaving(at(11*time.Second), &chosen) {
+		t.Error("a request chosen before the heartbeat may be written to a leaving target, or its response is news")
+	}
+}
