pick: a target without a start time that returns at another address is a new process

Operators would see a target that is registered as ready and never gets a request from some VMs, and callers the refusal all-leaving if it is the only one: an announcement of the process before, which had the same id, held for the new one. Cause: without a start time in the entries, a restart was recognized by a lower sequence alone. A target whose entry was withdrawn and that returns with the same or a higher sequence passed for the same process, and a notice that a target is leaving has no other end. With a start time, nothing changes.

--- a/pick/notice.go
+++ b/pick/notice.go
@@ -16,10 +16,11 @@
 // notice is what a target has said about itself in its responses. It is kept apart from the registered targets, so that it
 // outlasts a snapshot that lacks the target, and ends when the target starts anew.
 type notice struct {
-	// startedUnixMS is the start time of the process that gave the notice. sequence is the highest sequence of its entries, and
-	// identifies the process if the start time is unknown.
+	// startedUnixMS is the start time of the process that gave the notice. If it is unknown, sequence, the highest one of its
+	// entries, and address identify the process.
 	startedUnixMS int64
 	sequence      uint64
+	address       string
 	// updated is the time of the last change.
 	updated time.Time
 	// leavingSince is the time of the first response that announced that the target is leaving.
@@ -39,10 +40,11 @@
 }
 
 // covers reports whether a registered target is the process that gave the notice. An entry of an earlier start is an old row that
-// arrives late. A lower sequence without a start time is a restart, since fleet.View passes on no older entries of one process.
+// arrives late. Without a start time, a lower sequence is a restart, since fleet.View passes on no older entries of one process, and so
+// is another address.
 func (n *notice) covers(t *fleet.Target) bool {
 	if n.startedUnixMS == 0 && t.StartedUnixMS == 0 {
-		return t.Sequence >= n.sequence
+		return t.Sequence >= n.sequence && t.Address == n.address
 	}
 	return t.StartedUnixMS <= n.startedUnixMS
 }
@@ -50,7 +52,10 @@
 // coversChosen is covers for a target as it was chosen for a request. Its entry may be an earlier one of the same process, with a
 // lower sequence: after a restart, SetTargets has dropped the notice.
 func (n *notice) coversChosen(t *fleet.Target) bool {
-	return n.startedUnixMS == 0 && t.StartedUnixMS == 0 || n.covers(t)
+	if n.startedUnixMS == 0 && t.StartedUnixMS == 0 {
+		return t.Address == n.address
+	}
+	return n.covers(t)
 }
 
 // noticeFor returns the notice that holds for a registered target, nil if there is none. It drops that of an earlier process and
@@ -89,10 +94,18 @@
 		}
 		return n
 	}
-	if current := p.byID[t.ID]; current != nil && current.StartedUnixMS > t.StartedUnixMS {
+	if current := p.byID[t.ID]; current != nil && replaces(&current.Target, t) {
 		return nil
 	}
-	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence}
+	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence, address: t.Address}
+}
+
+// replaces reports whether the registered target is a later process than the one that was chosen.
+func replaces(registered, chosen *fleet.Target) bool {
+	if registered.StartedUnixMS == 0 && chosen.StartedUnixMS == 0 {
+		return registered.Address != chosen.Address
+	}
+	return registered.StartedUnixMS > chosen.StartedUnixMS
 }
 
 // publishNotice makes a changed notice effective.
--- a/pick/notice_test.go
+++ b/pick/notice_test.go
@@ -74,6 +74,7 @@
 		{"withdrawn and restarted", entry{1000, 7, "h:1"}, entry{2000, 1, "h:1"}, true, Chosen},
 		{"no start time, a later heartbeat", entry{0, 7, "h:1"}, entry{0, 8, "h:1"}, true, AllLeaving},
 		{"no start time, a restart", entry{0, 7, "h:1"}, entry{0, 1, "h:1"}, false, Chosen},
+		{"no start time, a restart with the same sequence at another address", entry{0, 7, "h:1"}, entry{0, 7, "h:2"}, true, Chosen},
 		{"a later heartbeat with another address", entry{1000, 7, "h:1"}, entry{1000, 9, "h:2"}, false, AllLeaving},
 	} {
 		p, s := New("vm", here), oneRegion(1)
@@ -91,7 +92,8 @@
 			t.Errorf("%s: %v, want %v", tt.name, reason, tt.want)
 		}
 		// A response of the process before the restart may still arrive.
-		if tt.want == Chosen && tt.next.started > 0 && (p.RecordLeaving(at(2*time.Hour), &said) || p.Leaving(tg)) {
+		known := tt.next.started > 0 || tt.next.address != tt.said.address
+		if tt.want == Chosen && known && (p.RecordLeaving(at(2*time.Hour), &said) || p.Leaving(tg)) {
 			t.Errorf("%s: a response of the process before the restart counts", tt.name)
 		}
 	}
