pick: a back-off outlasts the arrival of the entry of the process that asked for it

Callers would see refusals again, and a target that has just started would see more than the two requests that it may get from a VM between half a second after its refusal and the end of the time. Cause: a target that starts anew under its id gets requests of VMs that don't know its new entry yet, and may refuse them with a time. The notice was kept for the process of the entry that the VM knew, and ended when the new entry arrived, a second or so later, though the process of that entry had asked. A response doesn't say which process of a target sent it. Evidence, TestBackOffOfRestartedTarget on the code before: started before the response: chosen, want backed-off at the same time by a clock that is ahead: chosen, want backed-off Change: the back-off stays if the new process started before the response, by the start time of its entry, with 2 s for clocks that differ. It ends, as before, if the process started later. An announcement of leaving ends in both cases: the process repeats it in its next response, while a wrong one would end only with another restart. TestLatestEndOfBackOffCounts let the process start 1 ms after an earlier start time of 1000 ms, an hour before the response that asked for time. It was wrong to want the end of the back-off there: that process had asked for it. It now starts 10 s after the response; what it checks is unchanged.

--- a/pick/backoff.go
+++ b/pick/backoff.go
@@ -15,10 +15,15 @@
 	maxResumeSpread = 3 * time.Second
 	// resumeRamp is the time in which a VM's limit of requests in progress grows from one to the target's slots.
 	resumeRamp = 2 * time.Second
+	// maxClockError bounds the difference between the clocks of a target and of this VM. Within it, a target that started after its
+	// response counts as having sent it: waiting for a process that asked for nothing costs less than requests to one that did.
+	maxClockError = 2 * time.Second
 )
 
 // backOff is a time without requests that a target has asked for. The zero value limits nothing.
 type backOff struct {
+	// askedAt is the time of the response that asked for it.
+	askedAt time.Time
 	// until is the latest end of all times asked for.
 	until time.Time
 	// resumeAt is when this VM sends the first request again, not before until.
@@ -36,6 +41,12 @@
 	return math.MaxInt
 }
 
+// askedBy reports whether a registered process may have asked for the time: it started before the response. A response doesn't say
+// which process of the target sent it.
+func (b *backOff) askedBy(t *fleet.Target) bool {
+	return t.StartedUnixMS > 0 && !time.UnixMilli(t.StartedUnixMS).After(b.askedAt.Add(maxClockError))
+}
+
 // over reports whether the target gets requests without a limit again.
 func (b *backOff) over(now time.Time) bool { return now.Sub(b.resumeAt) >= resumeRamp }
 
@@ -50,7 +61,7 @@
 	}
 	spread := min(time.Duration(len(p.vms))*resumeGap, maxResumeSpread)
 	n.updated = now
-	n.backOff = backOff{until: until, resumeAt: until.Add(scale(spread, p.spread.Float64()))}
+	n.backOff = backOff{askedAt: now, until: until, resumeAt: until.Add(scale(spread, p.spread.Float64()))}
 	p.publishNotice(now, t, n)
 	return until, n.backOff.resumeAt, true
 }
--- a/pick/backoff_test.go
+++ b/pick/backoff_test.go
@@ -143,13 +143,14 @@
 		t.Errorf("left over: %+v", p.Notices())
 	}
 	p.RecordBackOff(at(time.Hour), tg, time.Minute)
-	tg.StartedUnixMS++
-	p.SetTargets(at(time.Hour), s)
-	if _, reason := p.Choose(at(time.Hour), request(at(time.Hour), "k")); reason != Chosen {
+	tg.StartedUnixMS = at(time.Hour + 10*time.Second).UnixMilli()
+	now := at(time.Hour + 20*time.Second)
+	p.SetTargets(now, s)
+	if _, reason := p.Choose(now, request(now, "k")); reason != Chosen {
 		t.Errorf("after a restart: %v", reason)
 	}
-	p.RecordBackOff(at(time.Hour), &said, time.Hour)
-	if p.BackedOff(at(time.Hour), tg) {
+	p.RecordBackOff(now, &said, time.Hour)
+	if p.BackedOff(now, tg) {
 		t.Error("a response of the process before the restart counts")
 	}
 }
@@ -183,3 +184,33 @@
 		t.Errorf("%d of 200 requests left the region within a second, %d refused", moved, refused)
 	}
 }
+
+// A target starts anew under its id, and asks a VM for time that doesn't know its new entry yet. Guards against requests within that
+// time once the entry arrives, against a time that outlasts the process that asked for it, and against an announcement that does.
+func TestBackOffOfRestartedTarget(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		started time.Duration // from the response to the start of the process of the new entry
+		want    Reason
+	}{
+		{"started before the response", -500 * time.Millisecond, BackedOff},
+		{"at the same time by a clock that is ahead", maxClockError, BackedOff},
+		{"started after the response", maxClockError + time.Millisecond, Chosen},
+	} {
+		p, s := New("vm", here), oneRegion(1)
+		tg := &s.Targets["s"][0]
+		p.SetTargets(start, s)
+		said := *tg
+		p.RecordLeaving(start, &said)
+		_, resumeAt, _ := p.RecordBackOff(start, &said, 30*time.Second)
+		tg.StartedUnixMS, tg.Sequence = at(tt.started).UnixMilli(), 1
+		now := at(5 * time.Second)
+		p.SetTargets(now, s)
+		if _, reason := p.Choose(now, request(now, "k")); reason != tt.want || p.BackedOff(now, tg) != (tt.want == BackedOff) || p.Leaving(tg) {
+			t.Errorf("%s: %v, want %v; leaving: %v", tt.name, reason, tt.want, p.Leaving(tg))
+		}
+		if _, reason := p.Choose(resumeAt, request(resumeAt, "k")); reason != Chosen {
+			t.Errorf("%s: after the end: %v", tt.name, reason)
+		}
+	}
+}
--- a/pick/notice.go
+++ b/pick/notice.go
@@ -58,14 +58,24 @@
 	return n.covers(t)
 }
 
+// afterRestart returns what remains of a notice for a process that is registered later, nil if nothing does: a back-off that this
+// process may have asked for itself, before its entry arrived. An announcement that it made then is repeated in its next response.
+func (n *notice) afterRestart(t *fleet.Target) *notice {
+	if !n.backOff.askedBy(t) {
+		return nil
+	}
+	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence, address: t.Address, updated: n.updated, backOff: n.backOff}
+}
+
 // noticeFor returns the notice that holds for a registered target, nil if there is none. It drops that of an earlier process and
 // one whose time is over.
 func (p *Picker) noticeFor(now time.Time, t *fleet.Target) *notice {
 	n := p.notices[t.ID]
-	switch {
-	case n == nil:
-		return nil
-	case !n.covers(t), n.leavingSince.IsZero() && n.backOff.over(now):
+	if n != nil && !n.covers(t) {
+		n = n.afterRestart(t)
+		p.notices[t.ID] = n
+	}
+	if n == nil || n.leavingSince.IsZero() && n.backOff.over(now) {
 		delete(p.notices, t.ID)
 		return nil
 	}
