shift, pick, route, admit, retry: round the remaining products before sums

Callers would see, on arm64 only, a request refused for the capacity of a link that an entry on x86-64 lets pass; operators would see means and loads that differ in the last digit. Change: explicit conversions round the products, which the language defines.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -215,7 +215,7 @@
 
 // meetsDeadline reports whether an item that waits for the given time is likely to finish before its deadline.
 func (q *Queue) meetsDeadline(now time.Time, item Item, wait time.Duration) bool {
-	return !now.Add(wait + time.Duration(q.serviceTime+deadlineMarginDeviations*q.serviceTimeDeviation)).After(item.Deadline)
+	return !now.Add(wait + time.Duration(q.serviceTime+float64(deadlineMarginDeviations*q.serviceTimeDeviation))).After(item.Deadline)
 }
 
 // Wait returns the expected time until all queued items and one more have got a slot.
@@ -290,8 +290,8 @@
 // Finished records the service time of a completed request, from which waits are estimated.
 func (q *Queue) Finished(serviceTime time.Duration) {
 	d := float64(serviceTime) - q.serviceTime
-	q.serviceTime += serviceTimeEWMAWeight * d
-	q.serviceTimeDeviation += serviceTimeEWMAWeight * (math.Abs(d) - q.serviceTimeDeviation)
+	q.serviceTime += float64(serviceTimeEWMAWeight * d)
+	q.serviceTimeDeviation += float64(serviceTimeEWMAWeight * (math.Abs(d) - q.serviceTimeDeviation))
 }
 
 // Cancel removes a queued item whose caller went away. It reports false if the item is not queued.
--- a/pick/cost.go
+++ b/pick/cost.go
@@ -156,13 +156,13 @@
 // load returns the estimated number of requests of all VMs at the target. A target without a recent report does not count as
 // idle: otherwise an overload sends requests on to targets that are as full.
 func (t *target) load(now time.Time) float64 {
-	unreported := unreportedLoad * t.pool.othersPerSlot * float64(t.Slots)
+	unreported := float64(unreportedLoad * t.pool.othersPerSlot * float64(t.Slots))
 	age := now.Sub(t.reportedAt)
 	if age >= maxReportAge {
 		return float64(t.inFlight) + unreported
 	}
 	decay := math.Exp(-float64(age) / float64(reportDecay))
-	return float64(t.inFlight) + unreported + (t.othersLoad-unreported)*decay
+	return float64(t.inFlight) + unreported + float64((t.othersLoad-unreported)*decay)
 }
 
 // queueLength returns the estimated number of requests that must end before a further one gets a slot.
--- a/pick/outcome.go
+++ b/pick/outcome.go
@@ -96,7 +96,7 @@
 	if o.Load != nil {
 		t.othersLoad = max(0, float64(o.Load.Running+o.Load.Waiting-t.inFlight))
 		t.reportedAt = now
-		t.pool.othersPerSlot += reportWeight * (t.othersLoad/float64(max(t.Slots, 1)) - t.pool.othersPerSlot)
+		t.pool.othersPerSlot += float64(reportWeight * (t.othersLoad/float64(max(t.Slots, 1)) - t.pool.othersPerSlot))
 	}
 	if o.Status != 0 {
 		t.respondedAt = now
@@ -152,7 +152,9 @@
 	return false
 }
 
-func (t *target) updateFailRate(failed float64) { t.failRate += failRateWeight * (failed - t.failRate) }
+func (t *target) updateFailRate(failed float64) {
+	t.failRate += float64(failRateWeight * (failed - t.failRate))
+}
 
 // markSuspect suspends the target. The time doubles with each consecutive failure, from suspectPeriod to maxSuspectPeriod.
 func (t *target) markSuspect(now time.Time) {
@@ -174,7 +176,7 @@
 		mean, n = &w.known, &w.knownSamples
 	}
 	*n++
-	t.slowdown += slowdownWeight * (min(float64(took)/float64(*mean), 8) - t.slowdown)
+	t.slowdown += float64(slowdownWeight * (min(float64(took)/float64(*mean), 8) - t.slowdown))
 	t.slowdown = max(t.slowdown, 0.7)
 	// The first samples have no greater weight: they come from cold caches, and as the mean for known objects they would make
 	// targets that know the object look no faster than others.
--- a/retry/quota.go
+++ b/retry/quota.go
@@ -47,7 +47,7 @@
 // Request adds the tokens of one request and of the time since the last refill.
 func (q *Quota) Request(now time.Time, vms int) {
 	q.refill(now, vms)
-	q.tokens = min(q.tokens+quotaUtilization*q.rules.Ratio, q.burst(vms)+1)
+	q.tokens = min(q.tokens+float64(quotaUtilization*q.rules.Ratio), q.burst(vms)+1)
 }
 
 // Take takes one token for a retry. It reports false if there is none.
--- a/route/choice.go
+++ b/route/choice.go
@@ -242,7 +242,7 @@
 		t.addInFlight(0)
 		return true
 	}
-	return float64(t.inFlight) < 1+rampedShare*float64(t.limit-1)-1e-9 || t.inFlight == 0
+	return float64(t.inFlight) < 1+float64(rampedShare*float64(t.limit-1))-1e-9 || t.inFlight == 0
 }
 
 // cost returns a target's expected latency in nanoseconds, with surcharges for utilization, load, ramp-up and the failure
@@ -254,14 +254,14 @@
 	}
 	c := s.meanLatency
 	if age := s.now - t.latencyAt; t.latencyAt != 0 && age < int64(latencyMaxAge) {
-		c += (t.latency - s.meanLatency) * (1 - float64(age)*(1/float64(latencyMaxAge)))
+		c += float64((t.latency - s.meanLatency) * (1 - float64(float64(age)*(1/float64(latencyMaxAge)))))
 	}
-	surcharge := utilizationWeight * t.utilization
+	surcharge := float64(utilizationWeight * t.utilization)
 	if age := s.now - t.loadAt; t.loadAt != 0 && age < int64(loadMaxAge) {
-		surcharge += loadWeight * t.load * (1 - float64(max(0, age))*(1/float64(loadMaxAge)))
+		surcharge += float64(loadWeight * t.load * (1 - float64(float64(max(0, age))*(1/float64(loadMaxAge)))))
 	}
 	if t.rampStart != 0 {
 		surcharge += 1 - float64(s.now-t.rampStart)/float64(s.p.rampDuration)
 	}
-	return c + c*surcharge + s.domainCost
+	return c + float64(c*surcharge) + s.domainCost
 }
--- a/route/outcome.go
+++ b/route/outcome.go
@@ -57,8 +57,8 @@
 		t.group.latency = float64(latency)
 	}
 	t.latencyAt = now.UnixNano()
-	t.latency += targetEWMAWeight * (float64(latency) - t.latency)
-	t.group.latency += regionEWMAWeight * (float64(latency) - t.group.latency)
+	t.latency += float64(targetEWMAWeight * (float64(latency) - t.latency))
+	t.group.latency += float64(regionEWMAWeight * (float64(latency) - t.group.latency))
 }
 
 // backoff returns a delay that doubles with each failure, with 10% jitter, so that entries do not retry a target at the
--- a/shift/link_limiter.go
+++ b/shift/link_limiter.go
@@ -40,8 +40,8 @@
 // Charge charges traffic in bytes, measured in the busier direction, to the link.
 func (l *LinkLimiter) Charge(now time.Time, bytes int64) {
 	l.advance(now)
-	l.creditBits -= float64(bytes) * 8
-	l.usedBitsPerSecond += float64(bytes) * 8 / linkAverageWindow.Seconds()
+	l.creditBits -= float64(float64(bytes) * 8)
+	l.usedBitsPerSecond += float64(float64(bytes) * 8 / linkAverageWindow.Seconds())
 }
 
 // Mbps returns the mean traffic in Mbit/s over about the last 2 s (linkAverageWindow).
@@ -60,6 +60,6 @@
 		return
 	}
 	l.updatedAt = now
-	l.creditBits = min(l.bitsPerSecond*linkAverageWindow.Seconds(), l.creditBits+l.bitsPerSecond*elapsed.Seconds())
+	l.creditBits = min(l.bitsPerSecond*linkAverageWindow.Seconds(), l.creditBits+float64(l.bitsPerSecond*elapsed.Seconds()))
 	l.usedBitsPerSecond *= max(0, 1-float64(elapsed)/float64(linkAverageWindow))
 }
