--- a/pick/backoff_test.go
+++ b/pick/backoff_test.go
@@ -153,6 +153,101 @@
 	if p.BackedOff(now, tg) {
 		t.Error("a response of the process before the restart counts")
 	}
+	p.RecordBackOff(now, tg, time.Second)
+	p.RecordBackOff(now, &said, time.Hour)
+	if now = now.Add(2 * time.Second); p.BackedOff(now, tg) {
+		t.Error("a response of the process before the restart prolongs the time of the one after it")
+	}
+	tg.StartedUnixMS, tg.Sequence = 0, 7
+	p, now = New("vm", here), start
+	p.SetTargets(now, s)
+	p.RecordBackOff(now, tg, time.Hour)
+	tg.Sequence = 1
+	p.SetTargets(now, s)
+	if p.BackedOff(now, tg) {
+		t.Error("without a start time: the time outlasts a restart")
+	}
+}
+
+// Guards against a time to wait that isn't the earliest at which a target takes the request again, that counts targets to which it may
+// not go, or that is stated although a target is left.
+func TestEarliestReturn(t *testing.T) {
+	asked := map[string]time.Duration{"a0": 20 * time.Second, "a1": 10 * time.Second, "b0": 5 * time.Second, "b1": 30 * time.Second}
+	for _, tt := range []struct {
+		name    string
+		regions []ident.Region // of the route
+		leaving string
+		free    string
+		want    string // the target that returns first
+	}{
+		{"all", nil, "", "", "b0"},
+		{"a route with one region", []ident.Region{"a"}, "", "", "a1"},
+		{"the first one is leaving", []ident.Region{"a"}, "a1", "", "a0"},
+		{"one has asked for no time", nil, "", "b1", ""},
+		{"one without time in a region that the route excludes", []ident.Region{"a"}, "", "b1", "a1"},
+	} {
+		p, s := New("vm", here), snapshot(2, 10)
+		s.Targets["s"] = s.Targets["s"][:4]
+		p.SetTargets(start, s)
+		returns := map[string]time.Time{}
+		for _, tg := range s.Targets["s"] {
+			switch id := string(tg.ID); id {
+			case tt.leaving:
+				p.RecordLeaving(start, &tg)
+			case tt.free:
+			default:
+				_, returns[id], _ = p.RecordBackOff(start, &tg, asked[id])
+			}
+		}
+		a := request(start, "k")
+		a.Route = &fleet.Route{Name: "r", Services: route.Services, Regions: tt.regions}
+		if got := p.EarliestReturn(start, a); !got.Equal(returns[tt.want]) {
+			t.Errorf("%s: %v, want that of %q, %v", tt.name, got, tt.want, returns[tt.want])
+		}
+	}
+}
+
+// Guards against a large fleet that leaves a target idle for longer than maxResumeSpread.
+func TestReturnOfLargeFleetIsBounded(t *testing.T) {
+	p, s := New("vm", here), oneRegion(40)
+	vms := make([]ident.VM, 3200)
+	for i := range vms {
+		vms[i] = ident.VM(fmt.Sprint(i))
+	}
+	p.SetVMs(vms, true)
+	p.SetTargets(start, s)
+	for _, tg := range s.Targets["s"] {
+		if until, resumeAt, _ := p.RecordBackOff(start, &tg, time.Second); resumeAt.Sub(until) > maxResumeSpread {
+			t.Errorf("%s: returns %v after the end", tg.ID, resumeAt.Sub(until))
+		}
+	}
+}
+
+// A VM's region has no target of a service. Guards against the limit on moves between regions for its requests because targets of
+// another region, or of another service in the VM's region, have asked for time.
+func TestBackOffElsewhereDoesNotLimitMoves(t *testing.T) {
+	p, s := New("vm", here), snapshot(5, 10)
+	s.Targets["other"] = s.Targets["s"][:1]
+	s.Targets["s"] = s.Targets["s"][5:]
+	p.SetTargets(start, s)
+	for _, tg := range append(s.Targets["s"][:5:5], s.Targets["other"]...) {
+		p.RecordBackOff(start, &tg, time.Minute)
+	}
+	for i := range 200 {
+		now := at(time.Duration(i) * 5 * time.Millisecond)
+		other := request(now, "")
+		other.Service = "other"
+		if _, reason := p.Choose(now, other); reason != BackedOff {
+			t.Fatalf("the only target of the service has asked for time: %v", reason)
+		}
+		a := request(now, "")
+		c, reason := p.Choose(now, a)
+		if reason != Chosen || c.Target.Place.Region != "c" {
+			t.Fatalf("request %d: %v, region %q", i, reason, c.Target.Place.Region)
+		}
+		p.RecordStart(now, a, c)
+		p.RecordEnd(now, a, c, Outcome{Result: Served, Status: 200, Duration: 50 * time.Millisecond})
+	}
 }
 
 // All targets of a VM's region ask for time. Guards against its requests changing the region all at once: like overload, this
--- a/pick/notice_test.go
+++ b/pick/notice_test.go
@@ -111,6 +111,31 @@
 	if n := len(p.Notices()); n != maxUnregisteredNotices+1 || !p.Leaving(&s.Targets["s"][0]) {
 		t.Errorf("%d notices, the registered target's kept: %v", n, p.Leaving(&s.Targets["s"][0]))
 	}
+	for i, want := range map[int]bool{0: false, 99: false, 100: true, maxUnregisteredNotices + 99: true} {
+		if got := p.notices[ident.Target(fmt.Sprint(i))] != nil; got != want {
+			t.Errorf("the announcement of target %d in order of time is kept: %v", i, got)
+		}
+	}
+}
+
+// The entries of a target have no start time, and its sequence begins again at more than the one with which it announced that it is
+// leaving. Guards against an announcement that outlasts the restart because later heartbeats weren't recorded.
+func TestRestartIsSeenAfterFurtherHeartbeats(t *testing.T) {
+	p, s := New("vm", here), oneRegion(1)
+	tg := &s.Targets["s"][0]
+	tg.StartedUnixMS = 0
+	p.SetTargets(start, s)
+	p.RecordLeaving(start, tg)
+	for _, tt := range []struct {
+		sequence uint64
+		want     Reason
+	}{{30, AllLeaving}, {10, Chosen}} {
+		tg.Sequence = tt.sequence
+		p.SetTargets(start, s)
+		if _, reason := p.Choose(start, request(start, "k")); reason != tt.want {
+			t.Errorf("sequence %d: %v, want %v", tt.sequence, reason, tt.want)
+		}
+	}
 }
 
 // The entries of a target have no start time. Guards against a request that was chosen by an earlier heartbeat and not yet written,
