send: a response that the connection ends before its end is not complete

Callers saw: a 200 with a part of the body, or none, framed as whole, when a target closed a connection within a response that states no length, or one of HTTP/1.0 in chunks. For an order that answer was recorded and repeated. The same held for forwarded orders and load reports. A 204 without a length was counted as cut, and the order as one of unknown outcome.

Cause: the client looked for the library's length "until close" after the call, but the library replaces it by the number of bytes read. Only statuses without a body keep it. Change: the end of the connection after the first byte of a response is an error of the read, so the library never takes it for the end of a body. A response whose end it does not need is read without it.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -39,7 +39,7 @@
 	Stale
 	// Broken: the connection broke before the response was complete.
 	Broken
-	// Truncated: the response ended before its Content-Length.
+	// Truncated: the connection was closed before the response was complete, or the response states no length.
 	Truncated
 	// Deadline: the deadline of the request passed.
 	Deadline
--- a/send/quiet.go
+++ b/send/quiet.go
@@ -1,6 +1,7 @@
 package send
 
 import (
+	"io"
 	"net"
 
 	"github.com/cockroachdb/errors"
@@ -12,18 +13,29 @@
 // No byte of the request was written. Such bytes belong to no request: a target may send a response twice.
 var errNotQuiet = errors.New("bytes or the end of the connection before the request")
 
-// quietConn is a connection that accepts the start of a request only while nothing is to be read. It is used by one goroutine
-// at a time.
+// errClosedInResponse is returned by a read if the connection ends after the first byte of a response. The library takes
+// such an end for that of the body if the response states no length, so that a response cut short would look complete.
+var errClosedInResponse = errors.New("the connection was closed within a response")
+
+// quietConn is a connection that accepts the start of a request only while nothing is to be read, and on which a response
+// must end before the connection does. It is used by one goroutine at a time.
 type quietConn struct {
 	net.Conn
 	// wasRead is set if the last call was a read, so that the next write starts a request.
 	wasRead bool
+	// inResponse is set from the first byte read after a write.
+	inResponse bool
 }
 
 // Read implements net.Conn.
 func (c *quietConn) Read(b []byte) (int, error) {
 	c.wasRead = true
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	c.inResponse = c.inResponse || n > 0
+	if err == io.EOF && c.inResponse {
+		err = errClosedInResponse
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
@@ -31,6 +43,6 @@
 	if c.wasRead && !outlet.IsOpenAndQuiet(c.Conn) {
 		return 0, errNotQuiet
 	}
-	c.wasRead = false
+	c.wasRead, c.inResponse = false, false
 	return c.Conn.Write(b)
 }
--- a/send/send.go
+++ b/send/send.go
@@ -158,9 +158,6 @@
 // time out.
 func (c *Client) classify(r Request, resp *fasthttp.Response, err error, newConn bool, until time.Time) Result {
 	switch {
-	case err == nil && resp.Header.ContentLength() == lengthUntilClose:
-		// Without a length, a complete response can't be distinguished from a broken connection.
-		return Result{Failure: retry.Truncated, Written: true}
 	case err == nil && resp.StatusCode() == fasthttp.StatusServiceUnavailable:
 		if string(resp.Header.Peek("Shed")) == "not-run" {
 			return Result{Failure: retry.Rejected}
@@ -172,6 +169,8 @@
 		return Result{Failure: retry.Refused}
 	case errors.Is(err, errNotQuiet):
 		return Result{Failure: retry.Stale}
+	case errors.Is(err, errClosedInResponse):
+		return Result{Failure: retry.Truncated, Written: true}
 	case isTimeout(err) && until.Before(r.Deadline):
 		return Result{Failure: retry.Silent, Written: true, Silent: true}
 	case isTimeout(err):
@@ -189,9 +188,6 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// lengthUntilClose is the content length that fasthttp reports for a response that ends when the connection is closed.
-const lengthUntilClose = -2
-
 // silenceDeadline returns the time at which a pooled connection without a response is considered dead. It leaves half
 // of the remaining time, so that a second attempt on a new connection can finish before the deadline.
 func (t *target) silenceDeadline(now, deadline time.Time) time.Time {
@@ -225,7 +221,7 @@
 	req.SetConnectionClose()
 	err := c.target(addr).unpooled.DoDeadline(req, resp, deadline)
 	resp.Header.Del("Connection")
-	return err == nil && resp.Header.ContentLength() != lengthUntilClose
+	return err == nil
 }
 
 // CloseIdle closes the idle connections to addr. It is called after one of them was found dead, since the others
