send: a refusal that contradicts itself promises nothing

Callers would see: "not run" for an order whose target answered 503 with two Shed headers, "not-run" and another one; or the order ran at a second target.

Cause: only the first Shed header was read. Change: the order counts as refused only if exactly one header states it.

--- a/send/send.go
+++ b/send/send.go
@@ -159,7 +159,7 @@
 func (c *Client) classify(r Request, resp *fasthttp.Response, err error, newConn bool, until time.Time) Result {
 	switch {
 	case err == nil && resp.StatusCode() == fasthttp.StatusServiceUnavailable:
-		if string(resp.Header.Peek("Shed")) == "not-run" {
+		if statesNotRun(resp) {
 			return Result{Failure: retry.Rejected}
 		}
 		return Result{Failure: retry.Other, Written: true}
@@ -181,6 +181,12 @@
 	return Result{Failure: retry.Broken, Written: true}
 }
 
+// statesNotRun reports whether a refusal states that the request was not run, and nothing else about it.
+func statesNotRun(resp *fasthttp.Response) bool {
+	stated := resp.Header.PeekAll("Shed")
+	return len(stated) == 1 && string(stated[0]) == "not-run"
+}
+
 // isTimeout reports whether a deadline ended the call. fasthttp returns either its own timeout error or the
 // connection's, so the method is checked instead of the value.
 func isTimeout(err error) bool {
--- a/send/truncated_test.go
+++ b/send/truncated_test.go
@@ -83,3 +83,25 @@
 		}
 	}
 }
+
+// Guards against a refusal that contradicts itself and counts as "not run", and a second target that then gets an order
+// which the first may have run.
+func TestAmbiguousResponse(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+	for text, want := range map[string]retry.Failure{
+		"HTTP/1.1 100 Continue\r\nShed: not-run\r\n\r\n" + refusal + "\r\n": retry.Other,
+		refusal + "Shed: not-run\r\nShed: ran\r\n\r\n":                      retry.Other,
+		refusal + "Shed: not-run, ran\r\n\r\n":                              retry.Other,
+		refusal + "shed: not-run\r\n\r\n":                                   retry.Rejected,
+	} {
+		var req fasthttp.Request
+		var resp fasthttp.Response
+		req.SetRequestURI("http://target/")
+		res := New(1<<20, time.Now).Do(Request{
+			Address: respondOnce(t, text), Kind: retry.Order, Deadline: time.Now().Add(10 * time.Second), HTTP: &req,
+		}, &resp)
+		if res.OK || res.Failure != want {
+			t.Errorf("%q: %+v, status %d; want failure %d", text, res, resp.StatusCode(), want)
+		}
+	}
+}
