send: a response 101 is not a final response

Callers would see: status 101 without a body in place of the response, recorded as the answer of an order, when a target sends it unasked; the response that follows would stay on the connection.

Cause: the library skips other interim responses but returns 101. Evidence: TestAmbiguousResponse on the code before: "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK ...": {OK:true Failure:0 ...}, status 101; want failure 5 Change: it counts as a broken response, and idle connections to the target, this one among them, are closed.

--- a/send/send.go
+++ b/send/send.go
@@ -148,8 +148,12 @@
 	res := c.classify(r, resp, err, newConn, until)
 	res.Latency = c.clock().Sub(start)
 	res.Sent, res.Received = estimatedHeaderBytes+len(r.HTTP.Body()), estimatedHeaderBytes+len(resp.Body())
-	if res.OK {
+	switch {
+	case res.OK:
 		t.recordLatency(res.Latency)
+	case err == nil && resp.StatusCode() < fasthttp.StatusOK:
+		// The connection is idle again, but the rest of the response is still to come.
+		t.pooled.CloseIdleConnections()
 	}
 	return res
 }
@@ -158,6 +162,9 @@
 // time out.
 func (c *Client) classify(r Request, resp *fasthttp.Response, err error, newConn bool, until time.Time) Result {
 	switch {
+	case err == nil && resp.StatusCode() < fasthttp.StatusOK:
+		// The library returns a response 101 as the last one although the request did not ask to switch protocols.
+		return Result{Failure: retry.Broken, Written: true}
 	case err == nil && resp.StatusCode() == fasthttp.StatusServiceUnavailable:
 		if statesNotRun(resp) {
 			return Result{Failure: retry.Rejected}
--- a/send/truncated_test.go
+++ b/send/truncated_test.go
@@ -84,15 +84,16 @@
 	}
 }
 
-// Guards against a refusal that contradicts itself and counts as "not run", and a second target that then gets an order
-// which the first may have run.
+// Guards against an interim response that the caller gets as the response, a refusal that contradicts itself and counts
+// as "not run", and a second target that then gets an order which the first may have run.
 func TestAmbiguousResponse(t *testing.T) {
 	refusal := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
 	for text, want := range map[string]retry.Failure{
-		"HTTP/1.1 100 Continue\r\nShed: not-run\r\n\r\n" + refusal + "\r\n": retry.Other,
-		refusal + "Shed: not-run\r\nShed: ran\r\n\r\n":                      retry.Other,
-		refusal + "Shed: not-run, ran\r\n\r\n":                              retry.Other,
-		refusal + "shed: not-run\r\n\r\n":                                   retry.Rejected,
+		"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n": retry.Broken,
+		"HTTP/1.1 100 Continue\r\nShed: not-run\r\n\r\n" + refusal + "\r\n":                    retry.Other,
+		refusal + "Shed: not-run\r\nShed: ran\r\n\r\n":                                         retry.Other,
+		refusal + "Shed: not-run, ran\r\n\r\n":                                                 retry.Other,
+		refusal + "shed: not-run\r\n\r\n":                                                      retry.Rejected,
 	} {
 		var req fasthttp.Request
 		var resp fasthttp.Response
