node, cmds: bound the size and time of messages between daemons

Callers would see: an entry VM or the steering of a deployment gone, when a peer, or whatever answers at its address, sends a call or a reply without end: both daemons read any number of bytes into memory, and the server waited for a body for any time.

Cause: the generated code reads whole bodies; neither the server nor the client of the control port bounded them. A call is bounded by twice the time after which its caller gives up. Operators' commands use the same client.

--- a/cmds/operate.go
+++ b/cmds/operate.go
@@ -36,7 +36,7 @@
 
 // peer returns a client for the control port of the steer daemon.
 func (o *operator) peer() wire.Peer {
-	return wire.NewPeerProtobufClient("http://"+o.Steer, &http.Client{Timeout: callTimeout})
+	return wire.NewPeerProtobufClient("http://"+o.Steer, node.NewHTTPClient(callTimeout))
 }
 
 // currentConfig returns the configuration that is in force at the steer daemon, or an empty one if there is none.
@@ -342,7 +342,7 @@
 // getControl returns the body of a GET request to a control port. An error of the request has kind StoreDown,
 // status 404 has kind NotFound, and other errors have no kind.
 func getControl(addr, path string) ([]byte, error) {
-	client := http.Client{Timeout: callTimeout}
+	client := node.NewHTTPClient(callTimeout)
 	resp, err := client.Get("http://" + addr + path)
 	if err != nil {
 		return nil, kinds.Wrap(kinds.StoreDown, err, "call daemon")
--- a/cmds/status.go
+++ b/cmds/status.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"text/tabwriter"
 	"time"
 
@@ -112,7 +111,7 @@
 	if len(m.Control) == 0 {
 		return st
 	}
-	p := wire.NewPeerProtobufClient("http://"+m.Control[node.EntryDaemon], &http.Client{Timeout: probeTimeout})
+	p := wire.NewPeerProtobufClient("http://"+m.Control[node.EntryDaemon], node.NewHTTPClient(probeTimeout))
 	reply, err := p.Probe(ctx, &wire.ProbeRequest{})
 	if err != nil {
 		return st
@@ -224,7 +223,7 @@
 		if len(m.Control) == 0 {
 			continue
 		}
-		p := wire.NewPeerProtobufClient("http://"+m.Control[node.EntryDaemon], &http.Client{Timeout: probeTimeout})
+		p := wire.NewPeerProtobufClient("http://"+m.Control[node.EntryDaemon], node.NewHTTPClient(probeTimeout))
 		reply, err := p.Unknown(ctx, &wire.UnknownRequest{})
 		if err != nil {
 			fmt.Fprintf(c.s.err, "currantpier: %s does not answer; its orders are not listed\n", m.VM)
--- a/node/control.go
+++ b/node/control.go
@@ -161,8 +161,21 @@
 			http.Error(w, err.Error(), kinds.Of(err).Answer().Status)
 		}
 	})
-	return &Control{ln: ln, server: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}}
-}
+	return &Control{ln: ln, server: &http.Server{
+		Handler: newBodyLimit().handler(mux), MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: exchangeTimeout, WriteTimeout: exchangeTimeout,
+		IdleTimeout: maxServerIdle,
+	}}
+}
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// exchangeTimeout bounds reading a call, handling it and writing the reply. It is twice the time after which callers
+	// give up.
+	exchangeTimeout = 2 * callTimeout
+	// maxServerIdle is longer than the time after which callers close an idle connection, so that no call crosses the close.
+	maxServerIdle = 2 * maxClientIdle
+)
 
 // Name implements kernel.Service.
 func (c *Control) Name() string { return "control" }
--- a/node/peers.go
+++ b/node/peers.go
@@ -39,6 +39,8 @@
 	// maxIdleConns is the number of idle connections kept per peer. It suffices for a pending Fetch, a probe and a
 	// Borrow at the same time.
 	maxIdleConns = 4
+	// maxClientIdle is the time after which a caller closes an idle connection.
+	maxClientIdle = time.Minute
 )
 
 // Peers creates and caches twirp clients for other daemons. It is safe for concurrent use.
@@ -51,11 +53,7 @@
 
 // NewPeers returns an empty set of clients, which share one connection pool.
 func NewPeers() *Peers {
-	t := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}
-	return &Peers{
-		client: &http.Client{Transport: t, Timeout: callTimeout},
-		byAddr: map[string]wire.Peer{},
-	}
+	return &Peers{client: NewHTTPClient(callTimeout), byAddr: map[string]wire.Peer{}}
 }
 
 // At returns the client for a control address, host:port.
