kernel, node, steer, entry: a panic ends one step of a service, not the process

Callers would see: all VMs' steering gone one after another. A value that makes the planner panic ended the steer process that held the lease, then the next one that acquired it. A row, list, document or reply did the same to either daemon.

Cause: only calls of the control port and requests of callers were protected. An action of the relay node that panicked is reported as failed, so that it is issued again; locks are released by defer, as otherwise the process would hang instead of ending. The scheduler and the order records aren't guarded: a step that ended midway could leave slots or records that contradict each other, and a process that starts anew does not.

--- a/entry/services.go
+++ b/entry/services.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantpier/currantpier/front"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/lists"
 	"github.com/currantpier/currantpier/lookup"
@@ -57,17 +58,19 @@
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
 	for {
-		a.applyConfig(ctx, a.d.sync.Current(relay.Config))
-		a.applyPlan(ctx, a.d.sync.Current(relay.Plan), false)
-		a.updateDirectory()
-		a.updateReadiness()
+		kernel.Guard(a.d.logger, "apply-config", func() { a.applyConfig(ctx, a.d.sync.Current(relay.Config)) })
+		kernel.Guard(a.d.logger, "apply-plan", func() { a.applyPlan(ctx, a.d.sync.Current(relay.Plan), false) })
+		kernel.Guard(a.d.logger, "apply-members", func() {
+			a.updateDirectory()
+			a.updateReadiness()
+		})
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-a.d.documents:
 		case <-a.d.members.Changed():
 		case <-a.d.sched.Paused():
-			a.afterPause(ctx)
+			kernel.Guard(a.d.logger, "after-pause", func() { a.afterPause(ctx) })
 		case <-t.C:
 		}
 	}
@@ -228,7 +231,7 @@
 		g.SetLimit(16)
 		for _, target := range w.targets() {
 			g.Go(func() error {
-				w.poll(groupCtx, target)
+				kernel.Guard(w.d.logger, "poll-target", func() { w.poll(groupCtx, target) })
 				return nil
 			})
 		}
@@ -338,12 +341,14 @@
 				ID: id, Borrower: b.d.self.VM, Incarnation: b.d.self.Incarnation, Deadline: req.Until,
 			}
 			g.Go(func() error {
-				b.borrow(groupCtx, req, loan)
+				if !kernel.Guard(b.d.logger, "borrow", func() { b.borrow(groupCtx, req, loan) }) {
+					b.d.sched.LoanDenied(groupCtx, req.Site)
+				}
 				return nil
 			})
 		case l := <-b.d.sched.LoanReturns():
 			g.Go(func() error {
-				b.returnLoan(groupCtx, l)
+				kernel.Guard(b.d.logger, "return-loan", func() { b.returnLoan(groupCtx, l) })
 				return nil
 			})
 		}
@@ -443,8 +448,10 @@
 	defer t.Stop()
 	for {
 		if st, ok := r.d.sched.Status(ctx, true); ok {
-			r.updateGauges(r.d.clock(), st)
-			r.report(ctx, st)
+			kernel.Guard(r.d.logger, "report", func() {
+				r.updateGauges(r.d.clock(), st)
+				r.report(ctx, st)
+			})
 		}
 		select {
 		case <-ctx.Done():
@@ -581,11 +588,13 @@
 // previous one stays in use.
 func (b *blockLoader) Run(ctx context.Context) error {
 	for {
-		if t, err := b.load(ctx); err == nil {
-			b.d.blocks.Store(t)
-		} else if kinds.Of(err) != kinds.NotFound {
-			level.Warn(b.d.logger).Log("event", "client-blocks", "err", err)
-		}
+		kernel.Guard(b.d.logger, "client-blocks", func() {
+			if t, err := b.load(ctx); err == nil {
+				b.d.blocks.Store(t)
+			} else if kinds.Of(err) != kinds.NotFound {
+				level.Warn(b.d.logger).Log("event", "client-blocks", "err", err)
+			}
+		})
 		t := time.NewTimer(blocksInterval)
 		select {
 		case <-ctx.Done():
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
 	"go.uber.org/goleak"
 
 	"github.com/currantpier/currantpier/kinds"
@@ -82,3 +83,17 @@
 		t.Errorf("WriteDump(z) = %v, want not-found", err)
 	}
 }
+
+// Guards against a panic in one step that ends the process, or that is not logged.
+func TestGuard(t *testing.T) {
+	var buf bytes.Buffer
+	if Guard(log.NewLogfmtLogger(&buf), "step", func() { panic("an unexpected value") }) {
+		t.Error("a step that panicked counts as done")
+	}
+	if line := buf.String(); !strings.Contains(line, "event=internal-fault step=step value=\"an unexpected value\"") {
+		t.Errorf("log: %s", line)
+	}
+	if !Guard(log.NewNopLogger(), "step", func() {}) {
+		t.Error("a step that returned counts as failed")
+	}
+}
--- a/node/members.go
+++ b/node/members.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/member"
 	"github.com/currantpier/currantpier/store"
 	"github.com/currantpier/currantpier/wire"
@@ -116,6 +117,13 @@
 // by one value.
 func (m *Members) Changed() <-chan struct{} { return m.changed }
 
+// locked runs fn with the lock held. The lock is released also if fn panics.
+func (m *Members) locked(fn func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fn()
+}
+
 // ProcessDead reports whether the process with incarnation inc on vm may be assumed to have ended, so that its journal may be
 // sealed.
 func (m *Members) ProcessDead(now time.Time, vm ident.VM, inc ident.Incarnation) bool {
@@ -138,12 +146,12 @@
 
 // RecordLeaving records that the entry process with incarnation inc on vm has begun a planned stop.
 func (m *Members) RecordLeaving(now time.Time, vm ident.VM, inc ident.Incarnation) {
-	m.mu.Lock()
-	known := m.leaving[vm] >= inc
-	if !known {
-		m.leaving[vm] = inc
-	}
-	m.mu.Unlock()
+	var known bool
+	m.locked(func() {
+		if known = m.leaving[vm] >= inc; !known {
+			m.leaving[vm] = inc
+		}
+	})
 	if !known {
 		level.Info(m.logger).Log("event", "member-leaving", "member", vm)
 		m.refresh(now)
@@ -187,23 +195,28 @@
 func (m *Members) readList(ctx context.Context) error {
 	failing := false
 	for {
-		list, err := m.lister.VMs(ctx)
-		switch {
-		case err == nil:
-			m.setList(m.clock(), list)
-		case len(m.List()) == 0:
-			m.readListFromSeeds(ctx)
-		}
-		if failed := err != nil; failed != failing {
-			failing = failed
-			level.Warn(m.logger).Log("event", "vm-list", "failing", failing, "err", err)
-		}
+		kernel.Guard(m.logger, "vm-list", func() { failing = m.readListOnce(ctx, failing) })
 		if err := sleep(ctx, m.listInterval()); err != nil {
 			return err
 		}
 	}
 }
 
+// readListOnce reads the platform's list and reports whether that failed. failing is the result of the call before.
+func (m *Members) readListOnce(ctx context.Context, failing bool) bool {
+	list, err := m.lister.VMs(ctx)
+	switch {
+	case err == nil:
+		m.SetList(m.clock(), list)
+	case len(m.List()) == 0:
+		m.readListFromSeeds(ctx)
+	}
+	if failed := err != nil; failed != failing {
+		level.Warn(m.logger).Log("event", "vm-list", "failing", failed, "err", err)
+	}
+	return err != nil
+}
+
 // List returns the platform's list as last read, or nil.
 func (m *Members) List() []store.VMInfo {
 	m.mu.Lock()
@@ -223,7 +236,7 @@
 			continue
 		}
 		level.Warn(m.logger).Log("event", "vm-list-from-peer", "seed", addr, "vms", len(list))
-		m.setList(m.clock(), list)
+		m.SetList(m.clock(), list)
 		return
 	}
 }
@@ -235,18 +248,18 @@
 	return max(minListInterval, time.Duration(2*n)*time.Second/listReadsPerSecond)
 }
 
-// setList applies a newly read list of VMs.
-func (m *Members) setList(now time.Time, list []store.VMInfo) {
-	m.mu.Lock()
-	m.list = list
-	m.view.ApplyList(now, list)
-	m.upstreams = m.upstreams[:0:0]
-	for _, vm := range list {
-		if vm.Role == store.RoleUpstream {
-			m.upstreams = append(m.upstreams, vm)
+// SetList applies a list of VMs that was read at now.
+func (m *Members) SetList(now time.Time, list []store.VMInfo) {
+	m.locked(func() {
+		m.list = list
+		m.view.ApplyList(now, list)
+		m.upstreams = m.upstreams[:0:0]
+		for _, vm := range list {
+			if vm.Role == store.RoleUpstream {
+				m.upstreams = append(m.upstreams, vm)
+			}
 		}
-	}
-	m.mu.Unlock()
+	})
 	m.refresh(now)
 }
 
@@ -257,16 +270,17 @@
 	g.SetLimit(2 * member.MaxProbesPerSecond)
 	for {
 		now := m.clock()
-		m.mu.Lock()
-		due := m.view.ProbeTargets(now)
-		m.mu.Unlock()
+		var due []ident.VM
+		kernel.Guard(m.logger, "members", func() {
+			m.locked(func() { due = m.view.ProbeTargets(now) })
+			m.refresh(now)
+		})
 		for _, vm := range due {
 			g.Go(func() error {
-				m.probe(ctx, vm)
+				kernel.Guard(m.logger, "probe", func() { m.probe(ctx, vm) })
 				return nil
 			})
 		}
-		m.refresh(now)
 		if err := sleep(ctx, time.Second); err != nil {
 			_ = g.Wait()
 			return err
@@ -315,9 +329,9 @@
 // directErr if the result could not change the state of vm.
 func (m *Members) probeThrough(ctx context.Context, vm ident.VM, directErr error) (*wire.ProbeReply, error) {
 	now := m.clock()
-	m.mu.Lock()
-	other, ok := m.view.ProbeVia(now, vm)
-	m.mu.Unlock()
+	var other member.Member
+	var ok bool
+	m.locked(func() { other, ok = m.view.ProbeVia(now, vm) })
 	if !ok {
 		return nil, directErr
 	}
@@ -345,11 +359,12 @@
 
 // recordProbe records the result of a probe and publishes a snapshot if it changed the state of vm.
 func (m *Members) recordProbe(now time.Time, vm ident.VM, ok bool, inc ident.Incarnation) {
-	m.mu.Lock()
-	before := m.view.State(vm, now)
-	m.view.RecordProbe(now, vm, ok, inc)
-	after := m.view.State(vm, now)
-	m.mu.Unlock()
+	var before, after member.State
+	m.locked(func() {
+		before = m.view.State(vm, now)
+		m.view.RecordProbe(now, vm, ok, inc)
+		after = m.view.State(vm, now)
+	})
 	if before != after {
 		level.Warn(m.logger).Log("event", "member-state", "member", vm, "from", before, "to", after)
 		m.refresh(now)
@@ -358,15 +373,16 @@
 
 // refresh publishes a new snapshot.
 func (m *Members) refresh(now time.Time) {
-	m.mu.Lock()
-	s := &Snapshot{At: now, Members: m.view.All(now), Upstreams: m.upstreams}
-	for i, mem := range s.Members {
-		inc, ok := m.leaving[mem.VM]
-		if ok && inc >= mem.Incarnation && (mem.State == member.Alive || mem.State == member.Suspected) {
-			s.Members[i].State = member.Leaving
+	s := &Snapshot{At: now}
+	m.locked(func() {
+		s.Members, s.Upstreams = m.view.All(now), m.upstreams
+		for i, mem := range s.Members {
+			inc, ok := m.leaving[mem.VM]
+			if ok && inc >= mem.Incarnation && (mem.State == member.Alive || mem.State == member.Suspected) {
+				s.Members[i].State = member.Leaving
+			}
 		}
-	}
-	m.mu.Unlock()
+	})
 	s.byVM = make(map[ident.VM]int, len(s.Members))
 	for i, mem := range s.Members {
 		s.byVM[mem.VM] = i
@@ -400,9 +416,8 @@
 
 // Dump implements kernel.Service.
 func (m *Members) Dump(now time.Time) any {
-	m.mu.Lock()
-	age, _ := m.view.ListAge(now)
-	m.mu.Unlock()
+	var age time.Duration
+	m.locked(func() { age, _ = m.view.ListAge(now) })
 	s := m.Snapshot()
 	d := MembersDump{
 		ListAgeMs: age.Milliseconds(), Upstreams: s.Upstreams, Self: m.self.VM, Incarnation: m.self.Incarnation,
--- a/node/sync.go
+++ b/node/sync.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/member"
 	"github.com/currantpier/currantpier/relay"
 	"github.com/currantpier/currantpier/ring"
@@ -116,12 +117,19 @@
 	return s.node.Servable(k)
 }
 
+// locked runs fn with the lock held. The lock is released also if fn panics.
+func (s *Sync) locked(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+}
+
 // handlePeerVersions handles the versions of the documents that are in force at a peer.
 func (s *Sync) handlePeerVersions(vm ident.VM, config, plan ident.Version) {
-	s.mu.Lock()
-	s.node.Hint(vm, relay.Config, config)
-	s.node.Hint(vm, relay.Plan, plan)
-	s.mu.Unlock()
+	s.locked(func() {
+		s.node.Hint(vm, relay.Config, config)
+		s.node.Hint(vm, relay.Plan, plan)
+	})
 	s.wakeLoop()
 }
 
@@ -166,17 +174,18 @@
 // update runs fn under the lock. If fn reports that doc came into force, update calls the watchers and ends the wait of
 // pending Fetch calls.
 func (s *Sync) update(doc relay.Document, fn func(now time.Time) bool) {
-	s.mu.Lock()
-	changed := fn(s.clock())
-	if changed {
+	changed := false
+	s.locked(func() {
+		if changed = fn(s.clock()); !changed {
+			return
+		}
 		close(s.newer)
 		s.newer = make(chan struct{})
 		// The watchers are called under the lock, so that they see the versions in order.
 		for _, w := range s.watchers {
 			w(doc)
 		}
-	}
-	s.mu.Unlock()
+	})
 	if changed {
 		level.Info(s.logger).Log("event", "document", "kind", kindName(doc.Kind), "version", doc.Version)
 	}
@@ -199,10 +208,13 @@
 	t := time.NewTimer(min(wait, maxFetchWait))
 	defer t.Stop()
 	for {
-		s.mu.Lock()
-		doc, ok := s.node.NewerThan(k, have)
-		newer := s.newer
-		s.mu.Unlock()
+		var doc relay.Document
+		var ok bool
+		var newer chan struct{}
+		s.locked(func() {
+			doc, ok = s.node.NewerThan(k, have)
+			newer = s.newer
+		})
 		if ok {
 			return doc
 		}
@@ -216,16 +228,23 @@
 	}
 }
 
+// faultPause is the pause of a loop after a step that panicked.
+const faultPause = time.Second
+
 // Run performs the actions that the relay node decides on until ctx is done.
 func (s *Sync) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for {
 		now := s.clock()
-		s.mu.Lock()
-		s.node.SetMembers(now, s.relayPeers())
-		actions := s.node.Next(now, nil)
-		pause := s.node.NextWake().Sub(now)
-		s.mu.Unlock()
+		pause := faultPause
+		var actions []relay.Action
+		kernel.Guard(s.logger, "sync", func() {
+			s.locked(func() {
+				s.node.SetMembers(now, s.relayPeers())
+				actions = s.node.Next(now, nil)
+				pause = s.node.NextWake().Sub(now)
+			})
+		})
 		for _, a := range actions {
 			g.Go(func() error {
 				s.perform(ctx, a)
@@ -279,14 +298,26 @@
 func (s *Sync) perform(ctx context.Context, a relay.Action) {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
+	var res relay.Result
+	if !kernel.Guard(s.logger, "sync-action", func() { res = s.checkedResult(ctx, a) }) {
+		res = relay.Result{}
+	}
+	kernel.Guard(s.logger, "sync-result", func() {
+		s.update(res.Doc, func(now time.Time) bool { return s.node.Complete(now, a.ID, res) })
+	})
+}
+
+// checkedResult carries out an action. A document that can't be decoded counts as a failure.
+func (s *Sync) checkedResult(ctx context.Context, a relay.Action) relay.Result {
 	res := s.do(ctx, a)
-	if res.OK && res.Doc.Version != 0 {
-		if err := s.check(res.Doc); err != nil {
-			level.Error(s.logger).Log("event", "bad-document", "kind", kindName(a.Kind), "from", a.To, "err", err)
-			res = relay.Result{}
-		}
+	if !res.OK || res.Doc.Version == 0 {
+		return res
+	}
+	if err := s.check(res.Doc); err != nil {
+		level.Error(s.logger).Log("event", "bad-document", "kind", kindName(a.Kind), "from", a.To, "err", err)
+		return relay.Result{}
 	}
-	s.update(res.Doc, func(now time.Time) bool { return s.node.Complete(now, a.ID, res) })
+	return res
 }
 
 func (s *Sync) do(ctx context.Context, a relay.Action) relay.Result {
--- a/steer/planner.go
+++ b/steer/planner.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/lease"
 	"github.com/currantpier/currantpier/lists"
@@ -90,7 +91,9 @@
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
-		p.runRound(ctx)
+		if !kernel.Guard(p.d.logger, "planner", func() { p.runRound(ctx) }) {
+			p.currentKnown = false
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
