steer, plan: a plan under another version than its own is refused

Callers would see: traffic plans that stay as they are for good (drains, moves and new targets are not followed), after one malformed push of a plan.

Cause: steer put a pushed plan in force under the version of the message, as entry never did. Versions only increase, so every newer plan was then older; peers that fetched it passed it on. Evidence: TestPlanOfAnotherVersionIsRefused on the code before: version in force after plan 5 was pushed as version 1<<60 version in force after plan 6 Change: both daemons use one check, plan.DecodeVersion.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
@@ -20,7 +19,6 @@
 	"github.com/currantpier/currantpier/front"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kernel"
-	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/lists"
 	"github.com/currantpier/currantpier/lookup"
 	"github.com/currantpier/currantpier/node"
@@ -270,14 +268,11 @@
 
 // decodePlan decodes and validates a traffic plan.
 func decodePlan(doc relay.Document) (*plan.TrafficPlan, error) {
-	t, err := plan.Decode(doc.Body)
+	t, err := plan.DecodeVersion(doc.Body, doc.Version)
 	if err != nil {
 		return nil, err
 	}
-	if t.Version != doc.Version {
-		return nil, kinds.Errorf(kinds.BadRequest, "plan version %d differs from document version %d", t.Version, doc.Version)
-	}
-	return &t, errors.Wrap(plan.Validate(t), "validate plan")
+	return &t, nil
 }
 
 // enqueueDocument wakes the applier when a document comes into force. If the queue is full, the document is dropped.
--- a/plan/codec.go
+++ b/plan/codec.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
 )
 
@@ -21,3 +24,16 @@
 	}
 	return t, nil
 }
+
+// DecodeVersion decodes and validates the plan of a document of version v. A plan that states another version is refused:
+// under a later version than its own it would keep every newer plan out.
+func DecodeVersion(b []byte, v ident.Version) (TrafficPlan, error) {
+	t, err := Decode(b)
+	if err != nil {
+		return TrafficPlan{}, err
+	}
+	if t.Version != v {
+		return TrafficPlan{}, kinds.Errorf(kinds.BadRequest, "plan version %d differs from document version %d", t.Version, v)
+	}
+	return t, errors.Wrap(Validate(t), "validate plan")
+}
--- /dev/null
+++ b/steer/malformed_test.go
@@ -0,0 +1,33 @@
+package steer
+
+import (
+	"testing"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/node"
+	"github.com/currantpier/currantpier/plan"
+	"github.com/currantpier/currantpier/wire"
+)
+
+// Guards against a pushed plan whose document has a later version than the plan itself: it kept every newer plan out, at
+// this VM and at all that fetch from it, and entries refused it.
+func TestPlanOfAnotherVersionIsRefused(t *testing.T) {
+	c := newCluster(t)
+	d := c.daemon("a")
+	p := &peer{PeerBase: node.PeerBase{Self: d.self, Members: d.members, Sync: d.sync, Clock: c.clock}, d: d}
+	push := func(document, stated ident.Version) ident.Version {
+		reply, err := p.Push(t.Context(), &wire.Document{
+			Kind: wire.DocumentKind_DOCUMENT_KIND_PLAN, Version: uint64(document), Body: plan.Encode(plan.TrafficPlan{Version: stated}),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ident.Version(reply.GetVersion())
+	}
+	if got := push(1<<60, 5); got != 0 {
+		t.Errorf("version %d in force after plan 5 was pushed as version 1<<60", got)
+	}
+	if got := push(6, 6); got != 6 {
+		t.Errorf("version %d in force after plan 6", got)
+	}
+}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -127,15 +127,12 @@
 	return ""
 }
 
-// checkDocument returns an error for a document that can't be decoded or, for a plan, is invalid.
+// checkDocument returns an error for a document that can't be decoded or, for a plan, is invalid or of another version.
 func checkDocument(doc relay.Document) error {
 	if doc.Kind == relay.Config {
 		_, err := lists.Decode(doc.Body)
 		return err
 	}
-	t, err := plan.Decode(doc.Body)
-	if err != nil {
-		return err
-	}
-	return plan.Validate(t)
+	_, err := plan.DecodeVersion(doc.Body, doc.Version)
+	return err
 }
