node: documents of an unknown kind are refused

Callers see nothing of it. A push of an unknown kind panicked with a stack trace on standard error for each message; a kind such as 257 was cut to a byte, so the document was put in force as a configuration; a fetch held its call for nothing.

Cause: the number in the message was converted to relay.Kind without a check. Evidence: TestUnknownDocumentKindIsRefused on the code before: push of kind 3: panic: runtime error: index out of range [3] with length 3 push of kind 257 succeeded configuration 1 in force Change: the control port refuses other kinds as invalid arguments.

--- a/node/control.go
+++ b/node/control.go
@@ -54,18 +54,36 @@
 
 // Fetch implements wire.Peer. It waits for a newer document for up to the requested time.
 func (b *PeerBase) Fetch(ctx context.Context, r *wire.FetchRequest) (*wire.Document, error) {
+	k, err := documentKind(r.GetKind())
+	if err != nil {
+		return nil, err
+	}
 	wait := time.Duration(r.GetWaitMs()) * time.Millisecond
-	doc := b.Sync.Fetch(ctx, relay.Kind(r.GetKind()), ident.Version(r.GetVersion()), wait)
+	doc := b.Sync.Fetch(ctx, k, ident.Version(r.GetVersion()), wait)
 	return &wire.Document{Kind: r.GetKind(), Version: uint64(doc.Version), Body: doc.Body}, nil
 }
 
 // Push implements wire.Peer.
 func (b *PeerBase) Push(_ context.Context, d *wire.Document) (*wire.PushReply, error) {
-	k := relay.Kind(d.GetKind())
+	k, err := documentKind(d.GetKind())
+	if err != nil {
+		return nil, err
+	}
 	b.Sync.Offer(fromWire(k, d))
 	return &wire.PushReply{Version: uint64(b.Sync.Current(k).Version)}, nil
 }
 
+// documentKind returns the kind that a message names. A daemon of a later release may name others.
+func documentKind(k wire.DocumentKind) (relay.Kind, error) {
+	switch k {
+	case wire.DocumentKind_DOCUMENT_KIND_CONFIG:
+		return relay.Config, nil
+	case wire.DocumentKind_DOCUMENT_KIND_PLAN:
+		return relay.Plan, nil
+	}
+	return 0, twirp.NewErrorf(twirp.InvalidArgument, "unknown kind of document: %d", k)
+}
+
 // List implements wire.Peer.
 func (b *PeerBase) List(context.Context, *wire.ListRequest) (*wire.ListReply, error) {
 	list := b.Members.List()
--- a/steer/malformed_test.go
+++ b/steer/malformed_test.go
@@ -6,6 +6,7 @@
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/node"
 	"github.com/currantpier/currantpier/plan"
+	"github.com/currantpier/currantpier/relay"
 	"github.com/currantpier/currantpier/wire"
 )
 
@@ -31,3 +32,37 @@
 		t.Errorf("version %d in force after plan 6", got)
 	}
 }
+
+// Guards against a panic at a document of an unknown kind, and against one that counts as of another kind because its
+// number is cut to a byte.
+func TestUnknownDocumentKindIsRefused(t *testing.T) {
+	c := newCluster(t)
+	d := c.daemon("a")
+	p := &peer{PeerBase: node.PeerBase{Self: d.self, Members: d.members, Sync: d.sync, Clock: c.clock}, d: d}
+	for _, k := range []wire.DocumentKind{-1, 0, 3, 255, 256 + 1, 256 + 2} {
+		for name, call := range map[string]func() error{
+			"push": func() error {
+				_, err := p.Push(t.Context(), &wire.Document{Kind: k, Version: 1, Body: configuration("one")})
+				return err
+			},
+			"fetch": func() error {
+				_, err := p.Fetch(t.Context(), &wire.FetchRequest{Kind: k})
+				return err
+			},
+		} {
+			func() {
+				defer func() {
+					if v := recover(); v != nil {
+						t.Errorf("%s of kind %d: panic: %v", name, k, v)
+					}
+				}()
+				if call() == nil {
+					t.Errorf("%s of kind %d succeeded", name, k)
+				}
+			}()
+		}
+	}
+	if v := d.sync.Current(relay.Config).Version; v != 0 {
+		t.Errorf("configuration %d in force", v)
+	}
+}
