node, steer: a planned stop finishes the calls in progress

Callers would see: an operator's apply, drain or move that ends with "may or may not have been made" although it was accepted, when the steer daemon that they asked is stopped meanwhile. The accepted configuration could also be held by the store alone. Reports and loans were cut in the same way.

Cause: the control port closed its server at once, so as not to wait for calls that only wait for a newer document. Calls that wait for a document end when Sync does; others are finished within 5 s in steer and 1 s in entry, whose stop has its own phases. The planner releases the lease when it ends, so that its successor does not wait for these calls.

--- a/node/control.go
+++ b/node/control.go
@@ -154,12 +154,20 @@
 type Control struct {
 	ln     net.Listener
 	server *http.Server
+	// stopTimeout bounds the wait for calls in progress at the end.
+	stopTimeout time.Duration
 }
 
+// ControlOption changes a setting of a Control.
+type ControlOption func(*Control)
+
+// WithStopTimeout sets how long calls in progress may take when the process stops; a second by default.
+func WithStopTimeout(d time.Duration) ControlOption { return func(c *Control) { c.stopTimeout = d } }
+
 // NewControl returns the server for the listener ln. notReady returns the reason why the process is not ready, or an
 // empty string.
 func NewControl(ln net.Listener, peer wire.Peer, k *kernel.Kernel, reg metrics.Registry, clock func() time.Time,
-	notReady func() string) *Control {
+	notReady func() string, opts ...ControlOption) *Control {
 	mux := http.NewServeMux()
 	mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(peer))
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -179,11 +187,15 @@
 			http.Error(w, err.Error(), kinds.Of(err).Answer().Status)
 		}
 	})
-	return &Control{ln: ln, server: &http.Server{
+	c := &Control{ln: ln, stopTimeout: time.Second, server: &http.Server{
 		Handler: newBodyLimit().handler(mux), MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: exchangeTimeout, WriteTimeout: exchangeTimeout,
 		IdleTimeout: maxServerIdle,
 	}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 const (
@@ -198,7 +210,8 @@
 // Name implements kernel.Service.
 func (c *Control) Name() string { return "control" }
 
-// Run serves until ctx is done.
+// Run serves until ctx is done, and then waits for the calls in progress: one may have changed the configuration, and its
+// operator must learn that. Sync ends the calls that wait for a document.
 func (c *Control) Run(ctx context.Context) error {
 	done := make(chan error, 1)
 	go func() { done <- c.server.Serve(c.ln) }()
@@ -207,9 +220,11 @@
 		return err
 	case <-ctx.Done():
 	}
-	// Shutdown would wait for pending Fetch calls for up to maxFetchWait. Their callers retry with another peer
-	// instead.
-	_ = c.server.Close()
+	stopCtx, cancel := context.WithTimeout(context.Background(), c.stopTimeout)
+	defer cancel()
+	if c.server.Shutdown(stopCtx) != nil {
+		_ = c.server.Close()
+	}
 	<-done
 	return ctx.Err()
 }
--- a/node/sync.go
+++ b/node/sync.go
@@ -58,6 +58,9 @@
 	// newer is closed and replaced when a document comes into force.
 	newer chan struct{}
 
+	// stopped is closed when Run ends. Calls of Fetch then wait no longer.
+	stopped chan struct{}
+
 	// wake ends the pause of the loop in Run. Its buffer of 1 merges several wake-ups.
 	wake      chan struct{}
 	wakeStats ring.SendStats
@@ -71,7 +74,8 @@
 	opts.Seed = uint64(self.Incarnation)
 	s := &Sync{
 		self: self, rows: rows, members: members, peers: peers, clock: clock, logger: logger, check: check,
-		node: relay.NewNode(clock(), opts), newer: make(chan struct{}), wake: make(chan struct{}, 1),
+		node: relay.NewNode(clock(), opts), newer: make(chan struct{}), stopped: make(chan struct{}),
+		wake: make(chan struct{}, 1),
 	}
 	members.versions, members.onPeerVersions = s.Versions, s.handlePeerVersions
 	return s
@@ -222,6 +226,8 @@
 		case <-newer:
 		case <-t.C:
 			return relay.Document{Kind: k}
+		case <-s.stopped:
+			return relay.Document{Kind: k}
 		case <-ctx.Done():
 			return relay.Document{Kind: k}
 		}
@@ -233,6 +239,7 @@
 
 // Run performs the actions that the relay node decides on until ctx is done.
 func (s *Sync) Run(ctx context.Context) error {
+	defer close(s.stopped)
 	g, ctx := errgroup.WithContext(ctx)
 	for {
 		now := s.clock()
--- a/steer/planner.go
+++ b/steer/planner.go
@@ -86,8 +86,10 @@
 // Name implements kernel.Service.
 func (p *planner) Name() string { return "planner" }
 
-// Run runs a round in each interval until ctx is done.
+// Run runs a round in each interval until ctx is done. It then releases the lease, so that another process can take it
+// without waiting for it to expire.
 func (p *planner) Run(ctx context.Context) error {
+	defer p.release()
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
@@ -102,6 +104,15 @@
 	}
 }
 
+// release releases the lease.
+func (p *planner) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), store.DefaultTimeout)
+	defer cancel()
+	if err := p.keeper.Release(ctx); err != nil {
+		level.Warn(p.d.logger).Log("event", "lease-release", "err", err)
+	}
+}
+
 // candidate reports whether vm may compete for the lease: it must be live and a relay, which is one of the VMs that
 // read the store for their failure domain. If every process were a candidate, the reads of the lease row would grow
 // with the number of VMs, to 960 per second at 3,200 VMs. A process without a member list is not a candidate.
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -53,6 +53,10 @@
 // much before the lease expires, since the clock of another process may run at a different rate.
 const leaseMarginDivisor = 10
 
+// stopTimeout is how long a planned stop waits for calls in progress. The longest is an operator's change: a call of the
+// store, and the time until another VM holds the change.
+const stopTimeout = 5 * time.Second
+
 // New returns the daemon with the given settings. It serves the control port on the listener control.
 func New(cfg *config.Settings, control net.Listener, st *store.Client, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
@@ -80,7 +84,7 @@
 	}, d: d}
 	services := []kernel.Service{
 		d.members, d.sync, d.planner,
-		node.NewControl(control, p, d.kernel, d.metrics, d.clock, d.notReady),
+		node.NewControl(control, p, d.kernel, d.metrics, d.clock, d.notReady, node.WithStopTimeout(stopTimeout)),
 	}
 	for _, s := range services {
 		if err := d.kernel.Register(s); err != nil {
@@ -93,19 +97,13 @@
 // Kernel returns the kernel of the process, for a dump.
 func (d *Daemon) Kernel() *kernel.Kernel { return d.kernel }
 
-// Run runs the daemon until ctx is done or a service fails. It then releases the lease, so that another process can
-// take it without waiting for it to expire.
+// Run runs the daemon until ctx is done or a service fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.peers.Close()
 	level.Info(d.logger).Log("event", "start", "incarnation", uint64(d.self.Incarnation))
 	d.kernel.Start(ctx)
 	err := <-d.kernel.Done()
 	close(d.leaving)
-	releaseCtx, cancel := context.WithTimeout(context.Background(), d.cfg.Store.Timeout)
-	defer cancel()
-	if releaseErr := d.planner.keeper.Release(releaseCtx); releaseErr != nil {
-		level.Warn(d.logger).Log("event", "lease-release", "err", releaseErr)
-	}
 	level.Info(d.logger).Log("event", "end", "err", err)
 	return err
 }
