steer: a new holder of the lease keeps targets leaving until entries have reported

Callers would see: requests at a target seconds after it has announced that it leaves, refused or cut when it stops, each time the steer process that holds the lease is replaced, restarted or paused while a target leaves.

Cause: that a target leaves is known to the entries long before the platform's list shows it. The planner knew it only from their reports, in memory; its successor had none and computed the first plan from the list alone, which granted the target's slots again, also to entries that don't poll it. Evidence: TestSuccessorKeepsLeavingTarget on the code before: leaving false, 4 slots granted by a successor without reports Ruled out: entries that have polled the target themselves; they keep their own mark. Change: until every live entry has reported to the new holder, for 10 s at most, a target that leaves according to the plan in force still does.

--- a/steer/planner.go
+++ b/steer/planner.go
@@ -33,6 +33,9 @@
 	// maxReportAge is the age from which the report of an entry that sends no more is deleted. It is far above the age
 	// from which a report counts as stale.
 	maxReportAge = 2 * time.Minute
+	// successorGrace is how long a new holder of the lease waits for the reports of all entries: they send one every 2 s,
+	// once they have found the new holder.
+	successorGrace = 10 * time.Second
 )
 
 // report is the newest report of one entry. at is the time at which it was received.
@@ -287,7 +290,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	in := plan.Input{
-		Config: c, Term: term, VMs: p.markLeaving(s.Upstreams), Entries: p.entries(now, s), ObservedFor: now.Sub(p.heldSince),
+		Config: c, Term: term, VMs: p.markLeaving(now, s.Upstreams, s), Entries: p.entries(now, s), ObservedFor: now.Sub(p.heldSince),
 		Rules: p.rules(),
 	}
 	in.Demand = p.demand(now)
@@ -301,9 +304,15 @@
 }
 
 // markLeaving returns a copy of vms in which an upstream is marked as leaving if an entry has reported that. The
-// platform's list shows it only later. The caller holds mu.
-func (p *planner) markLeaving(vms []store.VMInfo) []store.VMInfo {
+// platform's list shows it only later. Until this process has the reports of the entries, which its predecessor had, an
+// upstream that leaves according to the current plan still does. The caller holds mu.
+func (p *planner) markLeaving(now time.Time, vms []store.VMInfo, s *node.Snapshot) []store.VMInfo {
 	leaving := map[string]bool{}
+	if now.Sub(p.heldSince) < successorGrace && !p.allReported(s) {
+		for _, t := range p.current.Targets {
+			leaving[string(t.Name)] = t.Leaving
+		}
+	}
 	for _, r := range p.reports {
 		for _, t := range r.msg.GetTargets() {
 			if t.GetLeaving() {
@@ -320,6 +329,16 @@
 	return vms
 }
 
+// allReported reports whether every live entry has reported since this process has held the lease. The caller holds mu.
+func (p *planner) allReported(s *node.Snapshot) bool {
+	for _, m := range s.Live() {
+		if p.reports[m.VM].at.Before(p.heldSince) {
+			return false
+		}
+	}
+	return true
+}
+
 // entries returns the state of the entries as input for a plan. The caller holds mu.
 func (p *planner) entries(now time.Time, s *node.Snapshot) []plan.Entry {
 	entries := make([]plan.Entry, 0, len(s.Members))
--- a/steer/restore_test.go
+++ b/steer/restore_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/currantpier/currantpier/config"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/lease"
@@ -44,6 +45,7 @@
 	d := &Daemon{
 		self:  node.Self{VM: vm, Daemon: node.SteerDaemon, Incarnation: 1},
 		clock: c.clock, logger: log.NewNopLogger(), metrics: metrics.NewRegistry(), store: c.client, peers: node.NewPeers(),
+		cfg: &config.Settings{Shift: config.Shift{PerStep: ident.Whole / 20, PerMinute: ident.Whole / 5}},
 	}
 	d.members = node.NewMembers(d.self, c.client, d.peers, c.clock, d.logger, nil)
 	d.sync = node.NewSync(d.self, relay.Options{}, c.client, d.members, d.peers, c.clock, d.logger, checkDocument)
--- /dev/null
+++ b/steer/successor_test.go
@@ -0,0 +1,115 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/plan"
+	"github.com/currantpier/currantpier/relay"
+	"github.com/currantpier/currantpier/store"
+	"github.com/currantpier/currantpier/wire"
+)
+
+// entryVMs returns a VM list with the entries e1 and e2 and the target t, which is not listed as leaving.
+func entryVMs() []store.VMInfo {
+	place := ident.Place{Region: "r", Domain: "d"}
+	return []store.VMInfo{
+		{Name: "e1", Role: store.RoleEntry, Place: place},
+		{Name: "e2", Role: store.RoleEntry, Place: place},
+		{Name: "t", Role: store.RoleUpstream, Place: place, Service: "s", Slots: 4, Address: "127.0.0.1:1"},
+		{Name: "u", Role: store.RoleUpstream, Place: place, Service: "s", Slots: 4, Address: "127.0.0.1:2"},
+	}
+}
+
+// leader returns a steer daemon with the VM list that holds the lease since the present time.
+func (c *cluster) leader(vm ident.VM) *Daemon {
+	c.Helper()
+	d := c.daemon(vm)
+	d.members.SetList(c.now, entryVMs())
+	c.poll(d)
+	for range 10 { // a lease of another process is waited out
+		if _, err := d.planner.keeper.Step(c.Context()); err != nil {
+			c.Fatal(err)
+		}
+		if _, held := d.planner.keeper.Held(c.now); held {
+			d.planner.heldSince = c.now
+			return d
+		}
+		c.now = c.now.Add(2 * time.Second)
+	}
+	c.Fatalf("%s does not get the lease", vm)
+	return nil
+}
+
+// report records the report of an entry that has applied the plan in force and knows the given leaving targets.
+func (c *cluster) report(d *Daemon, entry ident.VM, leaving ...string) {
+	v := uint64(d.sync.Current(relay.Plan).Version)
+	r := &wire.ReportRequest{Vm: string(entry), Incarnation: 1, PlanVersion: v, AckedPlan: v}
+	for _, t := range leaving {
+		r.Targets = append(r.Targets, &wire.TargetUse{Target: t, Leaving: true})
+	}
+	d.members.RecordMessage(c.now, entry, 1)
+	d.planner.recordReport(c.now, r)
+}
+
+// plan computes and publishes the next plan of d and returns the plan in force.
+func (c *cluster) plan(d *Daemon) plan.TrafficPlan {
+	c.Helper()
+	if !d.planner.currentKnown && !d.planner.readCurrent(c.Context()) {
+		c.Fatal("the plan could not be read")
+	}
+	d.planner.publish(c.Context(), c.now)
+	t, err := plan.Decode(d.sync.Current(relay.Plan).Body)
+	if err != nil {
+		c.Fatal(err)
+	}
+	return t
+}
+
+// leavingTarget reports whether target t of the plan is leaving, and how many of its slots are granted.
+func leavingTarget(t plan.TrafficPlan) (leaving bool, slots ident.Slots) {
+	for _, tg := range t.Targets {
+		leaving = leaving || tg.Name == "t" && tg.Leaving
+	}
+	for _, g := range t.Grants {
+		if g.Target == "t" {
+			slots += g.Slots
+		}
+	}
+	return leaving, slots
+}
+
+// The steer process that holds the lease is replaced while a target leaves, which only the entries know yet. Guards
+// against its successor granting slots of the target again before the entries have reported to it.
+func TestSuccessorKeepsLeavingTarget(t *testing.T) {
+	c := newCluster(t)
+	first := c.leader("e1")
+	c.accept(first, configuration("one"), 0)
+	c.plan(first)
+	c.report(first, "e1", "t")
+	c.report(first, "e2")
+	if leaving, slots := leavingTarget(c.plan(first)); !leaving || slots != 0 {
+		t.Fatalf("leaving %v, %d slots granted after an entry has reported that the target leaves", leaving, slots)
+	}
+	second := c.leader("e2")
+	for range 6 {
+		if leaving, slots := leavingTarget(c.plan(second)); !leaving || slots != 0 {
+			t.Fatalf("leaving %v, %d slots granted by a successor without reports", leaving, slots)
+		}
+		c.now = c.now.Add(roundInterval)
+	}
+	c.report(second, "e2")
+	if leaving, slots := leavingTarget(c.plan(second)); !leaving || slots != 0 {
+		t.Errorf("leaving %v, %d slots granted by a successor with the report of one of two entries", leaving, slots)
+	}
+	c.report(second, "e1", "t")
+	if leaving, slots := leavingTarget(c.plan(second)); !leaving || slots != 0 {
+		t.Errorf("leaving %v, %d slots granted after the reports", leaving, slots)
+	}
+	// The target has started anew: no entry calls it leaving any more.
+	c.report(second, "e1")
+	if leaving, slots := leavingTarget(c.plan(second)); leaving || slots == 0 {
+		t.Errorf("leaving %v, %d slots granted after the target has returned", leaving, slots)
+	}
+}
