entry: a target that leaves is polled until it returns, also without slots

Callers would see: a target that gets no requests for good after it has announced that it leaves and has started anew under its name, as in each planned restart of a target that the list doesn't show; less capacity with every one, until the entries are restarted.

Cause: an entry polled the targets at which it has slots. A leaving target has none, so its mark was never taken back, and the reports kept it leaving. Evidence: TestReturnedTargetIsNoticed on the code before: a target that has returned is still reported as leaving Change: an entry also polls the targets of the plan that it knows as leaving. Their number is small and each poll bounded as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,7 +123,7 @@
 	peer := &peer{PeerBase: node.PeerBase{
 		Self: d.self, Members: d.members, Sync: d.sync, Clock: d.clock, Leaving: d.isLeaving,
 	}, d: d}
-	d.watcher = &watcher{d: d}
+	d.watcher = newWatcher(d)
 	services := []kernel.Service{
 		d.members, d.sync, d.sched, d.orders, d.front,
 		&applier{d: d}, d.watcher, &borrower{d}, &reporter{d},
--- a/entry/services.go
+++ b/entry/services.go
@@ -198,10 +198,16 @@
 	mu sync.Mutex
 	// failing holds the targets whose load endpoint could not be read at the last poll.
 	failing map[ident.Target]bool
+	// leaving holds the targets that announced at their last poll that they leave.
+	leaving map[ident.Target]bool
 	// polled is set after the first round that polled the targets of a plan.
 	polled atomic.Bool
 }
 
+func newWatcher(d *Daemon) *watcher {
+	return &watcher{d: d, failing: map[ident.Target]bool{}, leaving: map[ident.Target]bool{}}
+}
+
 // watchInterval is the interval between two polls of a target, and the timeout of a poll. Both together keep the time
 // from a target's drain notice to the last new request below 3 s.
 const watchInterval = time.Second
@@ -222,7 +228,6 @@
 
 // Run polls the targets until ctx is done.
 func (w *watcher) Run(ctx context.Context) error {
-	w.failing = map[ident.Target]bool{}
 	t := time.NewTicker(watchInterval)
 	defer t.Stop()
 	for {
@@ -247,7 +252,8 @@
 	}
 }
 
-// targets returns the targets of the plan at which this entry has slots.
+// targets returns the targets of the plan at which this entry has slots, and those that leave as far as this entry knows.
+// The latter have no slots here any more, but only a poll shows that such a target has started anew.
 func (w *watcher) targets() []plan.Target {
 	t := w.d.plan.Load()
 	if t == nil {
@@ -259,9 +265,11 @@
 			granted[g.Target] = true
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var targets []plan.Target
 	for _, target := range t.Targets {
-		if granted[target.Name] {
+		if granted[target.Name] || w.leaving[target.Name] {
 			targets = append(targets, target)
 		}
 	}
@@ -281,16 +289,22 @@
 	if err == nil {
 		err = json.Unmarshal(body, &r)
 	}
-	w.recordPoll(target.Name, err)
+	w.recordPoll(target.Name, r.Leaving, err)
 	if err == nil {
 		w.d.sched.RecordReport(ctx, sched.TargetReport{Target: target.Name, Load: r.Load, AsOf: asOf, Leaving: r.Leaving})
 	}
 }
 
 // recordPoll records the result of a poll. It logs only the first failure and the recovery of an endpoint.
-func (w *watcher) recordPoll(name ident.Target, err error) {
+func (w *watcher) recordPoll(name ident.Target, leaving bool, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	switch {
+	case err == nil && leaving:
+		w.leaving[name] = true
+	case err == nil:
+		delete(w.leaving, name)
+	}
 	if (err != nil) == w.failing[name] {
 		return
 	}
