steer: a term that begins within one step starts a new observation

Callers would see: more requests at a target than it has slots, after the steer process with the lease was paused for a minute right before it renewed it. Slots of an entry that its VM list lacks were given to others at once.

Cause: a new holder waits 60 s before it takes slots from an entry that it has not heard of. The planner noticed a new term only if a round began without the lease; after a pause between that check and the renewal, the lease was acquired anew, under a new term, and the pause counted as observation. Change: the terms before and after the step are compared.

--- a/steer/planner.go
+++ b/steer/planner.go
@@ -136,7 +136,7 @@
 // holds the lease. A holder that is no longer a candidate does not renew, so the lease expires.
 func (p *planner) runRound(ctx context.Context) {
 	now := p.d.clock()
-	_, wasHeld := p.keeper.Held(now)
+	termBefore, wasHeld := p.keeper.Held(now)
 	if !now.Before(p.nextStep) && candidate(p.d.self.VM, p.d.members.Snapshot().Live()) {
 		next, err := p.keeper.Step(ctx)
 		if err != nil {
@@ -147,7 +147,8 @@
 	}
 	now = p.d.clock()
 	term, held := p.keeper.Held(now)
-	if held != wasHeld {
+	// A new term also begins within one step, after a pause in which the lease ran out.
+	if held != wasHeld || held && term != termBefore {
 		level.Info(p.d.logger).Log("event", "lease", "held", held, "term", term)
 		p.heldSince, p.currentKnown = now, false
 	}
--- a/steer/successor_test.go
+++ b/steer/successor_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/lease"
 	"github.com/currantpier/currantpier/plan"
 	"github.com/currantpier/currantpier/relay"
 	"github.com/currantpier/currantpier/store"
@@ -113,3 +114,35 @@
 		t.Errorf("leaving %v, %d slots granted after the target has returned", leaving, slots)
 	}
 }
+
+// The steer process is paused right before it renews the lease. Guards against the pause counting as time in which it
+// observed the entries: slots of an entry that it has not heard of yet were then granted to others at once.
+func TestPauseBeforeRenewal(t *testing.T) {
+	c := newCluster(t)
+	d := c.daemon("e1")
+	var pause time.Duration
+	d.planner.keeper = lease.NewKeeper(c.client, "e1", 1, func() time.Time {
+		c.now = c.now.Add(pause)
+		pause = 0
+		return c.now
+	})
+	d.members.SetList(c.now, entryVMs())
+	round := func() (term ident.Term, held bool) {
+		d.planner.nextStep = time.Time{}
+		d.planner.runRound(c.Context())
+		return d.planner.keeper.Held(c.now)
+	}
+	first, _ := round()
+	since := d.planner.heldSince
+	c.now = c.now.Add(4 * time.Second)
+	if term, held := round(); !held || term != first || d.planner.heldSince != since {
+		t.Fatalf("held %v, term %d after %d: the lease is not renewed", held, term, first)
+	}
+	pause = time.Minute
+	if term, held := round(); !held || term == first {
+		t.Fatalf("held %v, term %d after %d; want a new term after the pause", held, term, first)
+	}
+	if observed := c.now.Sub(d.planner.heldSince); observed != 0 {
+		t.Errorf("the entries count as observed for %v at the start of a term", observed)
+	}
+}
