member: a pause of this process is no evidence that another VM is dead

Callers would see: an order whose outcome is unknown although its VM runs, and more requests at a target than it has slots. A steer or entry process found a VM dead (missing from the list, silent for 10 s) and was then paused for seconds; by the time it resumed the VM worked again.

Cause: the time since the last sign of a VM ran on during the pause, and the failed probes from before it still counted. Suspected VMs stay suspected.

--- a/member/member.go
+++ b/member/member.go
@@ -35,6 +35,9 @@
 	RecoveryProbesPerSecond = 11
 	// MaxProbesPerSecond is the largest number of VMs that ProbeTargets returns.
 	MaxProbesPerSecond = ProbesPerSecond + UndecidedProbesPerSecond + RecoveryProbesPerSecond
+	// maxRunInterval is the interval between two calls of ProbeTargets, which is called each second, from which the process
+	// counts as paused in between.
+	maxRunInterval = 5 * time.Second
 	// extraSpacing is the minimum time between additional probes of an undecided VM: the three failures that make it
 	// dead span DeadFailureSpan.
 	extraSpacing = DeadFailureSpan / (SuspectFailures - 1)
@@ -85,6 +88,8 @@
 	ring []*record
 	// listedAt is when the list was last read, firstListAt when it was first read; zero if never.
 	listedAt, firstListAt time.Time
+	// runAt is the time of the last call of ProbeTargets, zero before the first. resumedAt is the end of the last pause.
+	runAt, resumedAt time.Time
 	// listReads counts the lists read.
 	listReads uint64
 	// peersSecond is the second, since the Unix epoch, for which peers was chosen.
@@ -169,9 +174,9 @@
 }
 
 // forget reports whether a record is to be removed, and removes it from byName: that of a dead VM after DeadRetention,
-// and that of a VM which was never listed and has not answered for that time.
+// and that of a VM which was never listed and has not answered for that time. A pause of this process does not count.
 func (v *View) forget(r *record, now time.Time) bool {
-	expired := !r.missingSince.IsZero() && now.Sub(later(r.missingSince, r.answeredAt)) >= DeadRetention
+	expired := !r.missingSince.IsZero() && now.Sub(v.unseenSince(r)) >= DeadRetention
 	if !expired || r.member.VM == v.self || r.lastListRead != 0 && v.state(r, now) != Dead {
 		return false
 	}
@@ -263,7 +268,7 @@
 		return Suspected
 	case listed:
 		return Alive
-	case !self && r.failedForSpan():
+	case !self && r.failedForSpan() && !v.paused(now):
 		return Dead
 	case r.leaving || now.Sub(r.missingSince) >= MissingTimeout:
 		return Leaving
@@ -297,18 +302,46 @@
 		return false
 	}
 	limit := v.listedAt.Add(-MissingTimeout)
-	return !v.firstListAt.After(limit) && !time.Unix(0, int64(inc)).After(limit)
+	return !later(v.firstListAt, v.resumedAt).After(limit) && !time.Unix(0, int64(inc)).After(limit)
 }
 
 // SlotsReclaimable reports whether the slots of vm may be given to others: the VM is dead, and for MissingTimeout it has been
-// missing from the list and has not answered. For a VM without a record, lists must have been read without it for that
+// missing from the list and has not answered, while this process ran without a pause. For a VM without a record, lists must have been read without it for that
 // time.
 func (v *View) SlotsReclaimable(vm ident.VM, now time.Time) bool {
 	r, ok := v.byName[vm]
 	if !ok {
 		return v.wouldBeListed(0)
 	}
-	return v.state(r, now) == Dead && now.Sub(later(r.missingSince, r.answeredAt)) >= MissingTimeout
+	return v.state(r, now) == Dead && now.Sub(v.unseenSince(r)) >= MissingTimeout
+}
+
+// unseenSince returns the time since which a VM that is missing from the list has not been seen by this process, which has
+// run without a pause since then.
+func (v *View) unseenSince(r *record) time.Time {
+	return later(later(r.missingSince, r.answeredAt), v.resumedAt)
+}
+
+// paused reports whether this process has not run for so long that its evidence is out of date at now. The wall clock is
+// compared as well, since the monotonic clock stops while a VM is suspended.
+func (v *View) paused(now time.Time) bool {
+	elapsed := max(now.Sub(v.runAt), now.Round(0).Sub(v.runAt.Round(0)))
+	return !v.runAt.IsZero() && elapsed > maxRunInterval
+}
+
+// recordRun records that the process runs at now. After a pause, VMs must fail probes anew for DeadFailureSpan before they
+// are dead: each of them may have answered others meanwhile.
+func (v *View) recordRun(now time.Time) {
+	if v.paused(now) {
+		v.resumedAt = now
+		for _, r := range v.records {
+			if r.failures > 0 {
+				r.failures = min(r.failures, SuspectFailures)
+				r.firstFailureAt, r.lastFailureAt = now, now
+			}
+		}
+	}
+	v.runAt = now
 }
 
 // ListAge returns the time since the platform's list was last read, and false if it was never read.
@@ -321,6 +354,7 @@
 // the first ProbesPerSecond places in turn. The other places go to all VMs in turn. Additional VMs are returned only
 // while more than two are in doubt.
 func (v *View) ProbeTargets(now time.Time) []ident.VM {
+	v.recordRun(now)
 	if s := now.Unix(); s != v.peersSecond || v.peers == nil {
 		v.peersSecond = s
 		v.peers = make([]ident.VM, 0, ProbesPerSecond)
