share, sched, span: a suspension of the machine voids an entry's slots

Callers would see: more requests at a target than it has slots, after an entry VM was suspended for over a minute (moved to another host, or its host paused) and had been given up by the others meanwhile.

Cause: a pause of the control loop was measured by the monotonic clock, which stands still while the machine is suspended. The lease, and carry on the users' platform, compare the wall clock as well. A step of the wall clock costs one confirmation of the plan.

--- a/carry/pause.go
+++ b/carry/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/currantpier/currantpier/span"
 )
 
 const (
@@ -50,11 +52,8 @@
 	return cf.next
 }
 
-// ElapsedWithSuspend returns the time between two clock readings, including any suspension of the machine. During a
-// suspension the monotonic clock stands still while the wall clock advances, so the larger difference is used.
-func ElapsedWithSuspend(from, to time.Time) time.Duration {
-	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
-}
+// ElapsedWithSuspend returns the time between two clock readings, including any suspension of the machine.
+func ElapsedWithSuspend(from, to time.Time) time.Duration { return span.Elapsed(from, to) }
 
 // ConfirmSnapshot records that the snapshot is as current as the VM can determine. It must be called several times a second.
 // After a pause of the process, requests wait up to maxConfirmationWait for the next call.
--- a/member/member.go
+++ b/member/member.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/span"
 	"github.com/currantpier/currantpier/store"
 )
 
@@ -322,11 +323,9 @@
 	return later(later(r.missingSince, r.answeredAt), v.resumedAt)
 }
 
-// paused reports whether this process has not run for so long that its evidence is out of date at now. The wall clock is
-// compared as well, since the monotonic clock stops while a VM is suspended.
+// paused reports whether this process has not run for so long that its evidence is out of date at now.
 func (v *View) paused(now time.Time) bool {
-	elapsed := max(now.Sub(v.runAt), now.Round(0).Sub(v.runAt.Round(0)))
-	return !v.runAt.IsZero() && elapsed > maxRunInterval
+	return !v.runAt.IsZero() && span.Elapsed(v.runAt, now) > maxRunInterval
 }
 
 // recordRun records that the process runs at now. After a pause, VMs must fail probes anew for DeadFailureSpan before they
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -19,6 +19,7 @@
 	"github.com/currantpier/currantpier/route"
 	"github.com/currantpier/currantpier/share"
 	"github.com/currantpier/currantpier/shift"
+	"github.com/currantpier/currantpier/span"
 )
 
 const (
@@ -528,7 +529,7 @@
 // checkPause requests a confirmed plan if the gap since the last tick is so long that the grants are void. It repeats the
 // request at each tick until the plan is set.
 func (s *Scheduler) checkPause(now time.Time) {
-	if !s.state.lastTick.IsZero() && now.Sub(s.state.lastTick) > share.MaxLoopInterval {
+	if !s.state.lastTick.IsZero() && span.Elapsed(s.state.lastTick, now) > share.MaxLoopInterval {
 		s.state.awaitingPlan = true
 	}
 	s.state.lastTick = now
--- a/share/holder.go
+++ b/share/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/span"
 )
 
 // Loan is a slot that one entry lends to another for a single request.
@@ -146,7 +147,7 @@
 
 // Suspended reports whether the grants are suspended: before the first Apply, after a pause or because of SuspendForOldLoans.
 func (h *Holder) Suspended(now time.Time) bool {
-	h.suspended = h.suspended || now.Sub(h.lastBeat) > MaxLoopInterval
+	h.suspended = h.suspended || span.Elapsed(h.lastBeat, now) > MaxLoopInterval
 	return h.suspended || now.Before(h.suspendedUntil)
 }
 
