state, feed: after a pause, requests wait for readings of both tables that began after it

Callers would see requests run outside the present homes of their routes (HOME), or at targets that have left, by a VM that had just resumed after its process was stopped for seconds.

The configuration, which is larger, was still the old one. Ruled out: the forwarder's own detection; it waits for the next confirmation, whatever that shows. Why this works: each reading carries the time at which its call began. The wait ends when for each table a call has ended, with or without success, that began after the pause; the pause is checked before each input is applied.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -33,7 +33,8 @@
 	Compacted bool
 	// Era is the era in which the store answered.
 	Era ident.Era
-	// Begun is when the call began: changes that were written before it are in Rows.
+	// Begun is when the call began: changes that were written before it are in Rows. Zero for rows that are not the result of a
+	// call.
 	Begun time.Time
 }
 
--- a/state/apply.go
+++ b/state/apply.go
@@ -14,6 +14,7 @@
 // applyReading applies a reading and reports whether anything changed.
 func (s *State) applyReading(r reading) bool {
 	s.recordReachability(r)
+	s.pause.recordCall(&r)
 	if r.err == nil {
 		s.enterEra(r.at, r.rows.Era)
 	}
@@ -62,10 +63,6 @@
 // when it becomes unreachable or reachable again.
 func (s *State) recordReachability(r reading) {
 	ok := r.err == nil
-	if r.topic == Registry && !r.rows.Compacted {
-		// A failed call also ends the wait after a pause: newer data is not available. It is after a compaction.
-		s.resumedAt = time.Time{}
-	}
 	if r.topic == Registry && !ok {
 		s.view.RecordFailure()
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -114,9 +114,7 @@
 	// sharingVMs and quorum are the last logged number of VMs that share the limits and whether this VM has a quorum.
 	sharingVMs int
 	quorum     bool
-	// lastTick is the time of the last tick. resumedAt is the end of a pause of the process; zero if there was none or
-	// the registry was read after it.
-	lastTick, resumedAt time.Time
+	pause      pauseState
 	// behindSince is when this VM was first found to lack a change of the operators' table that a peer has announced;
 	// zero if it lacks none.
 	behindSince time.Time
@@ -234,6 +232,7 @@
 // tick updates what depends on time.
 func (s *State) tick(now time.Time) {
 	s.checkPause(now)
+	s.confirmSnapshot(now)
 	settled := s.settle(now)
 	if s.view.Tick(now) || settled {
 		s.publish(now)
@@ -255,34 +254,11 @@
 			s.requestRefresh()
 		}
 	}()
+	s.checkPause(s.cfg.Clock())
 	if apply() {
 		s.publish(now)
 	}
-	if s.resumedAt.IsZero() {
-		s.cfg.Forwarder.ConfirmSnapshot(now)
-	}
-}
-
-// pauseThreshold is the time between two ticks from which the process is considered to have been paused.
-const pauseThreshold = time.Second
-
-// checkPause requests a reading of both tables at once after a pause of the process. Otherwise it confirms to the
-// forwarder that the tables are followed.
-func (s *State) checkPause(now time.Time) {
-	gap := time.Duration(0)
-	if !s.lastTick.IsZero() {
-		gap = carry.ElapsedWithSuspend(s.lastTick, now)
-	}
-	s.lastTick = now
-	if gap >= pauseThreshold {
-		s.resumedAt = now
-		s.cfg.Log.Add(now, trace.Resumed, "gap", gap)
-		s.cfg.RegistryFollower.With(func(f *feed.Follower) { f.CallNow(now) })
-		s.requestRefresh()
-	}
-	if s.resumedAt.IsZero() {
-		s.cfg.Forwarder.ConfirmSnapshot(now)
-	}
+	s.confirmSnapshot(s.cfg.Clock())
 }
 
 // publish passes a snapshot of the state to the forwarder.
