--- a/carry/pause_test.go
+++ b/carry/pause_test.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 )
@@ -86,6 +89,43 @@
 	}
 }
 
+// Guards against a request that is written to its target by the configuration and registry from before a pause of the process,
+// because the pause began after the target was chosen, while a connection was being opened.
+func TestSendWaitsForConfirmationAfterPause(t *testing.T) {
+	target := fleet.Target{Entry: fleet.Entry{ID: "t", Service: "s"}}
+	before := &fleet.Snapshot{Config: &fleet.Config{Version: 1}, Targets: map[ident.Service][]fleet.Target{"s": {target}}}
+	for _, tt := range []struct {
+		name  string
+		after *fleet.Snapshot
+		want  error
+	}{
+		{"other homes in a newer configuration", &fleet.Snapshot{Config: &fleet.Config{Version: 2}, Targets: before.Targets}, errConfigChanged},
+		{"target withdrawn", &fleet.Snapshot{Config: before.Config}, errTargetWithdrawn},
+		{"unchanged", before, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newForwarder()
+				now := c.clock()
+				c.Update(now, before)
+				k := &call{Forwarder: c, r: newRequest(t), deadline: now.Add(time.Minute), choiceSnapshot: before}
+				c.ConfirmSnapshot(now.Add(-3 * time.Second))
+				sent := make(chan error, 1)
+				go func() {
+					_, err := k.build(context.Background(), target)
+					sent <- err
+				}()
+				synctest.Wait()
+				c.Update(now, tt.after)
+				c.ConfirmSnapshot(now)
+				if err := <-sent; !errors.Is(err, tt.want) {
+					t.Errorf("error %v, want %v", err, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against requests that wait although the process was not paused, or without bound during an outage of the
 // store.
 func TestPauseDetection(t *testing.T) {
