--- a/join/fetch.go
+++ b/join/fetch.go
@@ -16,13 +16,15 @@
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
+	"github.com/currantpier/currantpier/stall"
 	"github.com/currantpier/currantpier/trace"
 )
 
 const (
 	// requestDelay is how long a starting VM waits for the store before it requests the state of another VM.
 	requestDelay = 400 * time.Millisecond
-	// requestPause is the pause between two such requests, requestTimeout bounds one.
+	// requestPause is the pause between two such requests. requestTimeout bounds the time until a response begins, and then each
+	// pause in it.
 	requestPause   = 300 * time.Millisecond
 	requestTimeout = time.Second
 	// minCatchUpPause and maxCatchUpPause bound the pause between two requests of a VM that is cut off from the store.
@@ -223,8 +225,8 @@
 
 // fetch requests path from a VM and returns the checked response.
 func (a *StateFetcher) fetch(ctx context.Context, client *http.Client, i proto.VMInfo, path string) (*proto.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
+	guard, ctx := stall.New(ctx, requestTimeout, requestTimeout)
+	defer guard.Stop()
 	ip, _, err := net.SplitHostPort(i.PeerAddress)
 	if err != nil {
 		return nil, kinds.Wrap(kinds.Internal, err, "address of "+string(i.VM))
@@ -245,7 +247,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("%s responded with status %d", i.VM, resp.StatusCode)
 	}
-	b, err := readBody(resp)
+	b, err := readBody(guard.Answer(resp.Body), resp.ContentLength)
 	if err != nil {
 		return nil, errors.Wrapf(err, "response of %s", i.VM)
 	}
@@ -263,12 +265,12 @@
 
 // readBody reads the body of a response. An encoded message has no end of its own: one that is cut between two fields would be
 // decoded as a state with fewer rows. The body must have a length, therefore, and be complete.
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength < 0 || resp.ContentLength > maxStateBytes {
-		return nil, errors.Newf("body of %d bytes, limit %d; -1 stands for no length", resp.ContentLength, maxStateBytes)
+func readBody(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > maxStateBytes {
+		return nil, errors.Newf("body of %d bytes, limit %d; -1 stands for no length", length, maxStateBytes)
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, resp.ContentLength))
-	if err == nil && int64(len(b)) < resp.ContentLength {
+	b, err := io.ReadAll(io.LimitReader(body, length))
+	if err == nil && int64(len(b)) < length {
 		err = io.ErrUnexpectedEOF
 	}
 	return b, err
--- a/join/fetch_test.go
+++ b/join/fetch_test.go
@@ -1,6 +1,9 @@
 package join
 
 import (
+	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"math/rand"
 	"net"
@@ -8,8 +11,10 @@
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
@@ -115,8 +120,7 @@
 		{"at the limit", maxStateBytes, maxStateBytes, true},
 		{"over the limit", maxStateBytes + 1, maxStateBytes + 1, false},
 	} {
-		body := io.NopCloser(io.LimitReader(zeros{}, tt.sent))
-		b, err := readBody(&http.Response{Body: body, ContentLength: tt.length})
+		b, err := readBody(io.LimitReader(zeros{}, tt.sent), tt.length)
 		if (err == nil) != tt.ok || tt.ok && int64(len(b)) != tt.length {
 			t.Errorf("%s: %d bytes, error %v", tt.name, len(b), err)
 		}
@@ -130,3 +134,46 @@
 	clear(p)
 	return len(p), nil
 }
+
+// Simulates a state of 900 KB on a link that passes 600 KB/s. Guards against a bound on the time of a whole response: a VM that
+// the store refuses never had a large configuration, and served an earlier one with other homes.
+func TestLargeStateOverSlowLink(t *testing.T) {
+	want := proto.Message{From: proto.VMInfo{VM: "b"}, Registry: &proto.RegistryDelta{Full: true, Version: 5},
+		OperatorChange: &proto.OperatorDelta{Full: true, Version: 4, Rows: []feed.Row{{Key: "config", Value: make([]byte, 900_000), Version: 4}}}}
+	body := want.Append(nil)
+	synctest.Test(t, func(t *testing.T) {
+		served := make(chan struct{})
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+			DialContext: func(context.Context, string, string) (net.Conn, error) {
+				ours, theirs := net.Pipe()
+				go func() {
+					defer close(served)
+					defer func() { _ = theirs.Close() }()
+					sendSlowly(theirs, body)
+				}()
+				return ours, nil
+			}}}
+		now := time.Now()
+		view := peers.NewView(now, proto.VMInfo{VM: "a"}, nil, rand.NewSource(1))
+		f := &StateFetcher{Peers: peers.NewService(view, nil, nil, time.Now, func(any) {})}
+		m, err := f.fetch(context.Background(), client, proto.VMInfo{VM: "b", PeerAddress: "127.0.0.1:1"}, StatePath)
+		if err != nil || len(m.OperatorChange.Rows[0].Value) != 900_000 {
+			t.Errorf("error %v after %v", err, time.Since(now))
+		}
+		<-served
+	})
+}
+
+// sendSlowly reads a request from nc and responds with body at 600 KB/s.
+func sendSlowly(nc net.Conn, body []byte) {
+	if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+		return
+	}
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+	for len(body) > 0 && err == nil {
+		time.Sleep(20 * time.Millisecond)
+		n := min(12_000, len(body))
+		_, err = nc.Write(body[:n])
+		body = body[n:]
+	}
+}
