state, proto: a confirmation of the operators' table holds only for VMs that have what its sender doesn't know

Callers of some VMs would see a failure domain unused long after its evacuation has ended: these VMs kept the evacuation, had an older table than they thought, and never asked for the change.

Cause: the first VMs of a region confirm to the others that the operators' table has no changes up to a version. A full reading, as after a pause or when the store has compacted its history, has no rows that were removed, so a VM that found out about a removal by one announced nothing newer than before, and confirmed all the same. A receiver that still had the row took the confirmation for its own rows, and its next call asked for the changes after it. Ruled out for configurations: their row is never removed, so a full reading has its version. Why this works: a confirmation says from which version on its sender knows all changes, which is that of its last full reading. A VM that is not as far reads the changes itself, or asks other VMs if it can't, and is confirmed from there on. The way not taken, to announce the version of the full reading, makes all VMs read the table in full, once for each VM that finds out this way. The cost is one call by each VM of a region after a full reading of one of its first two. A VM of an older build ignores the new field, and its own confirmations are taken as before.

--- a/proto/codec.go
+++ b/proto/codec.go
@@ -49,6 +49,7 @@
 	registryRow
 	registryOperatorVersion
 	registryFull
+	registryOperatorSince
 )
 
 // Field numbers of an OperatorDelta and, below, of its rows.
@@ -161,7 +162,8 @@
 		b = appendMessage(b, registryRow, appendRow(nil, &n.Rows[i]))
 	}
 	b = appendUint(b, registryOperatorVersion, uint64(n.OperatorVersion))
-	return appendBool(b, registryFull, n.Full)
+	b = appendBool(b, registryFull, n.Full)
+	return appendUint(b, registryOperatorSince, uint64(n.OperatorSince))
 }
 
 func appendOperatorDelta(b []byte, c *OperatorDelta) []byte {
@@ -359,6 +361,8 @@
 			n.Rows = append(n.Rows, r)
 		case registryOperatorVersion:
 			n.OperatorVersion = ident.Version(x.num)
+		case registryOperatorSince:
+			n.OperatorSince = ident.Version(x.num)
 		case registryFull:
 			n.Full = x.num != 0
 		}
--- a/proto/message.go
+++ b/proto/message.go
@@ -66,6 +66,9 @@
 	Rows []fleet.Row
 	// OperatorVersion is the version up to which the sender has read the operators' table; zero if it can't reach the table.
 	OperatorVersion ident.Version
+	// OperatorSince is the version from which on the sender knows all changes of that table, also removals; zero if it is not
+	// stated.
+	OperatorSince ident.Version
 	// Full says that Rows is the whole registry.
 	Full bool
 }
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -120,7 +120,7 @@
 		delta.After, delta.Version, delta.Rows = after, s.applied[Registry], rows
 	}
 	if !s.unreachable[Operator] && s.longPolls() {
-		delta.OperatorVersion = s.applied[Operator]
+		delta.OperatorVersion, delta.OperatorSince = s.applied[Operator], s.operatorSince
 	}
 	s.cfg.Peers.Broadcast(delta, nil)
 }
@@ -150,7 +150,7 @@
 }
 
 func (s *State) applyRegistryDelta(now time.Time, n *proto.RegistryDelta) bool {
-	s.confirmOperator(now, n.OperatorVersion)
+	s.confirmOperator(now, n.OperatorSince, n.OperatorVersion)
 	if n.Version == 0 {
 		return false
 	}
@@ -195,12 +195,18 @@
 	return accepted
 }
 
-// confirmOperator handles a peer's confirmation that it has followed the operators' table up to a version. If no change
-// newer than the applied ones is known, nothing has changed up to that version.
-func (s *State) confirmOperator(now time.Time, version ident.Version) {
+// confirmOperator handles a peer's confirmation that it has followed the operators' table from one version up to another. If no
+// change newer than the applied ones is known, nothing has changed up to that version. What was removed before the first of them
+// the peer doesn't know and announces to nobody.
+func (s *State) confirmOperator(now time.Time, since, version ident.Version) {
 	if version == 0 || s.operatorRows == nil {
 		return
 	}
+	if since > s.applied[Operator] {
+		s.missedOperator = max(s.missedOperator, since)
+		s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.RequestCatchUp(now, since) })
+		return
+	}
 	if version.Era() != s.applied[Operator].Era() {
 		s.cfg.OperatorFollower.With(func(f *feed.Follower) { f.RequestCatchUp(now, version) })
 		return
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -21,13 +21,20 @@
 // that change again.
 func (s *State) shouldQueryPeers() bool {
 	first := s.group.rank <= catchUpMaxRank
-	return s.unreachable[Operator] && (first || !s.behindSince.IsZero()) ||
-		s.unreachable[Registry] && (first || s.missedRegistry > s.applied[Registry])
+	return s.unreachable[Operator] && (first || s.lacks(Operator)) || s.unreachable[Registry] && (first || s.lacks(Registry))
+}
+
+// lacks reports whether this VM knows of a change of a table that it lacks, or may lack.
+func (s *State) lacks(t Topic) bool {
+	if t == Operator {
+		return !s.behindSince.IsZero() || s.missedOperator > s.applied[Operator]
+	}
+	return s.missedRegistry > s.applied[Registry]
 }
 
 // lacksChange reports whether this VM knows of a change of a table that it can't read from the store.
 func (s *State) lacksChange() bool {
-	return s.unreachable[Operator] && !s.behindSince.IsZero() || s.unreachable[Registry] && s.missedRegistry > s.applied[Registry]
+	return s.unreachable[Operator] && s.lacks(Operator) || s.unreachable[Registry] && s.lacks(Registry)
 }
 
 // lacksConfig reports whether a peer has a newer configuration in force than this VM, which the store can't supply: it is out
@@ -134,6 +141,7 @@
 	if s.group.rank <= catchUpMaxRank && len(rows) <= maxRegistryDeltaRows {
 		s.cfg.Peers.Broadcast(&proto.RegistryDelta{
 			From: s.cfg.Self.VM, After: lastSent, Version: n.Version, Rows: rows, OperatorVersion: s.applied[Operator],
+			OperatorSince: s.operatorSince,
 		}, nil)
 	}
 	return len(changed) > 0
--- a/state/state.go
+++ b/state/state.go
@@ -121,8 +121,14 @@
 	// configBehindSince is when this VM was first found to have an older configuration in force than a peer; zero if it has
 	// not. operatorReadBegun is when the last full reading of the operators' table began.
 	configBehindSince, operatorReadBegun time.Time
+	// operatorSince is the version from which on this VM knows all changes of the operators' table, also removals: that of the
+	// last full reading. Rows that were removed before it are unknown.
+	operatorSince ident.Version
 	// missedRegistry is the newest version of the registry after which a peer's delta was rejected because of a gap.
 	missedRegistry ident.Version
+	// missedOperator is the newest version of the operators' table up to which a peer doesn't know what was removed since the
+	// version applied here.
+	missedOperator ident.Version
 	// usableTargets is the number of targets in the last snapshot.
 	usableTargets int
 	// summary is what Dump returns.
