--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
@@ -208,3 +209,47 @@
 		t.Errorf("%d full readings ended, want 2: the first one and one after a refresh", readings)
 	}
 }
+
+// answerAtRefresh is a table whose changes arrive at the moment at which the call for them is cancelled. It counts full readings.
+type answerAtRefresh struct {
+	full int
+	stop context.CancelFunc
+}
+
+func (a *answerAtRefresh) Read(context.Context) (Rows, error) {
+	if a.full++; a.full == 2 {
+		a.stop()
+	}
+	return Rows{Full: true, Version: 5}, nil
+}
+
+func (a *answerAtRefresh) Changes(ctx context.Context, after ident.Version, _ time.Duration) (Rows, error) {
+	<-ctx.Done()
+	return Rows{Version: after + 1}, nil
+}
+
+// Guards against a refresh that is lost because changes arrive at the same moment, as when a process resumes that was paused with a
+// call open: the full reading that requests wait for would not begin before the next call for changes has ended.
+func TestRefreshIsNotLostToChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		table := &answerAtRefresh{stop: cancel}
+		f := NewSyncFollower(NewFollower(0, 20*time.Second, rand.NewSource(1)))
+		f.With(func(f *Follower) { f.SetRank(time.Now(), 0) })
+		refresh := make(chan struct{}, 1)
+		var read []ident.Version
+		sink := func(_ time.Time, rows Rows, _ error) {
+			if read = append(read, rows.Version); len(read) == 1 {
+				refresh <- struct{}{}
+			}
+		}
+		start := time.Now()
+		if err := Run(ctx, table, f, sink, refresh, time.Now); err != nil || table.full != 2 || time.Since(start) > time.Second {
+			t.Errorf("error %v, %d full readings within %v, versions %v; want 2 at once", err, table.full, time.Since(start), read)
+		}
+		if len(read) != 2 || read[1] != 6 {
+			t.Errorf("versions %v, want 5 and 6: the changes that arrived are used", read)
+		}
+	})
+}
