state: what a full reading of the operators' table has changed is told to the region

Callers of most VMs of a region were served by the old configuration, also outside the new homes (HOME), up to 1.2 s longer than by the VMs that read for the region.

Cause: the first two VMs of a region send on what they read as changes, but not what they find out by a full reading: after their process was paused, after an outage, or when the store has compacted its history. The others heard of it from heartbeats, waited 0.4 s for the change, and then each read the table. Why this works: the whole table is sent, if it fits into a datagram, and replaces that of each VM that is not further, whatever it has missed, removals included. Sent as changes, it would lack those that came and went in between. Nothing is sent if nothing has changed, nor across eras of the store, as before. A VM of an older build finds a gap and reads the table.

--- a/state/apply.go
+++ b/state/apply.go
@@ -26,8 +26,9 @@
 		return false
 	}
 	if r.topic == Operator {
+		startsEra := s.startsEra(r)
 		changed := s.applyOperator(r)
-		s.broadcastOperator(r)
+		s.broadcastOperator(r, changed && !startsEra)
 		return changed
 	}
 	return s.applyRegistry(r)
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -125,16 +125,22 @@
 	s.cfg.Peers.Broadcast(delta, nil)
 }
 
-// broadcastOperator sends the group the changes that this VM has read from the operators' table.
-func (s *State) broadcastOperator(r reading) {
+// broadcastOperator sends the group the changes that this VM has read from the operators' table, or the whole table if a full
+// reading has changed anything within the era: which rows were removed, and when, is not known then. To a VM of a build that takes the whole table
+// for changes, it looks like changes after a gap.
+func (s *State) broadcastOperator(r reading, changed bool) {
 	size := 0
 	for _, row := range r.rows.Rows {
 		size += len(row.Key) + len(row.Value)
 	}
-	if s.group.rank > operatorBroadcastMaxRank || r.rows.Full || size == 0 || size > maxOperatorDeltaBytes {
+	if s.group.rank > operatorBroadcastMaxRank || r.rows.Full && !changed || size == 0 || size > maxOperatorDeltaBytes {
 		return
 	}
-	s.cfg.Peers.Broadcast(nil, &proto.OperatorDelta{After: r.rows.After, Version: r.rows.Version, Rows: r.rows.Rows})
+	delta := &proto.OperatorDelta{After: r.rows.After, Version: r.rows.Version, Rows: r.rows.Rows, Full: r.rows.Full}
+	if delta.Full {
+		delta.After = delta.Version
+	}
+	s.cfg.Peers.Broadcast(nil, delta)
 }
 
 // applyPeerMessage applies the deltas that another VM has read, and reports whether anything changed.
@@ -169,10 +175,15 @@
 }
 
 func (s *State) applyOperatorDelta(now time.Time, c *proto.OperatorDelta) bool {
-	if !s.acceptDelta(now, s.cfg.OperatorFollower, Operator, c.After, c.Version) {
+	after := c.After
+	if c.Full {
+		after = 0 // the whole table continues any version
+	}
+	if !s.acceptDelta(now, s.cfg.OperatorFollower, Operator, after, c.Version) {
 		return false
 	}
-	r := reading{at: now, topic: Operator, source: fromPeerDelta, rows: feed.Rows{Rows: c.Rows, After: c.After, Version: c.Version}}
+	r := reading{at: now, topic: Operator, source: fromPeerDelta,
+		rows: feed.Rows{Rows: c.Rows, After: after, Version: c.Version, Full: c.Full}}
 	s.recordReachability(r)
 	return s.applyOperator(r)
 }
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -119,7 +119,7 @@
 	// The rows of a table do not include its removals, which count as changes as well.
 	s.operatorVersion = max(s.operatorVersion, newest)
 	changed := s.applyOperator(r)
-	s.broadcastOperator(r)
+	s.broadcastOperator(r, changed && !r.rows.Full)
 	return changed
 }
 
--- a/state/removal_test.go
+++ b/state/removal_test.go
@@ -35,7 +35,8 @@
 	receive := func(s *State) {
 		s.group.rank = 5
 		for _, m := range sent.messages {
-			m.From.VM = "other" // all states of the test have the same name, and a VM ignores its own messages
+			m.OperatorChange = nil // that datagram is lost
+			m.From.VM = "other"    // all states of the test have the same name, and a VM ignores its own messages
 			s.cfg.Peers.With(func(v *peers.View) { v.Receive(now, m) })
 			s.applyPeerMessage(now, m)
 		}
