--- a/feed/feed.go
+++ b/feed/feed.go
@@ -343,7 +343,7 @@
 			return nil
 		}
 		now := clock()
-		if refreshed && err != nil {
+		if refreshed {
 			f.With(func(f *Follower) { f.RequestFullRead(now) })
 		}
 		if refreshed && err != nil {
@@ -352,10 +352,6 @@
 		rows.After, rows.Begun = step.After, begun
 		f.With(func(f *Follower) { f.RecordResult(now, begun, rows, err) })
 		sink(now, rows, err)
-		if refreshed {
-			// The changes arrived just before the refresh was requested.
-			f.With(func(f *Follower) { f.RequestFullRead(now) })
-		}
 	}
 	return nil
 }
