--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -360,3 +360,42 @@
 		t.Error("the state doesn't count as up to date after a full reading")
 	}
 }
+
+// Guards against targets that are lost on a VM which got the new era from another VM before it has read the restored registry itself:
+// the copy lacks what targets have written since, whoever was first to read it.
+func TestRegistryOfCopyAfterPeerState(t *testing.T) {
+	now := time.Unix(1000, 0)
+	young := readingOf(now, Registry, 5, 9, false, "young")
+	elsewhere, _ := configState(now)
+	cut, _ := configState(now)
+	elsewhere.applyReading(young)
+	cut.applyReading(young)
+	reading := func(now time.Time, version ident.Version) reading {
+		r := readingOf(now, Registry, 9, version, true, "t1")
+		r.rows.Era = 2
+		return r
+	}
+	elsewhere.applyReading(restoredReading(now, 3, configRow("1", inEra(3))))
+	elsewhere.applyReading(reading(now, inEra(4)))
+	cut.applyReading(readingError(now, Registry))
+	cut.applyPeerState(now, elsewhere.fullState(now))
+	later := now.Add(100 * time.Millisecond)
+	cut.applyReading(reading(later, inEra(5)))
+	if got := registered(cut, later); !got["young"] || cut.applied[Registry] != inEra(5) {
+		t.Errorf("targets %v, applied %s: a target that the copy lacks is gone before it could write again", got, cut.applied[Registry])
+	}
+	// It is gone if it doesn't.
+	later = later.Add(fleet.RegistryGrace)
+	cut.view.Tick(later)
+	if got := registered(cut, later); got["young"] {
+		t.Errorf("targets %v: a target that the store has lost stays", got)
+	}
+	cut.applyReading(reading(later, inEra(6)))
+	if got := registered(cut, later); got["young"] || !got["t1"] {
+		t.Errorf("targets %v after a later reading", got)
+	}
+}
+
+func readingError(now time.Time, topic Topic) reading {
+	return reading{at: now, topic: topic, err: errUnreachable}
+}
