state: a VM doesn't adopt a lost row that it knows to have ended

Callers of a VM would have been kept from the targets of a failure domain whose evacuation had ended, and these targets would have counted as cold afterwards, each time the VM asked another one for the configuration that a restored store has lost.

Cause: the answer has the rows that the answering VM still has in force, and every row that the store lacks was taken, also one whose end this VM has seen: before the restore, after it was written again, or with its own settle time. Each answer also began the settle time anew. Evidence: TestLostRowThatEndedIsNotAdopted on, in all three cases: 'the settle time ends 1s later', 'evacuations [a1], want none'. Found by reading. Why this works: a VM remembers the rows that were removed, now also those that ended with the settle time, and takes a lost row only if it has neither that row nor a later end of it. A VM that starts knows no such end and takes it as before.

--- a/state/catchup.go
+++ b/state/catchup.go
@@ -59,7 +59,7 @@
 		case c == nil:
 		case c.Config != nil:
 			changed = s.adoptConfig(now, c, row) || changed
-		case row.Version.Era() < s.applied[Operator].Era() && s.operatorRows[row.Key].Key == "":
+		case row.Version.Era() < s.applied[Operator].Era() && s.operatorRows[row.Key].Key == "" && !s.restore.knowsLost(row):
 			lost = append(lost, row)
 		}
 	}
--- a/state/restore.go
+++ b/state/restore.go
@@ -25,7 +25,8 @@
 type restoreState struct {
 	// settlesAt is the end of the settle time, zero if the store has settled.
 	settlesAt time.Time
-	// removed has, by key, the version of the last row before its removal.
+	// removed has, by key, the version of the last row before its removal, or before the end of the settle time in which it was
+	// not written again.
 	removed map[string]ident.Version
 	// config is the row of the configuration in force.
 	config feed.Row
@@ -54,6 +55,12 @@
 	}
 }
 
+// knowsLost reports whether a row that the store has lost is known already: it is in force, or has ended.
+func (r *restoreState) knowsLost(row feed.Row) bool {
+	_, ok := r.lost[row.Key]
+	return ok || r.removed[row.Key] >= row.Version
+}
+
 // settling reports whether the store may still lack what the operators will write again.
 func (r *restoreState) settling(now time.Time) bool { return now.Before(r.settlesAt) }
 
@@ -169,6 +176,9 @@
 	if s.restore.settlesAt.IsZero() || s.restore.settling(now) {
 		return false
 	}
+	for key, row := range s.restore.lost {
+		s.restore.removed[key] = row.Version
+	}
 	s.restore.settlesAt, s.restore.lost = time.Time{}, nil
 	r := reading{at: now, topic: Operator, source: fromStore, rows: feed.Rows{Full: true, Version: s.applied[Operator]}}
 	for _, row := range s.operatorRows {
--- a/state/restore_start_test.go
+++ b/state/restore_start_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/ident"
 )
 
 // Guards against a VM that starts after a restore, gets another VM's state, and sends requests to targets of a failure domain under
@@ -92,3 +93,47 @@
 		check("settled", writtenAgain)
 	}
 }
+
+// Guards against an evacuation that begins anew on a VM that knows that it has ended, since a VM that still has the lost row, and that
+// it asked for the configuration, gives it the row as well; and against a settle time that each such answer extends.
+func TestLostRowThatEndedIsNotAdopted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a1 := feed.Row{Key: "evacuate/a1", Version: 20}
+	removed := func(v ident.Version) feed.Row { return feed.Row{Key: a1.Key, Version: v, Removed: true} }
+	write := func(s *State, rows ...feed.Row) {
+		for _, row := range rows {
+			change := readingOf(now, Operator, s.applied[Operator], row.Version, false)
+			change.rows.Rows, change.rows.Era = []feed.Row{row}, row.Version.Era()
+			s.applyReading(change)
+		}
+	}
+	for _, tt := range []struct {
+		name          string
+		before, after []feed.Row
+	}{
+		{"ended before the restore", []feed.Row{removed(21)}, nil},
+		{"written again and ended", nil, []feed.Row{{Key: a1.Key, Version: inEra(4)}, removed(inEra(5))}},
+		{"not written again", nil, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			behind, _ := configState(now)
+			write(behind, a1)
+			behind.applyReading(restoredReading(now, 3))
+			s, _ := configState(now)
+			write(s, a1)
+			write(s, tt.before...)
+			s.applyReading(restoredReading(now, 3))
+			write(s, tt.after...)
+			settlesAt := s.restore.settlesAt
+			s.applyPeerState(now.Add(time.Second), behind.respond(now, stateRequest{departures: true}))
+			if !s.restore.settlesAt.Equal(settlesAt) {
+				t.Errorf("the settle time ends %v later", s.restore.settlesAt.Sub(settlesAt))
+			}
+			s.settle(now.Add(settleTime))
+			s.applyPeerState(now.Add(settleTime), behind.respond(now, stateRequest{departures: true}))
+			if len(s.view.Evacuated()) > 0 {
+				t.Errorf("evacuations %v, want none", s.view.Evacuated())
+			}
+		})
+	}
+}
