state: readers tell their region of departures that are written again after a restore

A VM that started from the copy used a target that had left, or was leaving, for good: until its next full reading.

Cause: the reader of the registry sends what changed for itself. It knew the departure from before the restore, so the removal or the announcement that was written again was no change, and its messages went from version to version without it. The new test before the fix, for a removal and an announcement: 'the reader uses map[], the VM that started map[t1:true]'. Why it works: each removal in a reading of changes is told, and while a restore is recent each entry of a target that is leaving, whether or not it is a change for the reader. Removals are rare; the second part is limited to the time after a restore because a draining target writes each heartbeat.

--- a/state/apply.go
+++ b/state/apply.go
@@ -176,19 +176,19 @@
 	}
 	s.advance(Registry, r.rows.After, r.rows.Version, r.rows.Full)
 	s.logTargets(r.at, changed)
-	s.broadcastRegistry(r, append(changed, rewrittenTargets(r.rows.Rows)...))
+	s.broadcastRegistry(r, append(changed, s.ceasedTargets(r.at, in.Rows)...))
 	return len(changed) > 0 || r.rows.Full
 }
 
-// rewrittenTargets returns the targets whose entries were removed and written again in one reading.
-func rewrittenTargets(rows []feed.Row) []ident.Target {
-	removed := map[string]bool{}
+// ceasedTargets returns the targets of changes whose entries were removed, or written again after that. While a restore is recent,
+// it also returns those that are leaving: targets write again what the copy lacks, and to this VM, which knew it, that is no change.
+func (s *State) ceasedTargets(now time.Time, rows []fleet.Row) []ident.Target {
+	recent := now.Before(s.restore.registrySettlesAt.Add(fleet.RegistryGrace))
 	var ids []ident.Target
-	for _, r := range rows {
-		if !r.Removed && removed[r.Key] {
-			ids = append(ids, ident.Target(r.Key))
+	for i := range rows {
+		if rows[i].Removed || recent && !rows[i].Ready {
+			ids = append(ids, rows[i].ID)
 		}
-		removed[r.Key] = r.Removed
 	}
 	return ids
 }
