fleet: a lapsed entry in another VM's state does not bring back a target that was removed

A VM that had been told of a removal took the state of one that still waited for the target to write again, and used the target for another 2.1 s. Cause: rows marked as lapsed were applied before the check against removals that are known. Change: they are subject to it, as all entries in the settle time are.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -203,14 +203,14 @@
 	rows, order := r.lastRows()
 	var changed, removed []ident.Target
 	for _, id := range order {
-		if rows[id].Removed {
+		row := rows[id]
+		if row.Removed {
 			removed = append(removed, id)
-			if r.Full && rows[id].Lapsed && v.applyEntry(now, rows[id].Entry) {
-				changed = append(changed, id)
-			}
-		} else if r.Restored && v.outdated(now, &rows[id].Entry) {
+		}
+		if row.Removed && !(r.Full && row.Lapsed) || (r.Restored || row.Lapsed) && v.outdated(now, &row.Entry) {
 			continue
-		} else if v.applyEntry(now, rows[id].Entry) {
+		}
+		if v.applyEntry(now, row.Entry) {
 			changed = append(changed, id)
 		}
 	}
@@ -246,8 +246,9 @@
 	return changed
 }
 
-// outdated reports whether an entry of a restored store is older than what is known of the target: a newer entry or, whatever the
-// sequence, its removal. VMs know few heartbeats of a target before its removal, and the copy may have a later one.
+// outdated reports whether an entry of a restored store, or one that has lapsed, is older than what is known of the target: a newer
+// entry or, whatever the sequence, its removal. VMs know few heartbeats of a target before its removal, and the copy may have a
+// later one.
 func (v *View) outdated(now time.Time, e *Entry) bool {
 	r := v.records[e.ID]
 	if r == nil || e.StartedUnixMS > r.StartedUnixMS {
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -297,6 +297,17 @@
 			other.applyReading(restored(5))
 			s.applyPeerState(now, other.fullState(now))
 		}},
+		{"state of a VM that waits for the target to write again", func(s *State) {
+			s.recordReachability(reading{at: now, topic: Registry, err: errUnreachable})
+			other, _ := newTestState(now)
+			other.applyReading(restoredReading(now, 3, configRow("1", inEra(3))))
+			other.applyReading(restored(5))
+			other.view.RecordFailure()
+			lapsed := restored(6)
+			lapsed.rows.Rows = lapsed.rows.Rows[1:]
+			other.applyReading(lapsed)
+			s.applyPeerState(now, other.fullState(now))
+		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s, _ := configState(now)
