--- a/state/model_test.go
+++ b/state/model_test.go
@@ -725,7 +725,7 @@
 	}
 	if m.Registry != nil {
 		n := *m.Registry
-		n.After, n.Version, n.OperatorVersion, n.OperatorAfter = number(n.After), number(n.Version), number(n.OperatorVersion), 0
+		n.After, n.Version, n.OperatorVersion, n.OperatorSince = number(n.After), number(n.Version), number(n.OperatorVersion), 0
 		m.Registry = &n
 	}
 	return &m
