state, fleet: readers also tell of targets that restarted, and write again after a restore

A VM that started from the copy kept a target's earlier start, with the address it had then, for good. Why it works: when it reads the restored registry, a VM notes the targets of which the copy has another start, place, size or state than it knows, and tells of the first write of each. The model also checks that no evacuation starts or ends again in the settle time, and delays answers in times of noise.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -85,8 +85,10 @@
 	outage, firstAfterOutage bool
 	// graceUntil is the time until which entries may be missing only because of an outage of the store.
 	graceUntil time.Time
-	// withheld is set if the last restored reading had entries of targets that were removed before.
-	withheld bool
+	// withheld are the targets of whose entries in a restored store this VM knows other ones, since the last call of Withheld.
+	// withheldRemoved is set if one of them was removed.
+	withheld        []ident.Target
+	withheldRemoved bool
 	// nextTick is the time of the next change that needs no reading, zero if there is none.
 	nextTick time.Time
 }
@@ -255,16 +257,23 @@
 		return false
 	}
 	gone := !r.missingSince.IsZero() && !r.usable(now)
-	v.withheld = v.withheld || gone
-	return gone || e.older(&r.Entry)
+	if !gone && !e.older(&r.Entry) {
+		return false
+	}
+	if gone || r.leaving == e.Ready || r.differs(e) {
+		v.withheld = append(v.withheld, e.ID)
+		v.withheldRemoved = v.withheldRemoved || gone
+	}
+	return true
 }
 
-// Withheld reports whether a restored store had entries of targets that were removed before, since the last call. A target that
-// writes again nevertheless is found by a full reading once the others' entries have been removed again.
-func (v *View) Withheld() bool {
-	withheld := v.withheld
-	v.withheld = false
-	return withheld
+// Withheld returns the targets of which a restored store had other entries than this VM knows, since the last call, and whether one of
+// them was removed. What these targets write again is no change for this VM, but is one for a VM that knows only the copy. If a
+// removed one writes again, a full reading finds it once the entries of the others have been removed again.
+func (v *View) Withheld() (ids []ident.Target, removed bool) {
+	ids, removed = v.withheld, v.withheldRemoved
+	v.withheld, v.withheldRemoved = nil, false
+	return ids, removed
 }
 
 // Lapsed reports whether the entry of a target is missing while the target is still usable.
@@ -304,8 +313,7 @@
 		return false
 	}
 	restarted := e.StartedUnixMS != r.StartedUnixMS || e.Sequence < r.Sequence
-	changed := restarted || !r.missingSince.IsZero() || e.Ready != r.Ready || e.Address != r.Address || e.Slots != r.Slots ||
-		e.Service != r.Service || e.Place != r.Place
+	changed := restarted || !r.missingSince.IsZero() || e.Ready != r.Ready || r.differs(&e)
 	r.missingSince = time.Time{}
 	r.leaving = !e.Ready || r.leaving && !restarted
 	until := coldUntil(now, &e)
@@ -320,6 +328,11 @@
 	return changed
 }
 
+// differs reports whether e is of another start of the target, or describes another place or size.
+func (r *record) differs(e *Entry) bool {
+	return e.StartedUnixMS != r.StartedUnixMS || e.Address != r.Address || e.Slots != r.Slots || e.Service != r.Service || e.Place != r.Place
+}
+
 // supersededBy reports whether e replaces the entry of the record. After its removal, an entry is replaced only by a newer
 // heartbeat, not by the same one.
 func (r *record) supersededBy(now time.Time, e *Entry) bool {
--- a/state/apply.go
+++ b/state/apply.go
@@ -168,26 +168,26 @@
 		}
 		in.Rows = append(in.Rows, out)
 	}
-	var changed []ident.Target
+	var changed, retold []ident.Target
 	if r.rows.Full {
 		changed = s.applyFullRegistry(r.at, s.applied[Registry], r.rows.Version, in)
 	} else {
-		changed = s.view.Apply(r.at, in)
+		changed, retold = s.view.Apply(r.at, in), s.retoldTargets(in.Rows)
 	}
 	s.advance(Registry, r.rows.After, r.rows.Version, r.rows.Full)
 	s.logTargets(r.at, changed)
-	s.broadcastRegistry(r, append(changed, s.ceasedTargets(r.at, in.Rows)...))
+	s.broadcastRegistry(r, append(changed, retold...))
 	return len(changed) > 0 || r.rows.Full
 }
 
-// ceasedTargets returns the targets of changes whose entries were removed, or written again after that. While a restore is recent,
-// it also returns those that are leaving: targets write again what the copy lacks, and to this VM, which knew it, that is no change.
-func (s *State) ceasedTargets(now time.Time, rows []fleet.Row) []ident.Target {
-	recent := now.Before(s.restore.registrySettlesAt.Add(fleet.RegistryGrace))
+// retoldTargets returns the targets of changes that other VMs are told of even if nothing changed here: those whose entries were
+// removed, or written again after that, and those of which a VM that started since the store was restored has another entry.
+func (s *State) retoldTargets(rows []fleet.Row) []ident.Target {
 	var ids []ident.Target
 	for i := range rows {
-		if rows[i].Removed || recent && !rows[i].Ready {
+		if rows[i].Removed || s.restore.copied[rows[i].ID] {
 			ids = append(ids, rows[i].ID)
+			delete(s.restore.copied, rows[i].ID)
 		}
 	}
 	return ids
--- a/state/convergence_test.go
+++ b/state/convergence_test.go
@@ -70,6 +70,7 @@
 	case "evacuate":
 		d := modelDomains[f.vm%len(modelDomains)]
 		w.evacuated[d] = !w.evacuated[d]
+		w.toggles[d]++
 		w.operatorWrites[evacuationPrefix+d] = w.now
 		return w.now
 	case "register":
@@ -162,7 +163,8 @@
 		fail("a VM that starts gets configuration %s, in force is %d", got, v.config)
 	}
 	v.checkTargets(fail)
-	if s.applied == v.lastApplied || w.old && s.applied[Operator].Era() < w.store.era {
+	v.checkEvacuations(fail)
+	if s.applied == v.lastApplied || w.old && min(s.applied[Operator].Era(), s.applied[Registry].Era()) < w.store.era {
 		return // a VM that does not know of the restore yet takes changes of the old build for those of the lost history
 	}
 	v.lastApplied = s.applied
@@ -190,6 +192,28 @@
 	}
 }
 
+// checkEvacuations fails if an evacuation starts or ends on a VM that has seen the operators' last write of it, before the settle time
+// after the first reading of a restored store has ended.
+func (v *modelVM) checkEvacuations(fail func(format string, args ...any)) {
+	w := v.w
+	if era := v.s.applied[Operator].Era(); era > v.era {
+		v.era, v.eraSince = era, w.now
+	}
+	now := v.evacuated()
+	for _, d := range modelDomains {
+		if now[d] == v.evacuations[d] {
+			continue
+		}
+		if v.seen[d] == w.toggles[d] && w.now.Before(v.eraSince.Add(settleTime)) {
+			fail("evacuation of %s is %v again", d, now[d])
+		}
+		if now[d] == w.evacuated[d] {
+			v.seen[d] = w.toggles[d]
+		}
+	}
+	v.evacuations = now
+}
+
 // departureIn reports whether the registry at a version contains that the target was leaving.
 func (t *modelTarget) departureIn(version ident.Version) bool {
 	return slices.ContainsFunc(t.departures, func(d ident.Version) bool { return d <= version && d.Era() == version.Era() })
--- a/state/model_test.go
+++ b/state/model_test.go
@@ -206,6 +206,12 @@
 	lastApplied        [2]ident.Version
 	// old is set if the VM's messages have versions without an era, as those of the build before.
 	old bool
+	// era is the newest era of the applied operators' table, since eraSince.
+	era      ident.Era
+	eraSince time.Time
+	// evacuations has the evacuations at the last check, seen the operators' last write of each that the VM has seen.
+	evacuations map[string]bool
+	seen        map[string]int
 	// gone has the targets of whose departure the VM has known.
 	gone map[incarnation]bool
 }
@@ -274,7 +280,9 @@
 	config         ident.Version
 	evacuated      map[string]bool
 	operatorWrites map[string]time.Time
-	targets        []*modelTarget
+	// toggles counts the starts and ends of evacuations.
+	toggles map[string]int
+	targets []*modelTarget
 	// settled is when the first configuration was in force everywhere.
 	settled time.Time
 	// old is set once there was a VM of the old build.
@@ -291,7 +299,7 @@
 
 func newNetwork(t failer, vms, regions int, seed int64) *network {
 	w := &network{t: t, rnd: rand.New(rand.NewSource(seed)), now: modelStart, store: newModelStore(), config: 1,
-		evacuated: map[string]bool{}, operatorWrites: map[string]time.Time{}}
+		evacuated: map[string]bool{}, toggles: map[string]int{}, operatorWrites: map[string]time.Time{}}
 	for i := range vms {
 		region := string(rune('a' + i%regions))
 		v := &modelVM{w: w, info: proto.VMInfo{VM: ident.VM(fmt.Sprint("vm-", i)), PeerAddress: fmt.Sprintf("127.0.0.1:%d", 1000+i),
@@ -307,7 +315,7 @@
 	w := v.w
 	clock := func() time.Time { return w.now }
 	*v = modelVM{w: w, info: v.info, started: w.now, refused: v.refused, cutUntil: v.cutUntil,
-		nextTick: w.now.Add(w.upTo(tickInterval)), nextHeartbeat: w.now, nextRequest: w.now.Add(modelRequestDelay), gone: map[incarnation]bool{}}
+		nextTick: w.now.Add(w.upTo(tickInterval)), nextHeartbeat: w.now, nextRequest: w.now.Add(modelRequestDelay), gone: map[incarnation]bool{}, seen: map[string]int{}, era: ident.FirstEra}
 	v.info.Incarnation = ident.Incarnation(w.now.UnixMilli())
 	var seeds []string
 	for _, o := range w.vms {
@@ -569,10 +577,18 @@
 	}
 	c.waiting = true
 	if answers || now.Sub(c.reaches) >= c.step.Wait {
-		c.rows, c.ends = rows, now.Add(v.w.upTo(maxDelay))
+		c.rows, c.ends = rows, now.Add(v.w.upTo(v.w.callDelay()))
 	}
 }
 
+// callDelay returns the greatest delay of an answer of the store.
+func (w *network) callDelay() time.Duration {
+	if w.now.Before(w.noisyUntil) {
+		return modelCallTimeout / 2
+	}
+	return maxDelay
+}
+
 // refusal returns why the store does not serve a VM, nil if it does.
 func (w *network) refusal(v *modelVM) *outage {
 	for _, o := range []*outage{&v.refused, &w.store.down} {
--- a/state/restore.go
+++ b/state/restore.go
@@ -35,6 +35,8 @@
 	reread            bool
 	// lost has the rows that the copy lacks, by key, until they are written again or the store has settled.
 	lost map[string]feed.Row
+	// copied are the targets of which a restored registry had other entries than this VM knows.
+	copied map[ident.Target]bool
 }
 
 // beginEra starts the settle time of a store that was restored, whose copy may lack some of the rows of a table.
@@ -141,11 +143,17 @@
 // lack targets that write again, and have ones that left. If it has these, it is read again after the settle time.
 func (s *State) applyFullRegistry(now time.Time, after, version ident.Version, u fleet.RegistryUpdate) []ident.Target {
 	if after != 0 && version.Era() > after.Era() {
-		s.restore.registrySettlesAt = now.Add(settleTime)
+		s.restore.registrySettlesAt, s.restore.copied = now.Add(settleTime), map[ident.Target]bool{}
 	}
 	u.Full, u.Restored = true, now.Before(s.restore.registrySettlesAt)
 	changed := s.view.Apply(now, u)
-	s.restore.reread = s.view.Withheld() || s.restore.reread
+	withheld, removed := s.view.Withheld()
+	s.restore.reread = s.restore.reread || removed
+	if u.Restored {
+		for _, id := range withheld {
+			s.restore.copied[id] = true
+		}
+	}
 	return changed
 }
 
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -411,38 +411,40 @@
 	return reading{at: now, topic: topic, err: errUnreachable}
 }
 
-// Guards against a removal, or an announcement to leave, that is written again after a restore and that the reader of the registry
-// doesn't tell its region, since it knew it before: a VM that started from the copy used the target for good.
+// Guards against a removal, an announcement to leave or a restart that is written again after a restore and that the reader of the
+// registry doesn't tell its region, since it knew it before: a VM that started from the copy used the target, or the address of its
+// earlier start, for good.
 func TestWritesAfterRestoreAreTold(t *testing.T) {
 	now := time.Unix(1000, 0)
-	for _, left := range []bool{false, true} {
+	for name, lost := range map[string]modelTarget{
+		"removal": {sequence: 8, left: true}, "announcement": {sequence: 8}, "restart": {incarnation: incarnation{born: 7}, ready: true},
+	} {
 		reading := func(after, version ident.Version, target modelTarget) reading {
 			r := readingOf(now, Registry, after, version, after.Era() != version.Era(), "t1")
 			r.rows.Rows[0].Value, r.rows.Rows[0].Removed, r.rows.Era = target.row().Value, target.left, version.Era()
 			return r
 		}
-		known := modelTarget{sequence: 3, ready: true}
-		gone := modelTarget{sequence: 8, left: left}
+		copied := modelTarget{sequence: 3, ready: true}
 		reader, sent := configState(now)
 		started, _ := newTestState(now)
 		for _, s := range []*State{reader, started} {
 			s.cfg.Decoder = modelDecoder{}
 		}
-		reader.applyReading(reading(5, 9, gone))
-		reader.applyReading(reading(9, inEra(5), known))
-		started.applyReading(reading(0, inEra(5), known))
+		reader.applyReading(reading(5, 9, lost))
+		reader.applyReading(reading(9, inEra(5), copied))
+		started.applyReading(reading(0, inEra(5), copied))
 		started.cfg.RegistryFollower.With(func(f *feed.Follower) { f.InitFromPeer(now, inEra(5)) })
 		if !registered(started, now)["t1"] {
 			t.Fatal("the VM that started does not use the target of the copy")
 		}
 		sent.messages = nil
-		gone.sequence++
-		reader.applyReading(reading(inEra(5), inEra(6), gone))
+		lost.sequence++
+		reader.applyReading(reading(inEra(5), inEra(6), lost))
 		for _, m := range sent.messages {
 			started.applyPeerMessage(now, m)
 		}
-		if registered(reader, now)["t1"] || registered(started, now)["t1"] {
-			t.Errorf("entry removed: %v; the reader uses %v, the VM that started %v", left, registered(reader, now), registered(started, now))
+		if d := cmp.Diff(reader.view.Registered(now), started.view.Registered(now)); d != "" || registered(reader, now)["t1"] != lost.ready {
+			t.Errorf("%s: the reader uses %v; the VM that started: %s", name, registered(reader, now), d)
 		}
 	}
 }
