state: a configuration that came from another VM stays in the state if the store has none

VMs that start after a restore whose copy lacks the configuration would have refused all requests, if they got the state of a VM that had itself got the configuration from another one.

Cause: the row of such a configuration had the version of the store's row, which is zero if there is none. VMs that got it with the state took it for a row of an earlier era that the store has lost, and gave it up with the settle time. Evidence: TestAdoptedConfigIsInState on: 'VM 1 that starts from another one's state has configuration 0, want 1', and VM 2. Found by reading. Why this works: the row has at least the first version of the era, as a configuration that a VM had before the restore has.

--- a/state/catchup.go
+++ b/state/catchup.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	written := row.Version
-	row.Version = s.operatorRows[row.Key].Version
+	row.Version = max(s.operatorRows[row.Key].Version, firstOf(s.applied[Operator].Era()))
 	s.operatorRows[row.Key] = row
 	s.keepNewestConfig(c.Config, row)
 	return s.applyChange(now, c, fromPeerTables, written)
--- a/state/restore.go
+++ b/state/restore.go
@@ -102,6 +102,10 @@
 	return r.rows.Full && s.applied[r.topic] != 0 && r.rows.Version.Era() > s.applied[r.topic].Era()
 }
 
+// firstOf returns the first version of an era. A row that the store lacks and that stays in the table has it, so that it isn't newer
+// than any row that the store has.
+func firstOf(era ident.Era) ident.Version { return ident.NewVersion(era, 1) }
+
 // enterEra handles a reading of the store, or a peer's announcement, in a later era than known before: the store was restored
 // from an earlier copy. Both tables are read in full, since what follows a version of an earlier era is unknown.
 func (s *State) enterEra(now time.Time, era ident.Era) {
@@ -120,7 +124,7 @@
 		if t == Operator {
 			s.requestRefresh() // a call for changes may be open for another 20 s
 		} else {
-			s.missedRegistry = max(s.missedRegistry, ident.NewVersion(era, 1))
+			s.missedRegistry = max(s.missedRegistry, firstOf(era))
 		}
 	}
 }
--- a/state/restore_start_test.go
+++ b/state/restore_start_test.go
@@ -137,3 +137,29 @@
 		})
 	}
 }
+
+// Guards against a VM that got the configuration from another one, since the copy has none, and whose state leaves VMs that start
+// without it once the store has settled.
+func TestAdoptedConfigIsInState(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holder, _ := configState(now)
+	started, _ := newTestState(now)
+	for _, s := range []*State{holder, started} {
+		s.cfg.Decoder = configDecoder{}
+		s.applyReading(restoredReading(now, 6))
+	}
+	registry := readingOf(now, Registry, 0, inEra(6), true, "t1")
+	started.applyReading(registry)
+	started.applyPeerState(now, holder.respond(now, stateRequest{departures: true}))
+	from := started
+	for generation := range 3 {
+		next, _ := newTestState(now)
+		next.cfg.Decoder = configDecoder{}
+		next.applyPeerState(now, from.fullState(now))
+		next.settle(now.Add(settleTime))
+		if got := next.view.Version(); got != 1 {
+			t.Errorf("VM %d that starts from another one's state has configuration %d, want 1", generation, got)
+		}
+		from = next
+	}
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if c := s.restore.config; c.Key != "" && s.operatorRows[c.Key].Key == "" {
-		c.Version = max(c.Version, ident.NewVersion(rows.Version.Era(), 1))
+		c.Version = max(c.Version, firstOf(rows.Version.Era()))
 		s.operatorRows[c.Key] = c
 		delete(s.restore.lost, c.Key)
 	}
