state: a VM follows a store without eras whose versions went back

With a store that states no era and that returns to an earlier copy, a VM that reads the changes itself would have handled requests by an older configuration until the store's numbers were beyond the old ones again.

Cause: a full reading whose version is lower than the one known at its beginning is applied, but the version up to which the table is applied kept its higher number. All changes after the reading counted as older than that and were dropped. Evidence: TestStoreWithoutErasWentBack on the code before: 'configuration 2, want 3; applied up to 90, want 6'. Found by reading. Why this works: the version of a whole table that is applied is the table's, as in the follower. Between VMs, such a store still can't be followed at once: their versions have nothing that tells the two histories apart.

--- a/state/apply.go
+++ b/state/apply.go
@@ -53,9 +53,13 @@
 }
 
 // advance sets the applied version of a table after the changes after one version up to another were applied. Changes
-// that start beyond the applied version leave a gap and don't advance it, nor do changes of another era.
+// that start beyond the applied version leave a gap and don't advance it, nor do changes of another era. The version of a whole
+// table replaces it: that of a store without eras can go back.
 func (s *State) advance(t Topic, after, version ident.Version, full bool) {
-	if full || after <= s.applied[t] && version.Era() == s.applied[t].Era() {
+	switch {
+	case full:
+		s.applied[t] = version
+	case after <= s.applied[t] && version.Era() == s.applied[t].Era():
 		s.applied[t] = max(s.applied[t], version)
 	}
 }
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -448,3 +448,22 @@
 		}
 	}
 }
+
+// Guards against a VM that drops the changes of a store that states no eras and whose versions went back: it has read the table of that
+// store, but compares its changes with versions of before.
+func TestStoreWithoutErasWentBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := configState(now)
+	change := readingOf(now, Operator, 4, 90, false)
+	change.rows.Rows = []feed.Row{configRow("2", 90)}
+	s.applyReading(change)
+	full := readingOf(now, Operator, 90, 5, true)
+	full.rows.Rows = []feed.Row{configRow("2", 5)}
+	s.applyReading(full)
+	change = readingOf(now, Operator, 5, 6, false)
+	change.rows.Rows = []feed.Row{configRow("3", 6)}
+	s.applyReading(change)
+	if got := s.view.Version(); got != 3 || s.applied[Operator] != 6 {
+		t.Errorf("configuration %d, want 3; applied up to %s, want 6", got, s.applied[Operator])
+	}
+}
