--- a/pick/backoff_test.go
+++ b/pick/backoff_test.go
@@ -170,7 +170,8 @@
 }
 
 // Guards against a time to wait that isn't the earliest at which a target takes the request again, that counts targets to which it may
-// not go, or that is stated although a target is left.
+// not go, or that is stated although a target is left, and against a request that leaves its route's regions because all targets there
+// have asked for time.
 func TestEarliestReturn(t *testing.T) {
 	asked := map[string]time.Duration{"a0": 20 * time.Second, "a1": 10 * time.Second, "b0": 5 * time.Second, "b1": 30 * time.Second}
 	for _, tt := range []struct {
@@ -204,6 +205,9 @@
 		if got := p.EarliestReturn(start, a); !got.Equal(returns[tt.want]) {
 			t.Errorf("%s: %v, want that of %q, %v", tt.name, got, tt.want, returns[tt.want])
 		}
+		if c, reason := p.Choose(start, a); tt.want != "" && reason != BackedOff {
+			t.Errorf("%s: %v, %q, want %v", tt.name, reason, c.Target.ID, BackedOff)
+		}
 	}
 }
 
