state: the settle time lasts until the operators' table can be read

An evacuation ended for a moment on VMs that could not read the store when the settle time ended, although the operators had not ended it and wrote it again: its targets got requests. Why it works: the table is applied at the first tick after the settle time at which the last call has succeeded or a peer's change was applied. What was in force before the restore is kept until then. The model's check is now: a VM that has seen the operators' last write doesn't take it back before. It had also failed for a VM that was late to start the evacuation, which is allowed.

--- a/state/convergence_test.go
+++ b/state/convergence_test.go
@@ -192,8 +192,8 @@
 	}
 }
 
-// checkEvacuations fails if an evacuation starts or ends on a VM that has seen the operators' last write of it, before the settle time
-// after the first reading of a restored store has ended.
+// checkEvacuations fails if a VM that has seen the operators' last write of an evacuation takes it back in the settle time after the
+// first reading of a restored store, or while it can't read the store.
 func (v *modelVM) checkEvacuations(fail func(format string, args ...any)) {
 	w := v.w
 	if era := v.s.applied[Operator].Era(); era > v.era {
@@ -204,7 +204,8 @@
 		if now[d] == v.evacuations[d] {
 			continue
 		}
-		if v.seen[d] == w.toggles[d] && w.now.Before(v.eraSince.Add(settleTime)) {
+		kept := w.now.Before(v.eraSince.Add(settleTime)) || v.s.unreachable[Operator]
+		if kept && v.seen[d] == w.toggles[d] && now[d] != w.evacuated[d] {
 			fail("evacuation of %s is %v again", d, now[d])
 		}
 		if now[d] == w.evacuated[d] {
--- a/state/restore.go
+++ b/state/restore.go
@@ -183,9 +183,9 @@
 }
 
 // settle applies the operators' table as it is, once its settle time is over, and reports whether anything changed: what the
-// operators have not written again by then is not in force any more.
+// operators have not written again by then is not in force any more. A VM that can't read the table doesn't know what they wrote.
 func (s *State) settle(now time.Time) bool {
-	if s.restore.settlesAt.IsZero() || s.restore.settling(now) {
+	if s.restore.settlesAt.IsZero() || s.restore.settling(now) || s.unreachable[Operator] {
 		return false
 	}
 	for key, row := range s.restore.lost {
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -83,6 +83,26 @@
 	}
 }
 
+// Guards against an evacuation that ends, or starts again, on a VM that can't read the store when the settle time ends: operators may
+// have written it again.
+func TestSettleTimeLastsUntilTableIsRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := configState(now)
+	evacuate := readingOf(now, Operator, 4, 6, false)
+	evacuate.rows.Rows = []feed.Row{{Key: "evacuate/a1", Version: 6}}
+	s.applyReading(evacuate)
+	s.applyReading(restoredReading(now, 5, configRow("1", inEra(4))))
+	settled := now.Add(settleTime)
+	s.applyReading(reading{at: settled, topic: Operator, err: errUnreachable})
+	if s.settle(settled); len(s.view.Evacuated()) != 1 {
+		t.Error("the evacuation ended while the store could not be read")
+	}
+	s.applyReading(readingOf(settled, Operator, inEra(5), inEra(6), false))
+	if s.settle(settled); len(s.view.Evacuated()) != 0 {
+		t.Error("the evacuation, which the operators have not written again, goes on")
+	}
+}
+
 // Guards against a VM that stays on the lost history after a restore, because versions of the new era have lower numbers:
 // it drops a peer's change as old, and no announcement of a peer makes it read the tables.
 func TestRestoreIsNoticed(t *testing.T) {
