fleet, pick: a restart of a target without a start time ends its announcement of leaving

Callers would see the refusal all-leaving, or fewer targets, for good: a target without a start time that has announced that it is leaving and has started anew under its id and address got no requests from some VMs.

Cause: the picker recognized such a restart by a lower sequence than the one it knew. Why this works: fleet.View sees each heartbeat and so each restart; it counts them for each target, and a notice belongs to one count.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -30,6 +30,8 @@
 	Entry
 	// ColdUntil is the end of the warm-up, zero if the target is warm.
 	ColdUntil time.Time
+	// Restarts is the number of restarts of the target that this VM has seen.
+	Restarts int
 }
 
 // Snapshot is the state of a View at one time. It is immutable.
@@ -66,6 +68,8 @@
 	keepUntil time.Time
 	// leaving is set when the target announces that it is leaving. Only a restart resets it.
 	leaving bool
+	// restarts counts the restarts of the target.
+	restarts int
 }
 
 // usable reports whether the target may get new requests by its registry entry alone, regardless of evacuations.
@@ -313,6 +317,9 @@
 		return false
 	}
 	restarted := e.StartedUnixMS != r.StartedUnixMS || e.Sequence < r.Sequence
+	if restarted {
+		r.restarts++
+	}
 	changed := restarted || !r.missingSince.IsZero() || e.Ready != r.Ready || r.differs(&e)
 	r.missingSince = time.Time{}
 	r.leaving = !e.Ready || r.leaving && !restarted
@@ -441,7 +448,7 @@
 	}
 	for _, r := range v.records {
 		if r.usable(now) && !v.evacuated[r.Place.Domain] {
-			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil})
+			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil, Restarts: r.restarts})
 		}
 	}
 	return s
--- a/pick/notice.go
+++ b/pick/notice.go
@@ -21,6 +21,8 @@
 	startedUnixMS int64
 	sequence      uint64
 	address       string
+	// restarts is the number of restarts of the target that this VM had seen.
+	restarts int
 	// updated is the time of the last change.
 	updated time.Time
 	// leavingSince is the time of the first response that announced that the target is leaving.
@@ -40,11 +42,11 @@
 }
 
 // covers reports whether a registered target is the process that gave the notice. An entry of an earlier start is an old row that
-// arrives late. Without a start time, a lower sequence is a restart, since fleet.View passes on no older entries of one process, and so
-// is another address.
+// arrives late. Without a start time, a restart that fleet.View has seen tells processes apart, and so do a lower sequence, since the
+// view passes on no older entries of one process, and another address.
 func (n *notice) covers(t *fleet.Target) bool {
 	if n.startedUnixMS == 0 && t.StartedUnixMS == 0 {
-		return t.Sequence >= n.sequence && t.Address == n.address
+		return t.Restarts == n.restarts && t.Sequence >= n.sequence && t.Address == n.address
 	}
 	return t.StartedUnixMS <= n.startedUnixMS
 }
@@ -53,7 +55,7 @@
 // lower sequence: after a restart, SetTargets has dropped the notice.
 func (n *notice) coversChosen(t *fleet.Target) bool {
 	if n.startedUnixMS == 0 && t.StartedUnixMS == 0 {
-		return t.Address == n.address
+		return t.Restarts == n.restarts && t.Address == n.address
 	}
 	return n.covers(t)
 }
@@ -64,7 +66,8 @@
 	if !n.backOff.askedBy(t) {
 		return nil
 	}
-	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence, address: t.Address, updated: n.updated, backOff: n.backOff}
+	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence, address: t.Address, restarts: t.Restarts, updated: n.updated,
+		backOff: n.backOff}
 }
 
 // noticeFor returns the notice that holds for a registered target, nil if there is none. It drops that of an earlier process and
@@ -107,13 +110,13 @@
 	if current := p.byID[t.ID]; current != nil && replaces(&current.Target, t) {
 		return nil
 	}
-	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence, address: t.Address}
+	return &notice{startedUnixMS: t.StartedUnixMS, sequence: t.Sequence, address: t.Address, restarts: t.Restarts}
 }
 
 // replaces reports whether the registered target is a later process than the one that was chosen.
 func replaces(registered, chosen *fleet.Target) bool {
 	if registered.StartedUnixMS == 0 && chosen.StartedUnixMS == 0 {
-		return registered.Address != chosen.Address
+		return registered.Restarts != chosen.Restarts || registered.Address != chosen.Address
 	}
 	return registered.StartedUnixMS > chosen.StartedUnixMS
 }
