front, send, entry: requests in progress at the end of a planned stop get a response

Callers saw: a connection closed without a response, one second after the end of a planned stop, for each request whose deadline is later than that; also after a second signal. For an order, not even its record was final.

Cause: an attempt ends at its deadline only, so nothing could end the requests in progress before the process exits. An order that was sent is answered outcome-unknown and recorded so, one that was not sent "not run"; an idempotent request gets upstream-failed, which may be repeated. TestClassify: the failure after the last known one is now Stopped + 1, and Stopped has a row of its own.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -223,6 +223,10 @@
 			d.front.SetNotReady("this VM is leaving")
 			d.orders.Stop()
 		}
+		if !d.clock().Before(stopPhases.AbortTime()) {
+			// The orders that are given up still get a final record.
+			d.client.Abort()
+		}
 		if phase == drain.Exit {
 			if !stopPhases.Forced() {
 				d.recordStop(ctx)
--- a/front/attempt.go
+++ b/front/attempt.go
@@ -124,6 +124,8 @@
 		return route.Shed
 	case res.Failure == retry.Refused:
 		return route.Unreachable
+	case res.Failure == retry.Stopped:
+		return route.Abandoned
 	case res.Failure == retry.Silent, res.Failure == retry.Stale:
 		// The connection failed. This counts against the target only if an attempt on a new connection fails too.
 		return route.Abandoned
@@ -173,6 +175,9 @@
 // failureError returns the error for an idempotent request that is not retried any more.
 func failureError(res send.Result, a *attempts) error {
 	last := a.lastTarget
+	if res.Failure == retry.Stopped {
+		return kinds.Errorf(kinds.UpstreamFailed, "this VM stops before target %s has answered", last)
+	}
 	if res.Failure == retry.Rejected && len(a.tried) == 1 {
 		return kinds.Errorf(kinds.Overloaded, "target %s shed the request", last)
 	}
@@ -258,7 +263,7 @@
 		a.claimed = false
 		f.orders.RecordNotRun(a.id)
 		if v != retry.OtherTarget {
-			f.abortOrder(r, a, kinds.Errorf(kinds.Overloaded, "%d targets refused the order", len(a.tried)))
+			f.abortOrder(r, a, notRunError(res, a))
 			return
 		}
 		f.retries.Inc(1)
@@ -269,6 +274,14 @@
 	}
 }
 
+// notRunError returns the error for an order that no target has run and that is not sent any more.
+func notRunError(res send.Result, a *attempts) error {
+	if res.Failure == retry.Stopped {
+		return kinds.Errorf(kinds.Stopping, "this VM is stopping")
+	}
+	return kinds.Errorf(kinds.Overloaded, "%d targets refused the order", len(a.tried))
+}
+
 // abortOrder ends an order that was not sent and answers with err. If the record can't be aborted, the caller is
 // answered from the record instead.
 func (f *Front) abortOrder(r *fasthttp.RequestCtx, a *attempts, err error) {
--- a/front/front.go
+++ b/front/front.go
@@ -228,7 +228,9 @@
 		return err
 	case <-ctx.Done():
 	}
-	// A planned stop has already waited for the requests in progress, so one second is enough for the connections.
+	// A planned stop has already waited for the requests in progress. Those that are left, whose deadline is later than the
+	// end of the stop, get a response now; one second is enough to write it.
+	f.client.Abort()
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = server.ShutdownWithContext(shutdownCtx)
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -43,6 +43,8 @@
 	Truncated
 	// Deadline: the deadline of the request passed.
 	Deadline
+	// Stopped: this process is ending and has given the attempt up.
+	Stopped
 )
 
 // Verdict states how to proceed after a failure.
@@ -71,8 +73,10 @@
 		return OtherTarget
 	case r == Order && written:
 		return Unknown
-	case f == Deadline && r == Order:
+	case (f == Deadline || f == Stopped) && r == Order:
 		return NotRun
+	case f == Stopped:
+		return Failed
 	case f == Deadline:
 		return Timeout
 	case f == Silent || f == Stale:
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -36,7 +36,8 @@
 		{Broken, OtherTarget, OtherTarget, Unknown},
 		{Truncated, OtherTarget, OtherTarget, Unknown},
 		{Deadline, Timeout, NotRun, Unknown},
-		{Deadline + 1, OtherTarget, OtherTarget, Unknown},
+		{Stopped, Failed, NotRun, Unknown},
+		{Stopped + 1, OtherTarget, OtherTarget, Unknown},
 	}
 	for _, tt := range tests {
 		for _, written := range []bool{false, true} {
--- a/send/quiet.go
+++ b/send/quiet.go
@@ -25,6 +25,14 @@
 	wasRead bool
 	// inResponse is set from the first byte read after a write.
 	inResponse bool
+	// closed is called when the connection was closed.
+	closed func()
+}
+
+// Close implements net.Conn.
+func (c *quietConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
--- a/send/quiet_test.go
+++ b/send/quiet_test.go
@@ -39,7 +39,7 @@
 	var conn net.Conn
 	c := New(1<<20, time.Now)
 	c.target(ln.Addr().String()).pooled.Dial = func(addr string) (net.Conn, error) {
-		nc, err := dial(addr)
+		nc, err := c.dial(addr)
 		if conn == nil {
 			conn = nc
 		}
--- a/send/send.go
+++ b/send/send.go
@@ -68,6 +68,10 @@
 
 	mu      sync.Mutex
 	targets map[string]*target
+	// conns holds the open connections.
+	conns map[*quietConn]bool
+	// aborted is set by Abort and never cleared.
+	aborted bool
 }
 
 // target holds the HTTP clients for one address and its average latency.
@@ -83,7 +87,28 @@
 
 // New returns a client that accepts response bodies of at most maxBody bytes.
 func New(maxBody int, clock func() time.Time) *Client {
-	return &Client{maxBody: maxBody, clock: clock, targets: map[string]*target{}}
+	return &Client{maxBody: maxBody, clock: clock, targets: map[string]*target{}, conns: map[*quietConn]bool{}}
+}
+
+// Abort gives up all attempts in progress, and each later one before it is sent. It is called before the process ends, so
+// that callers get a response.
+func (c *Client) Abort() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	for conn := range c.conns {
+		_ = conn.SetDeadline(abortedDeadline)
+		_ = conn.Conn.Close()
+	}
+}
+
+// abortedDeadline is a time in the past, which ends a read that is in progress with a timeout.
+var abortedDeadline = time.Unix(1, 0)
+
+func (c *Client) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
 }
 
 // SetMaxConnections limits the number of pooled connections to an address to n, at least 1. While all of them are in
@@ -107,7 +132,7 @@
 func (c *Client) hostClient(addr string) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      addr,
-		Dial:                      dial,
+		Dial:                      c.dial,
 		MaxIdleConnDuration:       maxIdleTime,
 		MaxResponseBodySize:       c.maxBody,
 		MaxIdemponentCallAttempts: 1,
@@ -118,16 +143,34 @@
 	}
 }
 
-func dial(addr string) (net.Conn, error) {
-	conn, err := fasthttp.DialDualStackTimeout(addr, dialTimeout)
+func (c *Client) dial(addr string) (net.Conn, error) {
+	nc, err := fasthttp.DialDualStackTimeout(addr, dialTimeout)
 	if err != nil {
 		return nil, errors.Mark(err, errDial)
 	}
-	return &quietConn{Conn: conn}, nil
+	conn := &quietConn{Conn: nc}
+	conn.closed = func() { c.forget(conn) }
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.aborted {
+		_ = nc.Close()
+		return nil, errDial
+	}
+	c.conns[conn] = true
+	return conn, nil
+}
+
+func (c *Client) forget(conn *quietConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.conns, conn)
 }
 
 // Do makes one attempt and stores the response in resp. The response is complete if and only if OK is set.
 func (c *Client) Do(r Request, resp *fasthttp.Response) Result {
+	if c.isAborted() {
+		return Result{Failure: retry.Stopped}
+	}
 	t := c.target(r.Address)
 	start := c.clock()
 	r.HTTP.SetHost(r.Address)
@@ -162,6 +205,8 @@
 // time out.
 func (c *Client) classify(r Request, resp *fasthttp.Response, err error, newConn bool, until time.Time) Result {
 	switch {
+	case err != nil && c.isAborted():
+		return Result{Failure: retry.Stopped, Written: !errors.Is(err, errDial)}
 	case err == nil && resp.StatusCode() < fasthttp.StatusOK:
 		// The library returns a response 101 as the last one although the request did not ask to switch protocols.
 		return Result{Failure: retry.Broken, Written: true}
