lease: a malformed row expires like the lease of another process

Callers would see: a traffic plan that stays as it is for good. A lease row that can't be decoded, or states a duration without end, kept every process from acquiring the lease until an operator repaired the table.

Cause: a malformed row was an error of each step, and no bound was set to the numbers in it. A row "null" counted as released and began term 1 a second time; the greatest term was followed by term 0. TestStoreErrors expected the error. It now expects that the row is neither overwritten nor the lease held while its writer may hold it, in ten steps instead of one.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -52,7 +52,7 @@
 
 // Step reads the lease row if it is not known, and acquires or renews the lease if that is due: at most one read and
 // one write. It returns the time at which to call it again. After an error, which has one of the kinds of Store,
-// Internal or Stopping, Held reports whether the lease is still held; the caller calls Step again after a pause.
+// or Stopping, Held reports whether the lease is still held; the caller calls Step again after a pause.
 func (k *Keeper) Step(ctx context.Context) (next time.Time, err error) {
 	s, row, rowKnown, err := k.begin()
 	if err != nil {
@@ -88,7 +88,7 @@
 	if err != nil {
 		return Row{}, err
 	}
-	return ParseRow(r)
+	return ParseRow(r), nil
 }
 
 func (k *Keeper) set(s State, row Row, rowKnown bool) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/currantpier/currantpier/ident"
-	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/store"
 )
 
@@ -107,17 +106,30 @@
 	return s.Term, held
 }
 
-// ParseRow decodes a row of the table. It returns an Internal error for a malformed value.
-func ParseRow(r store.Row) (Row, error) {
+// ParseRow decodes a row of the table. A malformed value counts as the lease of an unknown holder, which any process may
+// acquire after maxDuration: an error would leave the lease without a holder until an operator repairs the row.
+func ParseRow(r store.Row) Row {
 	if r.Version == 0 {
-		return Row{Era: r.Era}, nil
+		return Row{Era: r.Era}
 	}
 	var row Row
-	if err := json.Unmarshal(r.Value, &row); err != nil {
-		return Row{}, kinds.Wrap(kinds.Internal, err, "parse lease row")
+	if err := json.Unmarshal(r.Value, &row); err != nil || !row.valid(r.Era) {
+		row = Row{Holder: unknownHolder, DurationMs: maxDuration.Milliseconds()}
 	}
 	row.Version, row.Era = r.Version, r.Era
-	return row, nil
+	return row
+}
+
+const (
+	// maxDuration is the longest lease that the settings allow.
+	maxDuration = time.Minute
+	// unknownHolder is the holder of a malformed row. It is not a valid name of a VM.
+	unknownHolder ident.VM = "?"
+)
+
+// valid reports whether a process can have written the row in the given era of the store or an earlier one.
+func (r Row) valid(era ident.Era) bool {
+	return r.Term > 0 && r.DurationMs >= 0 && r.DurationMs <= maxDuration.Milliseconds() && r.Term.Era() <= max(era, ident.FirstEra)
 }
 
 // Decide returns what to write, if anything, given the row as read. The time now must be taken after the row was read
@@ -183,7 +195,8 @@
 func writeAction(s State, do Verb, old Row, now time.Time) Action {
 	term := s.Term
 	if do == Acquire {
-		term = ident.NextTerm(old.Term, old.Era)
+		// The term of a malformed row is not known, but this process may have seen it before.
+		term = ident.NextTerm(max(old.Term, s.Term), old.Era)
 	}
 	row := Row{
 		Era: old.Era, Holder: s.Self, Incarnation: s.Incarnation, Term: term,
