steer: a malformed row of the plan is replaced from the plan in force

Callers would see: a traffic plan that stays as it is for good, or one in which each target's slots are granted a second time. A plan row that can't be decoded ended the computation of plans; one that decodes but is not valid was taken as the predecessor, with none or some of the grants that entries have.

Cause: only documents from peers and relays were validated, not the row from which the holder of the lease computes the next plan. Evidence: TestMalformedPlanRowIsReplaced on the code before: row "{": no plan is computed any more row "null": computed from a plan with 0 grants, want the one in force with 4 row "null": a process without the plan in force computes one Change: a malformed row counts as one whose plan the store has lost: the next plan is computed from the one in force, waits for one that an entry has, and replaces the row. A process that knows no plan computes none.

--- a/steer/planner.go
+++ b/steer/planner.go
@@ -67,7 +67,8 @@
 	current      plan.TrafficPlan
 	currentKnown bool
 	// row is the row of the plan as last read or written, without its value. It holds current unless lost is set: then
-	// the store has lost the plan in force, which is current, and the next plan is published even if it equals it.
+	// the store has lost the plan in force, which is current, or has a malformed one in its place. The next plan is then
+	// published even if it equals the one in force.
 	row  store.Row
 	lost bool
 
@@ -163,7 +164,7 @@
 
 // readCurrent reads the plan in the store, from which the next plan is computed. If the store has lost the plan in
 // force here, the next one is computed from that: entries have acknowledged it, so slots that it moved must not be
-// granted by an older one. It reports whether that succeeded, and false while only an entry has the plan that the store
+// granted by an older one. The same holds if the row is malformed. It reports whether that succeeded, and false while only an entry has the plan that the store
 // has lost: probes fetch it from there.
 func (p *planner) readCurrent(ctx context.Context) bool {
 	row, err := p.d.store.Get(ctx, node.PlanKey)
@@ -176,10 +177,19 @@
 	}
 	inForce := p.d.sync.Current(relay.Plan)
 	lost := inForce.Version > doc.Version && node.MayBeOutdated(inForce, row)
+	if row.Version != 0 && !lost {
+		if err := checkDocument(doc); err != nil {
+			level.Error(p.d.logger).Log("event", "bad-document", "kind", "plan", "version", doc.Version, "err", err)
+			if inForce.Version == 0 {
+				return false
+			}
+			lost = true // the row is replaced by a plan computed from the one in force
+		}
+	}
 	if lost {
 		doc = inForce
 	}
-	if node.MayBeOutdated(doc, row) && p.newestReported(p.d.clock()) > doc.Version {
+	if (lost || node.MayBeOutdated(doc, row)) && p.newestReported(p.d.clock()) > doc.Version {
 		return false
 	}
 	t := plan.TrafficPlan{}
