node: a probe that another VM answers is no answer

Callers would see: an order whose outcome is unknown although its VM runs, or lookups that name a VM that has ended, after the address of one VM has passed to another.

Cause: the reply states the VM that answers, but nobody compared it.

--- a/node/members.go
+++ b/node/members.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
@@ -297,7 +298,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
 	defer cancel()
-	reply, err := m.sendProbe(ctx, target.Control[EntryDaemon], "")
+	reply, err := m.sendProbe(ctx, target.Control[EntryDaemon], vm, false)
 	if err != nil {
 		reply, err = m.probeThrough(ctx, vm, err)
 	}
@@ -314,15 +315,24 @@
 	m.recordProbe(m.clock(), vm, err == nil, inc)
 }
 
-// sendProbe sends a probe to a control address. If through is set, the receiver probes that VM and returns its reply.
-func (m *Members) sendProbe(ctx context.Context, addr, through string) (*wire.ProbeReply, error) {
+// sendProbe sends a probe of vm to a control address, which is that of vm or, if indirect is set, of a VM that probes vm
+// and returns its reply. The reply of another VM is an error: it may use the address of one that has ended.
+func (m *Members) sendProbe(ctx context.Context, addr string, vm ident.VM, indirect bool) (*wire.ProbeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	config, plan := m.versions()
-	return m.peers.At(addr).Probe(ctx, &wire.ProbeRequest{
+	r := &wire.ProbeRequest{
 		Vm: string(m.self.VM), Incarnation: uint64(m.self.Incarnation),
-		ConfigVersion: uint64(config), PlanVersion: uint64(plan), Through: through,
-	})
+		ConfigVersion: uint64(config), PlanVersion: uint64(plan),
+	}
+	if indirect {
+		r.Through = string(vm)
+	}
+	reply, err := m.peers.At(addr).Probe(ctx, r)
+	if answeredBy := reply.GetVm(); err == nil && answeredBy != string(vm) && !(indirect && answeredBy == "") {
+		return nil, errors.Newf("probe of %s answered by %s", vm, answeredBy)
+	}
+	return reply, err
 }
 
 // probeThrough asks one other live member to probe vm after a direct probe has failed with directErr. It returns
@@ -335,7 +345,7 @@
 	if !ok {
 		return nil, directErr
 	}
-	reply, err := m.sendProbe(ctx, other.Control[EntryDaemon], string(vm))
+	reply, err := m.sendProbe(ctx, other.Control[EntryDaemon], vm, true)
 	if err == nil && !reply.GetReached() {
 		return nil, context.DeadlineExceeded
 	}
@@ -349,7 +359,7 @@
 	if !ok || len(target.Control) == 0 {
 		return &wire.ProbeReply{}
 	}
-	reply, err := m.sendProbe(ctx, target.Control[EntryDaemon], "")
+	reply, err := m.sendProbe(ctx, target.Control[EntryDaemon], vm, false)
 	if err != nil {
 		return &wire.ProbeReply{}
 	}
