peers: a configuration that only a VM had which is gone is not asked for any more

A VM that had heard of a newer configuration from a VM that ended, and whose configuration the store has lost, would have asked the address of that VM every 0.5 s for good.

Cause: an announcement had no end. Evidence: TestConfigBehind on the code before: 'none from its holder until it is gone: behind true'. Found in review. Change: an announcement counts for the 60 s after which a silent VM is removed from the members.

--- a/peers/versions.go
+++ b/peers/versions.go
@@ -32,9 +32,9 @@
 func (v *View) SetConfigVersion(version ident.Version) { v.configVersion = version }
 
 // ConfigBehind reports whether a peer has announced a newer configuration than this VM has in force, and it has not
-// arrived within behindGrace.
+// arrived within behindGrace. A peer that was not heard for removeAfter is gone, and its configuration with it.
 func (v *View) ConfigBehind(now time.Time) bool {
-	return v.peerConfigVersion > v.configVersion && now.Sub(v.configBehindSince) >= behindGrace
+	return v.peerConfigVersion > v.configVersion && now.Sub(v.configBehindSince) >= behindGrace && now.Sub(v.configHeardAt) < removeAfter
 }
 
 // ConfigHolder returns the VM that has announced the newest configuration, and that configuration's version.
@@ -50,7 +50,7 @@
 	if v.peerConfigVersion <= v.configVersion {
 		v.configBehindSince = now
 	}
-	v.peerConfigVersion, v.configHolder = version, from
+	v.peerConfigVersion, v.configHolder, v.configHeardAt = version, from, now
 }
 
 // SetReadUpTo records that this VM has read the whole operators' table as of a version of the store. Such a reading
--- a/peers/view.go
+++ b/peers/view.go
@@ -121,10 +121,11 @@
 	operatorVersion, peerOperatorVersion ident.Version
 	behindSince                          time.Time
 	// configVersion is the version of the configuration that this VM has in force, peerConfigVersion the newest that a peer
-	// has announced, configHolder the last such peer, and configBehindSince when that first exceeded configVersion.
+	// has announced, configHolder the last such peer, heard at configHeardAt, and configBehindSince when that first exceeded
+	// configVersion.
 	configVersion, peerConfigVersion ident.Version
 	configHolder                     proto.VMInfo
-	configBehindSince                time.Time
+	configHeardAt, configBehindSince time.Time
 }
 
 // Option changes a setting of a View.
--- a/peers/view_test.go
+++ b/peers/view_test.go
@@ -211,6 +211,8 @@
 		{"a newer one for a while", "vm2", 5, behindGrace, true, "vm2"},
 		{"one that is older than the newest", "vm3", 4, 0, true, "vm2"},
 		{"a still newer one", "vm4", 6, 0, true, "vm4"},
+		{"none from its holder until it is gone", "vm1", 3, removeAfter, false, "vm4"},
+		{"its holder again", "vm4", 6, 0, true, "vm4"},
 	} {
 		at = at.Add(tt.after)
 		v.Receive(at, proto.Message{From: proto.VMInfo{VM: tt.from, PeerAddress: address(1)}, ConfigVersion: tt.version})
