--- a/state/apply.go
+++ b/state/apply.go
@@ -98,7 +98,7 @@
 	s.restore.recordWrites(r.rows.Rows)
 	s.advance(Operator, r.rows.After, r.rows.Version, r.rows.Full)
 	if r.rows.Full || r.source == fromPeerTables {
-		s.operatorSince = r.rows.Version
+		s.operatorSince = s.applied[Operator]
 	}
 	s.restore.recordRemovals(s.operatorRows, r.rows)
 	s.updateOperatorRows(r.rows)
