feed: after a failed call, the next one does not wait for changes

A VM that had caught up from other VMs took the operators' table for unreachable for up to 20 s after the store served it again, and since kept an evacuation that had ended for as long. Cause: the first call after the outage waits for changes, so its result comes with the next change or after 20 s. In an outage without answers, such a call is noticed to be lost only then, too. Why it works: a call that doesn't wait is answered at once. Each reader makes one call more after an outage.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -117,10 +117,11 @@
 	return &Follower{pollInterval: pollInterval, longPoll: longPoll, rng: rand.New(src), needFull: true, rank: maxRank}
 }
 
-// Next returns the next call without starting it.
+// Next returns the next call without starting it. After a failed call, a call does not wait for changes: its result tells at once
+// whether the store can be reached again.
 func (f *Follower) Next() Step {
 	s := Step{At: f.nextCall, Full: f.needFull, After: f.version}
-	if f.rank < longPollers {
+	if f.rank < longPollers && f.failures == 0 {
 		s.Wait = f.longPoll
 	}
 	return s
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -253,3 +253,21 @@
 		}
 	})
 }
+
+// Guards against a VM that takes the store for unreachable as long as a call waits for changes, up to 20 s: its table, which it has from
+// other VMs, is not read again after an outage, and a call without an answer is noticed only then.
+func TestCallAfterFailureDoesNotWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := NewFollower(0, 20*time.Second, rand.NewSource(1))
+	f.SetRank(now, 0)
+	f.RecordResult(now, now, Rows{Version: 4, Full: true}, nil)
+	f.RecordResult(now, now, Rows{}, errors.New("refused"))
+	f.ApplyPeerSnapshot(9)
+	if step := f.Next(); step.Full || step.After != 9 || step.Wait != 0 {
+		t.Errorf("call after a failed one: %+v, want one for changes that does not wait", step)
+	}
+	f.RecordResult(now, now, Rows{After: 9, Version: 9}, nil)
+	if step := f.Next(); step.Wait != 20*time.Second {
+		t.Errorf("call after a successful one: %+v, want one that waits", step)
+	}
+}
