plan: numbers of slots are bounded

Callers would see: a traffic plan that stays as it is, after one row of the VM list states a number of slots out of all proportion; or requests that are sent to such a target in place of the others.

Cause: slots are allocated one by one. The computation of a plan took 11.0 s for one target of 67,108,864 slots and 12 entries, which is longer than the lease lasts (10 s), and so it was for each successor. The sums of larger numbers overflow.

--- a/plan/compute.go
+++ b/plan/compute.go
@@ -219,12 +219,12 @@
 	return true
 }
 
-// buildTargets takes the targets from the platform's list. A target that is no longer listed is kept as leaving while
+// buildTargets takes the targets from the platform's list, without those whose number of slots is out of bounds. A target that is no longer listed is kept as leaving while
 // the previous plan has grants for it, since entries may still use its slots.
 func (c *computation) buildTargets() {
 	listed := make([]Target, 0, len(c.in.VMs))
 	for _, vm := range c.in.VMs {
-		if vm.Role != store.RoleUpstream || vm.Service == "" || vm.Slots <= 0 {
+		if vm.Role != store.RoleUpstream || vm.Service == "" || vm.Slots <= 0 || vm.Slots > MaxSlots {
 			continue
 		}
 		listed = append(listed, Target{
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -10,6 +10,10 @@
 	"github.com/currantpier/currantpier/shift"
 )
 
+// MaxSlots is the greatest number of slots of one target. Slots are allocated one by one, so that a malformed number would
+// occupy the lease holder, and each of its successors. Targets have a few slots.
+const MaxSlots ident.Slots = 1 << 14
+
 // TrafficPlan is a version of the traffic plan. The lease holder publishes it; every entry applies the newest version.
 type TrafficPlan struct {
 	// Version increases by one with each published plan.
--- a/plan/validate.go
+++ b/plan/validate.go
@@ -20,6 +20,9 @@
 		if i > 0 && tg.Name <= t.Targets[i-1].Name {
 			return kinds.Errorf(kinds.BadRequest, "target %s is out of order", tg.Name)
 		}
+		if tg.Slots < 0 || tg.Slots > MaxSlots {
+			return kinds.Errorf(kinds.BadRequest, "target %s has %d slots, allowed: at most %d", tg.Name, tg.Slots, MaxSlots)
+		}
 	}
 	return validateGrants(t)
 }
@@ -64,8 +67,8 @@
 		if target == len(t.Targets) || t.Targets[target].Name != g.Target {
 			return kinds.Errorf(kinds.BadRequest, "grant of %s, which is not in the list of targets", g.Target)
 		}
-		if g.Slots < 0 || g.ReservedSlots < 0 || g.ReservedSince > t.Version {
-			return kinds.Errorf(kinds.BadRequest, "grant of %s to %s has negative slots or a later version than the plan", g.Target, g.Entry)
+		if g.Slots < 0 || g.ReservedSlots < 0 || g.ReservedSlots > MaxSlots || g.ReservedSince > t.Version {
+			return kinds.Errorf(kinds.BadRequest, "grant of %s to %s has slots out of bounds or a later version than the plan", g.Target, g.Entry)
 		}
 		sum += int64(g.Slots)
 		if sum > int64(t.Targets[target].Slots) {
