steer: test that a paused holder of the lease writes no plan

No fault was found: a plan computed before a pause is refused, by the process if it resumes before the write and by the store if it resumes within it, also while its successor has published another one.

--- a/steer/successor_test.go
+++ b/steer/successor_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/lease"
+	"github.com/currantpier/currantpier/node"
 	"github.com/currantpier/currantpier/plan"
 	"github.com/currantpier/currantpier/relay"
 	"github.com/currantpier/currantpier/store"
@@ -146,3 +147,32 @@
 		t.Errorf("the entries count as observed for %v at the start of a term", observed)
 	}
 }
+
+// The holder of the lease is paused before or within its write of a plan, and its successor has published another one.
+// Guards against a plan in force that was computed on a lease that ran out.
+func TestPausedHolderWritesNothing(t *testing.T) {
+	for _, pausedWithinWrite := range []bool{false, true} {
+		c := newCluster(t)
+		first := c.leader("e1")
+		c.accept(first, configuration("one"), 0)
+		c.plan(first)
+		next, checkedAt := first.planner.current, c.now
+		next.Version++
+		next.Targets = nil
+		second := c.leader("e2") // waits until the lease has run out
+		c.accept(second, configuration("two"), second.sync.Current(relay.Config).Version)
+		inForce := c.plan(second)
+		if !pausedWithinWrite {
+			checkedAt = c.now
+		}
+		first.planner.write(c.Context(), checkedAt, next)
+		row, err := c.client.Get(t.Context(), node.PlanKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if row.Version != inForce.Version || first.sync.Current(relay.Plan).Version >= next.Version || first.planner.fenced.Count() != 1 {
+			t.Errorf("paused within the write %v: plan %d in the store, want %d; plan %d in force at the paused process", pausedWithinWrite,
+				row.Version, inForce.Version, first.sync.Current(relay.Plan).Version)
+		}
+	}
+}
