front: a caller that does not read its response is cut off after a minute

Callers would see: no connections left at an entry VM, after other callers have sent requests and read no responses. Each kept its connection, response and goroutine for good; retries of a broken client are enough.

Cause: the server had limits for reading and for idle connections, none for writing.

--- a/front/front.go
+++ b/front/front.go
@@ -213,14 +213,21 @@
 // Name implements kernel.Service.
 func (f *Front) Name() string { return "front" }
 
-// Run serves callers until ctx is done.
-func (f *Front) Run(ctx context.Context) error {
-	f.ctx = ctx
-	server := &fasthttp.Server{
+// callerTimeout bounds the wait for a caller that sends a request or reads its response slowly, or is idle.
+const callerTimeout = time.Minute
+
+func (f *Front) server() *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler: f.handle, MaxRequestBodySize: f.maxBody, NoDefaultServerHeader: true, NoDefaultDate: true,
-		IdleTimeout: time.Minute, ReadTimeout: time.Minute, CloseOnShutdown: true,
+		IdleTimeout: callerTimeout, ReadTimeout: callerTimeout, WriteTimeout: callerTimeout, CloseOnShutdown: true,
 		Logger: discardLogger{},
 	}
+}
+
+// Run serves callers until ctx is done.
+func (f *Front) Run(ctx context.Context) error {
+	f.ctx = ctx
+	server := f.server()
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(f.ln) }()
 	select {
