steer: test that an operator can replace a malformed row of the configuration

No fault was found: the configuration in force stays, the proposal is told the row's version, and one that expects that version replaces the row.

--- a/steer/malformed_test.go
+++ b/steer/malformed_test.go
@@ -7,6 +7,7 @@
 	"github.com/currantpier/currantpier/node"
 	"github.com/currantpier/currantpier/plan"
 	"github.com/currantpier/currantpier/relay"
+	"github.com/currantpier/currantpier/store"
 	"github.com/currantpier/currantpier/wire"
 )
 
@@ -66,3 +67,22 @@
 		t.Errorf("configuration %d in force", v)
 	}
 }
+
+// Guards against a malformed row of the configuration that no operator can replace, and against one that comes into force.
+func TestMalformedConfigRowCanBeReplaced(t *testing.T) {
+	c := newCluster(t)
+	d := c.daemon("a")
+	first := c.accept(d, configuration("one"), 0)
+	if _, err := c.client.Txn(t.Context(), []store.Op{{Key: node.ConfigKey, Value: []byte("{"), IfVersion: first}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.poll(d); got != first {
+		t.Errorf("version %d in force after a malformed row", got)
+	}
+	if reply := c.apply(d, configuration("two"), first); reply.GetAccepted() || ident.Version(reply.GetVersion()) != first+1 {
+		t.Errorf("proposal after version %d: %+v", first, reply)
+	}
+	if got := c.accept(d, configuration("two"), first+1); got != first+2 || c.poll(d) != got {
+		t.Errorf("version %d accepted, %d in force", got, c.poll(d))
+	}
+}
