once: a malformed recorded answer is not given to callers

Cause: states of entries were checked, answers were not. An entry without a status was answered 200, the library's default. A test in send shows that no target's response is recorded with such a status.

--- a/once/journal.go
+++ b/once/journal.go
@@ -272,11 +272,26 @@
 		if e.State == 0 {
 			return nil, kinds.Errorf(kinds.Internal, "journal entry has unknown state %q", r.State)
 		}
+		if e.State == Answered && !e.Answer.valid() {
+			return nil, kinds.Errorf(kinds.Internal, "journal entry of %q has a malformed answer: status %d, content type %q", r.ID,
+				r.Status, r.Type)
+		}
 		entries[i] = e
 	}
 	return entries, nil
 }
 
+// valid reports whether a response can have come from a target.
+func (r Response) valid() bool {
+	return r.Status >= minStatus && r.Status <= maxStatus && !strings.ContainsAny(r.ContentType, "\r\n")
+}
+
+// The range of the status codes of final responses.
+const (
+	minStatus = 200
+	maxStatus = 999
+)
+
 // mustJSON encodes a value of a type whose encoding can't fail.
 func mustJSON(v any) []byte {
 	b, err := json.Marshal(v)
--- a/send/truncated_test.go
+++ b/send/truncated_test.go
@@ -91,6 +91,7 @@
 	for text, want := range map[string]retry.Failure{
 		"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n": retry.Broken,
 		"HTTP/1.1 100 Continue\r\nShed: not-run\r\n\r\n" + refusal + "\r\n":                    retry.Other,
+		"HTTP/1.1 1000 x\r\nContent-Length: 0\r\n\r\n":                                         retry.Broken,
 		refusal + "Shed: not-run\r\nShed: ran\r\n\r\n":                                         retry.Other,
 		refusal + "Shed: not-run, ran\r\n\r\n":                                                 retry.Other,
 		refusal + "shed: not-run\r\n\r\n":                                                      retry.Rejected,
