cmds: a dump that fails does not end the daemon

Callers would see: connections cut and an entry VM gone, when an operator asks it for a dump by SIGUSR1 while one value of its state can't be encoded, a dump panics, or standard error can't be written.

Cause: the error of the dump was returned as that of the daemon.

--- a/cmds/daemon.go
+++ b/cmds/daemon.go
@@ -95,6 +95,11 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
+	return s.serveSignals(signals, run, stop, k)
+}
+
+// serveSignals is runDaemon with the given source of signals.
+func (s streams) serveSignals(signals <-chan os.Signal, run func(context.Context) error, stop func(), k *kernel.Kernel) error {
 	done := make(chan error, 1)
 	go func() { done <- run(context.Background()) }()
 	for {
@@ -104,9 +109,13 @@
 		case sig := <-signals:
 			if sig != syscall.SIGUSR1 {
 				stop()
-			} else if err := k.WriteDump(s.err, time.Now()); err != nil {
-				return err
+				continue
 			}
+			kernel.Guard(newLogger(s.err, config.Info), "dump", func() {
+				if err := k.WriteDump(s.err, time.Now()); err != nil {
+					fmt.Fprintf(s.err, "currantpier: dump: %v\n", err)
+				}
+			})
 		}
 	}
 }
