--- a/cmds/daemon.go
+++ b/cmds/daemon.go
@@ -95,6 +95,8 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	defer signal.Stop(signals)
+	// Without it, a write to standard output or standard error ends the process once nothing reads the log any more.
+	signal.Ignore(syscall.SIGPIPE)
 	return s.serveSignals(signals, run, stop, k)
 }
 
--- a/cmds/daemon_test.go
+++ b/cmds/daemon_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"os"
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -54,3 +55,36 @@
 		}
 	}
 }
+
+// childVariable is set in the environment of a child process that runs a daemon whose standard error nobody reads.
+const childVariable = "CURRANTPIER_TEST_CHILD"
+
+// Guards against a daemon that ends because what reads its log has ended: a write to a broken pipe on standard output or
+// standard error ends a process by SIGPIPE unless it ignores the signal.
+func TestDaemonOutlivesLogReader(t *testing.T) {
+	if os.Getenv(childVariable) != "" {
+		run := func(context.Context) error {
+			_, err := io.WriteString(os.Stderr, "a line of the log\n")
+			if err == nil {
+				return io.ErrNoProgress // the pipe was not closed
+			}
+			return nil
+		}
+		if err := (streams{os.Stdout, os.Stderr}).runDaemon(run, func() {}, kernel.New()); err != nil {
+			os.Exit(ExitFailed)
+		}
+		os.Exit(ExitOK)
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Close()
+	c := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	c.Env = append(os.Environ(), childVariable+"=1")
+	c.Stderr = w
+	if err := c.Run(); err != nil {
+		t.Errorf("the daemon ended: %v", err)
+	}
+	_ = w.Close()
+}
