state: the removal of a row that a restored copy lacked is remembered

An evacuation that had ended started again for up to 2.1 s when the store was restored a second time within seconds. Cause: which rows were removed is remembered by the version of the row before. The first copy had taken the row out of the kept table while its evacuation was still in force, so its removal was one of an unknown row. Why it works: the versions of rows that a copy lacks are kept beside, and count when the row is removed. The model checks after each input what an applied version has to contain, not only when the version changes: a full reading that is older than the applied version leaves it as it is.

--- a/state/apply.go
+++ b/state/apply.go
@@ -95,12 +95,12 @@
 	if r.rows.Full && r.source == fromStore {
 		s.operatorReadBegun = r.rows.Begun
 	}
-	s.restore.recordWrites(r.rows.Rows)
 	s.advance(Operator, r.rows.After, r.rows.Version, r.rows.Full)
 	if r.rows.Full || r.source == fromPeerTables {
 		s.operatorSince = s.applied[Operator]
 	}
 	s.restore.recordRemovals(s.operatorRows, r.rows)
+	s.restore.recordWrites(r.rows.Rows)
 	s.updateOperatorRows(r.rows)
 	return s.applyOperatorRows(r)
 }
--- a/state/convergence_test.go
+++ b/state/convergence_test.go
@@ -164,10 +164,9 @@
 	}
 	v.checkTargets(fail)
 	v.checkEvacuations(fail)
-	if s.applied == v.lastApplied || w.old && min(s.applied[Operator].Era(), s.applied[Registry].Era()) < w.store.era {
+	if w.old && min(s.applied[Operator].Era(), s.applied[Registry].Era()) < w.store.era {
 		return // a VM that does not know of the restore yet takes changes of the old build for those of the lost history
 	}
-	v.lastApplied = s.applied
 	if d := v.lacks(s.applied[Operator]); d != "" {
 		fail("the operators' table is applied up to %s and lacks %s", s.applied[Operator], d)
 	}
--- a/state/model_test.go
+++ b/state/model_test.go
@@ -203,7 +203,6 @@
 	catchUpPause       time.Duration
 	catchUpKnown       ident.Version
 	config             ident.Version
-	lastApplied        [2]ident.Version
 	// old is set if the VM's messages have versions without an era, as those of the build before.
 	old bool
 	// era is the newest era of the applied operators' table, since eraSince.
--- a/state/restore.go
+++ b/state/restore.go
@@ -74,6 +74,8 @@
 	for _, row := range rows.Rows {
 		if old, ok := before[row.Key]; ok && row.Removed {
 			r.removed[row.Key] = old.Version
+		} else if lost, ok := r.lost[row.Key]; ok && row.Removed {
+			r.removed[row.Key] = lost.Version
 		}
 	}
 	if !rows.Full {
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -83,6 +83,27 @@
 	}
 }
 
+// Simulates a VM that reads from a restored store a table without an evacuation, and then that the evacuation ended. Guards against the
+// evacuation starting again with the next restored copy.
+func TestRemovalOfALostRowIsRemembered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := configState(now)
+	evacuate := readingOf(now, Operator, 4, 6, false)
+	evacuate.rows.Rows = []feed.Row{{Key: "evacuate/a1", Version: 6}}
+	s.applyReading(evacuate)
+	s.applyReading(restoredReading(now, 9, configRow("1", inEra(4))))
+	ended := readingOf(now, Operator, inEra(9), inEra(10), false)
+	ended.rows.Rows = []feed.Row{{Key: "evacuate/a1", Version: inEra(10), Removed: true}}
+	s.applyReading(ended)
+	again := readingOf(now, Operator, inEra(10), ident.NewVersion(3, 7), true)
+	again.rows.Rows = []feed.Row{configRow("1", ident.NewVersion(3, 4)), {Key: "evacuate/a1", Version: ident.NewVersion(3, 6)}}
+	again.rows.Era = 3
+	s.applyReading(again)
+	if got := s.view.Evacuated(); len(got) != 0 {
+		t.Errorf("evacuated %v: the copy brought an evacuation back that had ended", got)
+	}
+}
+
 // Guards against an evacuation that ends, or starts again, on a VM that can't read the store when the settle time ends: operators may
 // have written it again.
 func TestSettleTimeLastsUntilTableIsRead(t *testing.T) {
