inlet: a test removes its connection under the lock of the server

TestAbortAnswersRequestsInProgress replaced the map of connections without the lock, which the race detector reports once in a while (seed of the shuffle). It now removes the connection that it has added; what it checks is unchanged.

--- a/inlet/stop_test.go
+++ b/inlet/stop_test.go
@@ -139,11 +139,12 @@
 		t.Errorf("second response %q, last: %v, want it to end the connection", body, last)
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	s.add(&conn{cancel: cancel})
+	late := &conn{cancel: cancel}
+	s.add(late)
+	defer s.remove(late)
 	if context.Cause(ctx) != io.ErrClosedPipe {
 		t.Errorf("a connection opened after the abort: %v", context.Cause(ctx))
 	}
-	s.conns = map[*conn]bool{}
 }
 
 // Guards against a panic in one request that ends the process, and against panics that are not reported.
