inlet: the last response is not lost to a reset behind pipelined requests

Callers saw: in a planned stop, a connection reset instead of the last responses, among them those of requests that had run, if they had pipelined further requests behind them.

Cause: the server ends a connection after the responses in progress, reads and drops what the caller still sends, and closes when the caller does. Writing the last response, however, also interrupted that read by a deadline in the past, as it interrupts the wait for a next request. The interruption counted as the caller's end, so the connection was closed at once with unread bytes in the socket: a reset, on which the caller's system drops what it has not yet delivered. The same happened if it interrupted the body of a request. Change: once no further request is read, the read is not interrupted any more.

--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -38,6 +38,8 @@
 	closing bool
 	// requestStarted is set while a request is being read.
 	requestStarted bool
+	// requestsEnded is set once no further request is read.
+	requestsEnded bool
 }
 
 // errServerClosing is returned if this process, not the caller, ends the connection.
@@ -59,7 +61,7 @@
 	close(c.exchanges)
 	disconnected := make(chan struct{})
 	if errors.Is(err, errServerClosing) {
-		_ = nc.SetReadDeadline(time.Time{})
+		c.endRequests()
 		go func() {
 			defer close(disconnected)
 			c.watchDisconnect(cancel)
@@ -75,6 +77,24 @@
 	c.handlers.Wait()
 }
 
+// endRequests records that no further request is read. What the caller still sends is read and dropped until it closes the
+// connection: unread bytes would make the close a reset, which destroys responses that the caller has not read yet.
+func (c *conn) endRequests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestsEnded = true
+	_ = c.nc.SetReadDeadline(time.Time{})
+}
+
+// interruptRead ends the wait for the next request, unless no request is read any more.
+func (c *conn) interruptRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.requestsEnded {
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // watchDisconnect cancels the requests in progress if the caller disconnects after its last request was read.
 func (c *conn) watchDisconnect(cancel context.CancelFunc) {
 	defer cancel()
@@ -122,6 +142,9 @@
 			c.refuse(refusal)
 			return errServerClosing
 		}
+		if _, finalChosen := c.progress(); err != nil && finalChosen {
+			return errServerClosing // the last response has interrupted the read of a request behind it
+		}
 		if err != nil {
 			return err
 		}
@@ -322,7 +345,7 @@
 			cancel()
 		}
 		if broken || last {
-			_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // ends the read loop, which may be waiting for the next request
+			c.interruptRead()
 		}
 	}
 	return linger
