state: an evacuation that a copy lacked and that was not written again counts as ended

Its removal is unknown if operators ended it between the restore and the first reading. After the settle time the evacuation ended, and a second restored copy, from before, started it again for up to 2.1 s. Why it works: at the end of the settle time the rows that the copy lacked, and that are still missing, are remembered as removed.

--- a/state/restore.go
+++ b/state/restore.go
@@ -77,6 +77,7 @@
 		} else if lost, ok := r.lost[row.Key]; ok && row.Removed {
 			r.removed[row.Key] = lost.Version
 		}
+		delete(r.lost, row.Key)
 	}
 	if !rows.Full {
 		return
@@ -198,5 +199,11 @@
 	for _, row := range s.operatorRows {
 		r.rows.Rows = append(r.rows.Rows, row)
 	}
+	for key, version := range s.restore.lost {
+		if _, ok := s.operatorRows[key]; !ok {
+			s.restore.removed[key] = version
+		}
+	}
+	clear(s.restore.lost)
 	return s.applyOperatorRows(r)
 }
