--- a/state/restore.go
+++ b/state/restore.go
@@ -199,11 +199,5 @@
 	for _, row := range s.operatorRows {
 		r.rows.Rows = append(r.rows.Rows, row)
 	}
-	for key, version := range s.restore.lost {
-		if _, ok := s.operatorRows[key]; !ok {
-			s.restore.removed[key] = version
-		}
-	}
-	clear(s.restore.lost)
 	return s.applyOperatorRows(r)
 }
