state: a VM that catches up for its region tells of targets that came and left meanwhile

Requests were sent to a target that had left (DRAIN) by a VM that had started while the store refused the others of its region, until its next full reading.

Cause: a VM that gets another VM's state sends its region what has changed for itself, over the whole range of versions. A target that registered and left within that range is no change for it, but one for a VM that knows the target. TestDepartureBetweenStatesIsTold on the code before: 'targets map[t1:true t2:true], applied 10; want t1 only'.

--- a/state/catchup.go
+++ b/state/catchup.go
@@ -129,11 +129,11 @@
 		return false
 	}
 	// Changes that were not broadcast before are included, since the version range of the delta starts at the last
-	// broadcast.
+	// broadcast. So are all departures: a target that came and left within the range is no change for this VM.
 	changed := s.applyFullRegistry(now, after, n.Version, fleet.RegistryUpdate{Rows: n.Rows, GraceElapsed: true})
 	s.advance(Registry, after, n.Version, true)
 	s.logTargets(now, changed)
-	rows, lastSent := s.nextDelta(now, changed)
+	rows, lastSent := s.nextDelta(now, append(changed, departedTargets(n.Rows)...))
 	if lastSent.Era() != n.Version.Era() {
 		// Changes can't span two eras. The others find a gap, and request the whole state as well.
 		rows, lastSent = nil, n.Version
@@ -147,6 +147,17 @@
 	return len(changed) > 0
 }
 
+// departedTargets returns the targets that another VM's registry lists as departed.
+func departedTargets(rows []fleet.Row) []ident.Target {
+	var ids []ident.Target
+	for i := range rows {
+		if rows[i].Removed {
+			ids = append(ids, rows[i].ID)
+		}
+	}
+	return ids
+}
+
 // setCaughtUp sets the version up to which a follower's table is known, and reports whether the follower accepted it.
 func setCaughtUp(follower *feed.SyncFollower, version ident.Version) bool {
 	accepted := false
--- a/state/catchup_test.go
+++ b/state/catchup_test.go
@@ -251,3 +251,30 @@
 		}
 	}
 }
+
+// Simulates a region without the store: one VM, which has started from the store, knows a target that came while the others had missed
+// it, and that then left. Guards against a VM that keeps such a target, because the VM that catches up for the region never knew it and
+// sends changes over the whole range of versions without it.
+func TestDepartureBetweenStatesIsTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	elsewhere, _ := newSyncedState(now)
+	elsewhere.applyReading(readingOf(now, Registry, 5, 7, false, "t2"))
+	gone := readingOf(now, Registry, 7, 10, false)
+	gone.rows.Rows = []feed.Row{{Key: "t2", Version: 10, Removed: true}}
+	elsewhere.applyReading(gone)
+
+	reader, sent := newSyncedState(now)
+	started, _ := newSyncedState(now)
+	started.applyReading(readingOf(now, Registry, 5, 7, false, "t2"))
+	for _, s := range []*State{reader, started} {
+		s.recordReachability(reading{at: now, topic: Registry, err: errUnreachable})
+	}
+	sent.messages = nil
+	reader.catchUp(now, elsewhere.fullState(now))
+	for _, m := range sent.messages {
+		started.applyPeerMessage(now, m)
+	}
+	if got := registered(started, now); got["t2"] || started.applied[Registry] != 10 {
+		t.Errorf("targets %v, applied %d; want t1 only, 10", got, started.applied[Registry])
+	}
+}
