--- a/state/apply.go
+++ b/state/apply.go
@@ -172,21 +172,21 @@
 		}
 		in.Rows = append(in.Rows, out)
 	}
-	var changed, retold []ident.Target
+	var changed, repeated []ident.Target
 	if r.rows.Full {
 		changed = s.applyFullRegistry(r.at, s.applied[Registry], r.rows.Version, in)
 	} else {
-		changed, retold = s.view.Apply(r.at, in), s.retoldTargets(in.Rows)
+		changed, repeated = s.view.Apply(r.at, in), s.rebroadcastTargets(in.Rows)
 	}
 	s.advance(Registry, r.rows.After, r.rows.Version, r.rows.Full)
 	s.logTargets(r.at, changed)
-	s.broadcastRegistry(r, append(changed, retold...))
+	s.broadcastRegistry(r, append(changed, repeated...))
 	return len(changed) > 0 || r.rows.Full
 }
 
-// retoldTargets returns the targets of changes that other VMs are told of even if nothing changed here: those whose entries were
+// rebroadcastTargets returns the targets whose changes are broadcast even if nothing changed here: those whose entries were
 // removed, or written again after that, and those of which a VM that started since the store was restored has another entry.
-func (s *State) retoldTargets(rows []fleet.Row) []ident.Target {
+func (s *State) rebroadcastTargets(rows []fleet.Row) []ident.Target {
 	var ids []ident.Target
 	for i := range rows {
 		if rows[i].Removed || s.restore.copied[rows[i].ID] {
--- a/state/catchup_test.go
+++ b/state/catchup_test.go
@@ -255,7 +255,7 @@
 // Simulates a region without the store: one VM, which has started from the store, knows a target that came while the others had missed
 // it, and that then left. Guards against a VM that keeps such a target, because the VM that catches up for the region never knew it and
 // sends changes over the whole range of versions without it.
-func TestDepartureBetweenStatesIsTold(t *testing.T) {
+func TestDepartureBetweenStatesIsBroadcast(t *testing.T) {
 	now := time.Unix(1000, 0)
 	elsewhere, _ := newSyncedState(now)
 	elsewhere.applyReading(readingOf(now, Registry, 5, 7, false, "t2"))
--- a/state/restore_test.go
+++ b/state/restore_test.go
@@ -461,7 +461,7 @@
 // Guards against a removal, an announcement to leave or a restart that is written again after a restore and that the reader of the
 // registry doesn't tell its region, since it knew it before: a VM that started from the copy used the target, or the address of its
 // earlier start, for good.
-func TestWritesAfterRestoreAreTold(t *testing.T) {
+func TestWritesAfterRestoreAreBroadcast(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for name, lost := range map[string]modelTarget{
 		"removal": {sequence: 8, left: true}, "announcement": {sequence: 8}, "restart": {incarnation: incarnation{born: 7}, ready: true},
