--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,7 +11,8 @@
 
 // cases maps the name of a case to its function, which reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
-	"bodies": bodies,
+	"bodies":   bodies,
+	"attempts": attempts,
 }
 
 func main() { os.Exit(run()) }
