--- a/review/_standin/deploy.go
+++ b/review/_standin/deploy.go
@@ -29,7 +29,6 @@
 
 // deployRoutes is deploy with other routes.
 func (w *world) deployRoutes(vms, targetsPerZone int, work time.Duration, routes ...any) error {
-	w.store.put("op", "config", map[string]any{"Version": "r7", "Routes": routes, "Services": []any{service("workshop")}, "Limits": limits()})
 	for _, z := range zoneNames {
 		for i := range targetsPerZone {
 			t, err := newTarget(w, fmt.Sprintf("i-%s-%d", z, i), "workshop", z, 6, work)
@@ -39,6 +38,12 @@
 			w.targets = append(w.targets, t)
 		}
 	}
+	return w.startVMs(vms, routes...)
+}
+
+// startVMs writes the desired state and starts the VMs, one in each zone in turn.
+func (w *world) startVMs(vms int, routes ...any) error {
+	w.store.put("op", "config", map[string]any{"Version": "r7", "Routes": routes, "Services": []any{service("workshop")}, "Limits": limits()})
 	for i := range vms {
 		w.addVM(i+1, zoneNames[i%len(zoneNames)])
 	}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -11,6 +11,7 @@
 
 // cases maps the name of a case to its function, which reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
+	"held":     held,
 	"bodies":   bodies,
 	"attempts": attempts,
 }
--- a/review/_standin/target.go
+++ b/review/_standin/target.go
@@ -28,6 +28,10 @@
 	mu       sync.Mutex
 	busy     int
 	sequence int
+	// via is the address of a link in front of the target, empty without one.
+	via string
+	// ranAt is when each request was first run.
+	ranAt map[string]time.Time
 	// loses is the share of the requests that the target runs whose answer is lost: it resets the connection instead.
 	loses float64
 	state string
@@ -42,7 +46,7 @@
 		return nil, err
 	}
 	t := &target{id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, work: work, ln: ln, store: w.store,
-		rec: w.rec, slot: make(chan struct{}, slots), state: "ready", runs: map[string]int{}}
+		rec: w.rec, slot: make(chan struct{}, slots), state: "ready", runs: map[string]int{}, ranAt: map[string]time.Time{}}
 	t.srv = &http.Server{Handler: t, IdleTimeout: 10 * time.Second}
 	go func() { _ = t.srv.Serve(ln) }()
 	t.report()
@@ -64,7 +68,11 @@
 		return false
 	}
 	t.sequence++
-	t.store.put("servers", t.id, map[string]any{"Service": t.service, "Address": t.ln.Addr().String(), "Zone": t.zone, "Version": "v1",
+	address := t.ln.Addr().String()
+	if t.via != "" {
+		address = t.via
+	}
+	t.store.put("servers", t.id, map[string]any{"Service": t.service, "Address": address, "Zone": t.zone, "Version": "v1",
 		"Concurrency": t.slots, "State": t.state, "WarmupLeftS": 0, "Sequence": t.sequence, "born": t.born})
 	return true
 }
@@ -113,7 +121,9 @@
 		return
 	}
 	t.mu.Lock()
-	t.runs[id]++
+	if t.runs[id]++; t.runs[id] == 1 {
+		t.ranAt[id] = time.Now()
+	}
 	t.mu.Unlock()
 	t.rec.add("run", "target", t.id, "id", id, "body-bytes", n, "deadline-ms", limit)
 	h.Set("X-Currantpier-Server-Signature", "sig-"+id)
