--- a/review/_standin/link.go
+++ b/review/_standin/link.go
@@ -11,7 +11,8 @@
 
 // link is a proxy in front of a target that stands for the path between two regions. While it is cut, it holds what the VM has
 // sent. As TCP does, it tries again after times that double, and so delivers the bytes some time after the cut has healed. Bytes
-// whose sender has reset the connection meanwhile are lost, as DEPLOY.md says; those whose sender has only closed it are not.
+// whose sender has reset the connection meanwhile are lost, as DEPLOY.md says; those whose sender has only closed it are not. Behind a
+// real cut no connection could be opened; a proxy can't prevent that, so one that is opened during the cut carries nothing at all.
 type link struct {
 	ln net.Listener
 	to string
@@ -60,8 +61,18 @@
 	return t
 }
 
+func (l *link) isCut(t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !t.Before(l.cutAt) && t.Before(l.healAt)
+}
+
 func (l *link) carry(from net.Conn) {
 	defer func() { _ = from.Close() }()
+	if l.isCut(time.Now()) {
+		_, _ = io.Copy(io.Discard, from) // until the VM gives it up
+		return
+	}
 	to, err := net.Dial("tcp", l.to)
 	if err != nil {
 		return
