outlet, send: a request that is given up is reset, not closed

Cause: an attempt was given up with a plain close. TCP goes on sending what the peer has not acknowledged, at doubling intervals. The limit on unacknowledged bytes ends only connections that are still open, and routes' timeouts are shorter. Evidence: a late run had a deadline field of 1,199 of 1,200 ms, so that its bytes were written 9.6 s before; the log says one attempt. Ruled out: a further attempt by the VM, and a wait at the target. Connections to callers keep the plain close.

--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -163,7 +163,7 @@
 }
 
 // Do sends a message and returns the complete response. The error is of type *Error. If ctx ends first, the connection
-// is closed, from which the target can tell that the request is cancelled.
+// is reset: the target can tell that the request is cancelled, and what it has not received yet is never delivered.
 func (p *Pool) Do(ctx context.Context, t Target, m Message) (*codec.Response, error) {
 	c, reused, err := p.acquire(ctx, t, m.NewConnection)
 	if err != nil {
--- a/send/send.go
+++ b/send/send.go
@@ -148,6 +148,14 @@
 	if err != nil {
 		return nil, errors.Mark(err, errDial)
 	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		// Closing resets the connection. After a plain close, an order that a partition holds back would run when the partition
+		// ends, although its attempt was given up.
+		if err := tcp.SetLinger(0); err != nil {
+			_ = nc.Close()
+			return nil, errors.Mark(err, errDial)
+		}
+	}
 	conn := &quietConn{Conn: nc}
 	conn.closed = func() { c.forget(conn) }
 	c.mu.Lock()
