codec, outlet: memory for a body grows as bytes arrive

A target that announces a long chunk and sends nothing of it took the memory of the chunk at the VM.

Cause: the body of a chunked response was read by fasthttp, which allocates the announced size of a chunk, up to 16 MB, before its first byte. The limit on the memory of all responses counted bytes that had arrived, and so didn't see it. Nor did it see the copy that is made when a buffer grows. Evidence: 32 responses with one announced chunk of 14 MB and no byte of it allocated 538 MB; with a Content-Length, which codec read itself, under 32 MB. Ruled out: endless headers, interim responses, trailers and bodies without a length, which TestUnboundedResponses covers. Change: codec reads all forms of a body itself, chunks through the standard library. A buffer doubles as it fills, and its capacity is reserved from the shared limit before it is allocated (package memory). Before: TestAnnouncedBodyTakesNoMemory failed for one chunk and for a second chunk (538 MB, bound 34 MB). After: passes. Fuzz targets of codec: 15 s and 10 s without a finding.

--- a/carry/faulty_target_test.go
+++ b/carry/faulty_target_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -180,6 +181,42 @@
 	}
 }
 
+// Targets announce a long body and send nothing of it. Guards against memory that is taken for what a target has announced: a
+// few such responses at once took more memory than the process may have.
+func TestAnnouncedBodyTakesNoMemory(t *testing.T) {
+	const requests, maxBytesEach = 32, 1 << 20
+	for name, head := range map[string]string{
+		"one chunk":        "Transfer-Encoding: chunked\r\n\r\nE00000\r\n",
+		"a second chunk":   "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\nE00000\r\n",
+		"a content length": "Content-Length: 14000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			bad := newFakeTarget(t, func(nc net.Conn, _ int, r *http.Request) bool {
+				_, _ = nc.Write([]byte(responseHead(200, r) + head))
+				_, _ = nc.Read(make([]byte, 1)) // blocks until the connection ends
+				return false
+			})
+			c := newForwarderFor(t, false, 300*time.Millisecond, bad)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			done := make(chan struct{})
+			for i := range requests {
+				go func() {
+					c.Handle(context.Background(), newRequest(t, fmt.Sprintf("Id: %d\r\n", i)), time.Now())
+					done <- struct{}{}
+				}()
+			}
+			for range requests {
+				<-done
+			}
+			runtime.ReadMemStats(&after)
+			if got := after.TotalAlloc - before.TotalAlloc; got > requests*maxBytesEach {
+				t.Errorf("%d bytes were allocated for %d responses without a body, want %d at most", got, requests, requests*maxBytesEach)
+			}
+		})
+	}
+}
+
 // Guards against choosing a target again right after it sent an oversized response, and against failing idempotent
 // requests that another target could serve.
 func TestFloodingTargetIsAvoided(t *testing.T) {
--- a/codec/response.go
+++ b/codec/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/currantpier/currantpier/memory"
 )
 
 // Response is a complete HTTP response, of a target or of this process.
@@ -46,20 +47,20 @@
 const (
 	// maxInterimResponses bounds the 1xx responses before a final one.
 	maxInterimResponses = 16
-	// maxPreallocatedBytes is the Content-Length up to which the memory for a body is allocated at once. Beyond it
-	// memory grows as bytes arrive, since a target may state a length and never send the body.
+	// maxPreallocatedBytes bounds the memory that is allocated for the body of a response before its first byte arrives.
 	maxPreallocatedBytes = 64 << 10
 )
 
 // ReadResponse reads one complete response to a request with the given method and skips up to maxInterimResponses
 // interim responses. A body that ends early is an error. Limit bounds the body in bytes.
 func ReadResponse(br *bufio.Reader, method string, limit int) (*Response, error) {
-	return ReadResponseFunc(br, method, limit, func(*Response) {})
+	return ReadResponseFunc(br, method, limit, nil, func(*Response) {})
 }
 
-// ReadResponseFunc is ReadResponse with a function that is called with the status and the fields before the body is read, also
-// if the body then ends early. Trailer fields are no part of them.
-func ReadResponseFunc(br *bufio.Reader, method string, limit int, onHeader func(*Response)) (*Response, error) {
+// ReadResponseFunc is ReadResponse with a reservation for the memory of the body, and a function that is called with the status
+// and the fields before the body is read, also if the body then ends early. Trailer fields are no part of them. Errors include
+// ErrBodyTooLarge and memory.ErrExhausted.
+func ReadResponseFunc(br *bufio.Reader, method string, limit int, reserved *memory.Reservation, onHeader func(*Response)) (*Response, error) {
 	var resp fasthttp.Response
 	resp.Header.SetNoDefaultContentType(true)
 	for n := 0; ; n++ {
@@ -87,9 +88,10 @@
 	if a.omitBody {
 		a.statedLength = max(resp.Header.ContentLength(), -1)
 	} else {
-		// A body without a length ends with the connection. fasthttp reports it as -2, and chunks as -1.
-		a.Close = a.Close || resp.Header.ContentLength() == -2
-		body, err := readBody(br, &resp, limit)
+		// A body without a length ends with the connection.
+		a.Close = a.Close || resp.Header.ContentLength() == noLength
+		d := bodyReader{br: br, limit: limit, reserved: reserved, initial: min(resp.Header.ContentLength(), maxPreallocatedBytes)}
+		body, err := d.readResponse(&resp)
 		if err != nil {
 			return nil, err
 		}
@@ -98,29 +100,24 @@
 	return a, nil
 }
 
-// readBody reads the body that follows the header of resp.
-func readBody(br *bufio.Reader, resp *fasthttp.Response, limit int) ([]byte, error) {
+// readResponse reads the body that follows the header of resp, and its trailer.
+func (d *bodyReader) readResponse(resp *fasthttp.Response) ([]byte, error) {
+	length := resp.Header.ContentLength()
 	// HTTP/1.0 has no chunks. fasthttp ignores the Transfer-Encoding field there and takes the sizes of chunks, up to the
 	// end of the connection, for the body.
-	if resp.Header.ContentLength() == -2 && string(resp.Header.Protocol()) != "HTTP/1.1" {
+	if length == noLength && string(resp.Header.Protocol()) != "HTTP/1.1" {
 		return nil, errors.Wrap(ErrMalformed, "HTTP/1.0 without a length")
 	}
-	if n := resp.Header.ContentLength(); n > maxPreallocatedBytes && n <= limit {
-		b, err := io.ReadAll(io.LimitReader(br, int64(n)))
-		if err == nil && len(b) < n {
-			err = io.ErrUnexpectedEOF
-		}
-		return b, errors.Wrap(err, "read body")
-	}
-	if err := resp.ReadBody(br, limit); err != nil {
+	b, err := d.read(length)
+	if err != nil {
 		return nil, errors.Wrap(err, "read body")
 	}
-	if resp.Header.ContentLength() == -1 {
-		if err := resp.Header.ReadTrailer(br); err != nil {
+	if length == chunkedLength {
+		if err := resp.Header.ReadTrailer(d.br); err != nil {
 			return nil, errors.Wrap(err, "read trailer")
 		}
 	}
-	return resp.Body(), nil
+	return b, nil
 }
 
 func (a *Response) copyFields(h *fasthttp.ResponseHeader) {
--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -13,6 +13,7 @@
 
 	"github.com/currantpier/currantpier/codec"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/memory"
 )
 
 const (
@@ -33,8 +34,8 @@
 	readBufferBytes = 8 << 10
 	// MaxResponseBytes bounds the body of a response, and all bytes that are read during one request.
 	MaxResponseBytes = 16 << 20
-	// unreservedBytes is the size up to which a response doesn't count towards the memory limit.
-	unreservedBytes = 64 << 10
+	// uncountedBytes is the size up to which a response doesn't count towards the memory limit.
+	uncountedBytes = 64 << 10
 	// maxStrayResponses bounds the responses to other requests that are read before the connection is closed.
 	maxStrayResponses = 4
 )
@@ -111,8 +112,8 @@
 	clock func() time.Time
 	// onDial is called with the time that a new connection took.
 	onDial func(t Target, took time.Duration)
-	// memory bounds the responses in progress.
-	memory *memoryLimit
+	// responses bounds the memory for the responses in progress.
+	responses *memory.Limit
 
 	mu     sync.Mutex
 	groups map[targetKey]*targetConns
@@ -131,11 +132,11 @@
 	Opened, Reused, FoundDead, Failed uint64
 }
 
-// New returns an empty pool. MaxResponseMemory bounds the total size in bytes of all responses that are being read, beyond
-// the first unreservedBytes of each.
+// New returns an empty pool. MaxResponseMemory bounds the memory in bytes for the bodies of all responses that are being read,
+// beyond the first uncountedBytes of each.
 func New(clock func() time.Time, maxResponseMemory int64, onDial func(t Target, took time.Duration)) *Pool {
 	return &Pool{
-		clock: clock, onDial: onDial, memory: &memoryLimit{limit: maxResponseMemory}, groups: map[targetKey]*targetConns{},
+		clock: clock, onDial: onDial, responses: memory.NewLimit(maxResponseMemory), groups: map[targetKey]*targetConns{},
 		reducedIdle: map[ident.Service]reducedIdleLimit{},
 	}
 }
@@ -175,9 +176,9 @@
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	c.in.beginResponse(p.memory)
-	a, e := c.exchange(b, m)
-	c.in.endResponse()
+	reserved := p.responses.Reserve(uncountedBytes)
+	defer reserved.Release()
+	a, e := c.exchange(b, m, reserved)
 	if !stop() && e == nil {
 		// The expired deadline may be set on the connection at any time from now on.
 		p.discard(t, c)
@@ -198,7 +199,8 @@
 }
 
 // exchange writes the bytes of a message and reads the response.
-func (c *conn) exchange(b []byte, m Message) (*codec.Response, *Error) {
+func (c *conn) exchange(b []byte, m Message, reserved *memory.Reservation) (*codec.Response, *Error) {
+	c.in.read = 0
 	if n, err := c.Write(b); err != nil {
 		stage := Sent
 		if n == 0 {
@@ -210,7 +212,10 @@
 		if _, err := c.br.Peek(1); err != nil {
 			return nil, &Error{Stage: Sent, cause: errors.Wrap(err, "no answer")}
 		}
-		a, err := codec.ReadResponseFunc(c.br, m.Method, MaxResponseBytes, m.observeHeader)
+		a, err := codec.ReadResponseFunc(c.br, m.Method, MaxResponseBytes, reserved, m.observeHeader)
+		if errors.Is(err, memory.ErrExhausted) || errors.Is(err, codec.ErrBodyTooLarge) {
+			err = errors.WithSecondaryError(ErrResponseTooLarge, err)
+		}
 		if err != nil {
 			return nil, &Error{Stage: Sent, Partial: true, cause: errors.Wrap(err, "broken answer")}
 		}
@@ -382,7 +387,7 @@
 }
 
 // ResponseMemoryUsed returns the bytes of responses in progress that count towards the memory limit.
-func (p *Pool) ResponseMemoryUsed() int64 { return p.memory.used.Load() }
+func (p *Pool) ResponseMemoryUsed() int64 { return p.responses.Used() }
 
 // Stats returns the counts so far and the number of open connections.
 func (p *Pool) Stats() (s Stats, open int) {
