--- a/peers/service.go
+++ b/peers/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -175,13 +176,14 @@
 		if i == 0 || p.Message != packets[i-1].Message {
 			b = proto.AppendDatagram(b[:0], p.Message)
 		}
-		addr, err := net.ResolveUDPAddr("udp", p.To)
+		// An address by name is malformed. Looking it up could block all messages.
+		addr, err := netip.ParseAddrPort(p.To)
 		if err != nil {
 			s.countBadDatagram()
 			continue
 		}
 		// Not retried: a later message makes up for a lost datagram.
-		if _, err := s.conn.WriteTo(b, addr); err != nil {
+		if _, err := s.conn.WriteTo(b, net.UDPAddrFromAddrPort(addr)); err != nil {
 			s.countBadDatagram()
 		}
 	}
--- a/peers/service_test.go
+++ b/peers/service_test.go
@@ -57,3 +57,25 @@
 		t.Errorf("pauses of %d ms, want %d", pauses, want)
 	}
 }
+
+// recordingConn records the addresses to which datagrams are sent.
+type recordingConn struct {
+	net.PacketConn
+	sent []string
+}
+
+func (c *recordingConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	c.sent = append(c.sent, to.String())
+	return len(b), nil
+}
+
+// Guards against an address by name in a list of VMs: looking it up would hold up the messages to all others.
+func TestAddressByNameIsNotLookedUp(t *testing.T) {
+	conn := &recordingConn{}
+	s := NewService(nil, conn, nil, time.Now, func(any) {})
+	m := &proto.Message{}
+	s.send([]Packet{{To: "localhost:7", Message: m}, {To: "127.0.0.1:8", Message: m}, {To: "127.0.0.1:65616", Message: m}})
+	if !slices.Equal(conn.sent, []string{"127.0.0.1:8"}) || s.badDatagrams != 2 {
+		t.Errorf("sent to %q, %d messages dropped; want 127.0.0.1:8 only and 2", conn.sent, s.badDatagrams)
+	}
+}
