trace: values in log lines are shortened to 4 KiB

Writing logs takes processor time that requests need.

Cause: the number of lines is bounded, their length was not. Errors of the decoders quote what they could not decode. Change: texts and errors are cut after 4 KiB, at a character. Before: TestLongValuesAreShortened saw a line of over 64 KB. After: passes.

--- a/trace/trace.go
+++ b/trace/trace.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +57,9 @@
 	maxLinesPerSecond = 20
 )
 
+// maxValueBytes limits each value of a line. Errors quote what other processes have sent or stored.
+const maxValueBytes = 4 << 10
+
 // line is a queued log line.
 type line struct {
 	at     time.Time
@@ -153,10 +157,25 @@
 }
 
 func (l *Log) write(out log.Logger, ln line) {
-	fields := append([]any{"ts", ln.at.UTC().Format("15:04:05.000"), "vm", l.vm, "event", string(ln.event)}, ln.fields...)
+	fields := []any{"ts", ln.at.UTC().Format("15:04:05.000"), "vm", l.vm, "event", string(ln.event)}
+	for _, f := range ln.fields {
+		fields = append(fields, shorten(f))
+	}
 	// An error of the log's own writer can't be reported anywhere.
 	_ = out.Log(fields...)
 }
 
+// shorten returns a text or an error without what exceeds maxValueBytes, and other values unchanged.
+func shorten(value any) any {
+	text, ok := value.(string)
+	if err, isError := value.(error); isError {
+		text, ok = err.Error(), true
+	}
+	if !ok || len(text) <= maxValueBytes {
+		return value
+	}
+	return strings.ToValidUTF8(text[:maxValueBytes], "") + "..."
+}
+
 // QueueCounts returns how many lines were queued and how many were dropped because the queue was full.
 func (l *Log) QueueCounts() ring.Counts { return l.stats.Counts() }
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 var start = time.Unix(1000, 0)
@@ -79,3 +81,21 @@
 		t.Errorf("last line %q lacks the count of 80 dropped lines", last)
 	}
 }
+
+// Guards against lines of any length: an error quotes what another writer has left in the store, up to 64 KB, again with each of its
+// changes.
+func TestLongValuesAreShortened(t *testing.T) {
+	long := strings.Repeat("9", 64<<10)
+	for _, value := range []any{long, errors.New(long), strings.Repeat("\u20ac", 20<<10)} {
+		l, out := New("vm"), &lockedBuffer{}
+		l.Add(start, BadEntry, "key", "k", "err", value)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := l.Run(ctx, out); err != nil {
+			t.Fatal(err)
+		}
+		if n := out.b.Len(); n > 3*maxValueBytes || !strings.Contains(out.b.String(), "...") || !strings.Contains(out.b.String(), "key=k") {
+			t.Errorf("a value of %T became a line of %d bytes", value, n)
+		}
+	}
+}
