inlet, codec: the bodies of requests share a memory limit

Sixteen callers at once with bodies of 12 MiB, a fifth of MaxBodyBytes, took a VM over its memory.

Cause: each body was bounded, their sum was not, and each attempt made a second copy of the body behind its header. Ruled out: garbage of the Go runtime; up to 402 MB were in use. The stated length is reserved before the body is read, chunks as they arrive. What doesn't fit gets 503 with Retry-After at once; short bodies are served all the while. A long body is written from where it is, for responses too. All ports of a VM share the limit.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -99,7 +99,7 @@
 	k.Counters.Sends.Add(1)
 	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(responseGrace))
 	defer cancel()
-	msg := outlet.Message{Method: k.r.Method(), Build: func() ([]byte, error) { return k.build(ctx, t) }, Matches: k.ownsResponse,
+	msg := outlet.Message{Method: k.r.Method(), Build: func() ([][]byte, error) { return k.build(ctx, t) }, Matches: k.ownsResponse,
 		NewConnection: k.id == "", OnHeader: func(a *codec.Response) { k.recordNotice(k.clock(), t, a) }}
 	a, err := k.pool.Do(ctx, k.outletTarget(t), msg)
 	done := k.clock()
@@ -130,14 +130,14 @@
 
 // build returns the encoded request for a target, or an error if it must not be sent there any more. The process may have been
 // paused while a connection was being opened; the checks then need the state of after the pause.
-func (k *call) build(ctx context.Context, t fleet.Target) ([]byte, error) {
+func (k *call) build(ctx context.Context, t fleet.Target) ([][]byte, error) {
 	k.awaitConfirmation(ctx, k.clock())
 	return k.buildRequest(k.clock(), t)
 }
 
 // buildRequest returns the encoded request for a target. The choice of the target may be outdated because opening a
 // connection took long or the process was paused, so the deadline, the configuration and the target are checked again.
-func (k *call) buildRequest(now time.Time, t fleet.Target) ([]byte, error) {
+func (k *call) buildRequest(now time.Time, t fleet.Target) ([][]byte, error) {
 	left := k.deadline.Sub(now)
 	switch s := k.snapshot.Load(); {
 	case left < minRemaining:
@@ -150,7 +150,7 @@
 	if err := k.checkNotice(now, &t); err != nil {
 		return nil, err
 	}
-	return k.r.Append(nil,
+	return k.r.Encode(
 		codec.Field{Name: k.headers.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
 		codec.Field{Name: k.headers.Expect, Value: string(t.ID)}), nil
 }
--- a/carry/faulty_target_test.go
+++ b/carry/faulty_target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -352,10 +353,10 @@
 			if !errors.Is(err, tt.want) {
 				t.Fatalf("error %v, want %v", err, tt.want)
 			}
-			if want := "Deadline: " + tt.left + "\r\n"; err == nil && !strings.Contains(string(b), want) {
+			if want := "Deadline: " + tt.left + "\r\n"; err == nil && !strings.Contains(string(bytes.Join(b, nil)), want) {
 				t.Errorf("sent %q, want %q in it", b, want)
 			}
-			if want := "Expect: t\r\n"; err == nil && !strings.Contains(string(b), want) {
+			if want := "Expect: t\r\n"; err == nil && !strings.Contains(string(bytes.Join(b, nil)), want) {
 				t.Errorf("sent %q, want %q in it", b, want)
 			}
 		})
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -143,6 +143,9 @@
 // Connections returns the connection counts of the pool and the number of open connections to targets.
 func (c *Forwarder) Connections() (outlet.Stats, int) { return c.pool.Stats() }
 
+// ResponseMemoryUsed returns the bytes of responses in progress that count towards MaxResponseMemory.
+func (c *Forwarder) ResponseMemoryUsed() int64 { return c.pool.ResponseMemoryUsed() }
+
 // State is the state of a Forwarder in the form that Dump returns.
 type State struct {
 	Targets []pick.TargetState `json:"targets"`
@@ -243,6 +246,21 @@
 	return true
 }
 
+// RefuseBody responds to a request for whose body there is no memory. Only its header was read.
+func (c *Forwarder) RefuseBody(r *codec.Request, arrived time.Time) *codec.Response {
+	k := &call{Forwarder: c, r: r, id: r.Field(c.headers.Attempt), arrived: arrived}
+	if cfg := c.snapshot.Load().Config; cfg != nil && !k.takeRoute(cfg) {
+		return noRoute()
+	}
+	return c.refuse(c.clock(), k, kinds.Overloaded, "no memory for the body")
+}
+
+func (k *call) takeRoute(cfg *fleet.Config) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.follow(cfg)
+}
+
 // timeLimit returns the shorter of the caller's deadline and the route's timeout.
 func (c *Forwarder) timeLimit(r *codec.Request, route *fleet.Route) time.Duration {
 	limit := route.Timeout
--- a/carry/forwarder_test.go
+++ b/carry/forwarder_test.go
@@ -118,3 +118,19 @@
 		t.Error("refusal without an id rejected for a request without an id")
 	}
 }
+
+// Guards against a request for whose body there is no memory and that gets no Retry-After field, or a promise to succeed later
+// although it has no route.
+func TestRefuseBody(t *testing.T) {
+	c := newForwarderFor(t, false, time.Second)
+	if a := c.RefuseBody(newRequest(t, "Id: 1\r\n"), time.Now()); a.Status != 503 || a.Field("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q; want 503 and a value", a.Status, a.Field("Retry-After"))
+	}
+	other := &codec.Request{}
+	if err := other.ReadHeader(bufio.NewReader(strings.NewReader("POST /other HTTP/1.1\r\nHost: x\r\n\r\n"))); err != nil {
+		t.Fatal(err)
+	}
+	if a := c.RefuseBody(other, time.Now()); a.Status != 404 {
+		t.Errorf("without a route: status %d, want 404", a.Status)
+	}
+}
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/currantpier/currantpier/memory"
 )
 
 // Request is a complete HTTP request of a caller.
@@ -19,6 +21,9 @@
 	// hasLengthField is set if the request had a Content-Length or Transfer-Encoding field. The forwarded request then
 	// has a Content-Length even if its body is empty.
 	hasLengthField bool
+	body           []byte
+	// reserved is the memory that the body holds, nil before ReadBody.
+	reserved *memory.Reservation
 }
 
 // Errors of Request and ReadResponse, besides those of the connection.
@@ -83,15 +88,41 @@
 // ExpectsContinue reports whether the caller waits for "100 Continue" before it sends the body.
 func (r *Request) ExpectsContinue() bool { return r.msg.MayContinue() }
 
-// ReadBody reads the body that follows the header. A limit of zero means none.
+// ReserveBody reserves the memory for a body whose length the header states. It returns memory.ErrExhausted if too little is left.
+// ReadBody reserves the memory for a body in chunks as they arrive.
+func (r *Request) ReserveBody(reserved *memory.Reservation) error {
+	if !reserved.Resize(int64(max(r.msg.Header.ContentLength(), 0))) {
+		return memory.ErrExhausted
+	}
+	r.reserved = reserved
+	return nil
+}
+
+// ReadBody reads the body that follows the header. A limit of zero means none. Errors are ErrBodyTooLarge, memory.ErrExhausted and
+// those of the connection.
 func (r *Request) ReadBody(br *bufio.Reader, limit int) error {
-	err := r.msg.ContinueReadBody(br, limit, false)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		return ErrBodyTooLarge
+	length := r.msg.Header.ContentLength()
+	if length == noLength {
+		return nil // a request without a length has no body
+	}
+	d := bodyReader{br: br, limit: limit, reserved: r.reserved, initial: length}
+	b, err := d.read(length)
+	if err == nil && length == chunkedLength {
+		err = r.msg.Header.ReadTrailer(br)
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
 	}
+	r.body = b
 	return err
 }
 
+// Release frees the memory of the body. The request must not be used any more.
+func (r *Request) Release() {
+	r.body = nil
+	r.reserved.Release()
+}
+
 // classify maps errors of fasthttp's parser to those of this package. Errors of the connection are returned unchanged.
 func classify(err error) error {
 	var small *fasthttp.ErrSmallBuffer
@@ -125,17 +156,30 @@
 // Field returns the first value of a header field, or "".
 func (r *Request) Field(name string) string { return string(r.msg.Header.Peek(name)) }
 
-func (r *Request) Body() []byte { return r.msg.Body() }
+func (r *Request) Body() []byte { return r.body }
 
 // WantsClose reports whether the caller asked for the connection to be closed after the response.
 func (r *Request) WantsClose() bool { return r.msg.Header.ConnectionClose() }
 
 type Field struct{ Name, Value string }
 
-// Append appends the request in its forwarded form to dst: with the caller's fields except those in replace, which get
-// the given values. An empty value removes the field.
-func (r *Request) Append(dst []byte, replace ...Field) []byte {
+// maxJoinedBytes is the size up to which a body is copied behind its header, so that one write sends both. The memory of a second
+// copy of a longer one would not count towards any limit.
+const maxJoinedBytes = 16 << 10
+
+// join returns a header and a body in the parts in which they are written.
+func join(head, body []byte) [][]byte {
+	if len(body) <= maxJoinedBytes {
+		return [][]byte{append(head, body...)}
+	}
+	return [][]byte{head, body}
+}
+
+// Encode returns the request in its forwarded form, in the parts to write: with the caller's fields except those in replace, which
+// get the given values. An empty value removes the field.
+func (r *Request) Encode(replace ...Field) [][]byte {
 	h := &r.msg.Header
+	var dst []byte
 	dst = append(dst, h.Method()...)
 	dst = append(dst, ' ')
 	dst = append(dst, h.RequestURI()...)
@@ -157,11 +201,10 @@
 			dst = appendField(dst, []byte(f.Name), []byte(f.Value))
 		}
 	}
-	if body := r.msg.Body(); len(body) > 0 || r.hasLengthField {
-		dst = appendLength(dst, len(body))
+	if len(r.body) > 0 || r.hasLengthField {
+		dst = appendLength(dst, len(r.body))
 	}
-	dst = append(dst, "\r\n"...)
-	return append(dst, r.msg.Body()...)
+	return join(append(dst, "\r\n"...), r.body)
 }
 
 func isReplaced(k []byte, replace []Field) bool {
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -56,7 +58,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if d := cmp.Diff(tt.want, string(r.Append(nil, Field{"New", "1"}))); d != "" {
+			if d := cmp.Diff(tt.want, joined(r.Encode(Field{"New", "1"}))); d != "" {
 				t.Error(d)
 			}
 		})
@@ -95,7 +97,7 @@
 				t.Errorf("host %q, path %q; want %q, %q", r.Host(), r.Path(), tt.host, tt.path)
 			}
 			want := "OPTIONS " + tt.forwarded + " HTTP/1.1\r\nHost: " + tt.host + "\r\n\r\n"
-			if d := cmp.Diff(want, string(r.Append(nil))); d != "" {
+			if d := cmp.Diff(want, joined(r.Encode())); d != "" {
 				t.Error(d)
 			}
 		})
@@ -166,17 +168,17 @@
 		t.Fatal(err)
 	}
 	want := "HTTP/1.1 500 Internal Server Error\r\nX-Sig: s\r\nContent-Length: 1\r\n"
-	if d := cmp.Diff(want+"\r\na", string(a.Append(nil, false))); d != "" {
+	if d := cmp.Diff(want+"\r\na", joined(a.Encode(false))); d != "" {
 		t.Error(d)
 	}
-	if d := cmp.Diff(want+"Connection: close\r\n\r\na", string(a.Append(nil, true))); d != "" {
+	if d := cmp.Diff(want+"Connection: close\r\n\r\na", joined(a.Encode(true))); d != "" {
 		t.Error(d)
 	}
 	head, err := ReadResponse(newReader("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"), "HEAD", 100)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if d := cmp.Diff("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", string(head.ForHead().Append(nil, false))); d != "" {
+	if d := cmp.Diff("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", joined(head.ForHead().Encode(false))); d != "" {
 		t.Error(d)
 	}
 }
@@ -190,3 +192,31 @@
 		}
 	}
 }
+
+// joined returns the parts of an encoded message as one text.
+func joined(parts [][]byte) string { return string(bytes.Join(parts, nil)) }
+
+// Guards against a second copy of a long body, which would count towards no limit.
+func TestLongBodyIsNotCopied(t *testing.T) {
+	body := strings.Repeat("x", maxJoinedBytes+1)
+	for _, in := range []string{
+		fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+	} {
+		r, br := &Request{}, newReader(in)
+		if err := r.ReadHeader(br); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.ReadBody(br, 1<<20); err != nil {
+			t.Fatal(err)
+		}
+		parts := r.Encode()
+		if len(parts) != 2 || &parts[1][0] != &r.Body()[0] || string(parts[1]) != body {
+			t.Errorf("a body of %d bytes is written in %d parts, want the header and the body itself", len(body), len(parts))
+		}
+	}
+	a := NewResponse(200, body)
+	if parts := a.Encode(false); len(parts) != 2 || &parts[1][0] != &a.Body[0] {
+		t.Errorf("a response is written in %d parts, want the header and the body itself", len(parts))
+	}
+}
--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -24,7 +24,7 @@
 		if len(a.Body) > limit {
 			t.Fatalf("body of %d bytes, limit %d", len(a.Body), limit)
 		}
-		reparsed, err := ReadResponse(newReader(string(a.Append(nil, false))), "GET", limit)
+		reparsed, err := ReadResponse(newReader(joined(a.Encode(false))), "GET", limit)
 		if err != nil {
 			t.Fatalf("the forwarded response cannot be parsed: %v", err)
 		}
@@ -49,7 +49,7 @@
 			return
 		}
 		_, _, _ = r.Method(), r.Host(), r.Path()
-		if len(r.Append(nil)) == 0 {
+		if len(joined(r.Encode())) == 0 {
 			t.Error("a parsed request is forwarded as zero bytes")
 		}
 	})
--- a/codec/response.go
+++ b/codec/response.go
@@ -147,8 +147,9 @@
 	return 0
 }
 
-// Append appends the encoded response to dst. If last is set, it adds "Connection: close".
-func (a *Response) Append(dst []byte, last bool) []byte {
+// Encode returns the response in the parts to write. If last is set, it has the field "Connection: close".
+func (a *Response) Encode(last bool) [][]byte {
+	var dst []byte
 	dst = append(dst, "HTTP/1.1 "...)
 	dst = strconv.AppendInt(dst, int64(a.Status), 10)
 	dst = append(dst, ' ')
@@ -166,8 +167,7 @@
 	if last {
 		dst = append(dst, "Connection: close\r\n"...)
 	}
-	dst = append(dst, "\r\n"...)
-	return append(dst, a.Body...)
+	return join(append(dst, "\r\n"...), a.Body)
 }
 
 // ForHead changes a into a response to a HEAD request, which has no body, and returns it.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/currantpier/currantpier/inlet"
 	"github.com/currantpier/currantpier/join"
 	"github.com/currantpier/currantpier/kernel"
+	"github.com/currantpier/currantpier/memory"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/state"
@@ -40,6 +41,9 @@
 	Operator, Registry feed.Table
 	Directory          join.Directory
 	Times              Times
+	// MaxBodyMemory bounds the memory in bytes for the bodies of all requests that are being read or forwarded, beyond the first
+	// 16 KiB of each.
+	MaxBodyMemory int64
 	// StatePort is the port, the same on all VMs, on which a VM serves its state to other VMs.
 	StatePort int
 }
@@ -50,6 +54,7 @@
 	kernel       *kernel.Kernel
 	callerServer *inlet.Server
 	state        *state.State
+	bodies       *memory.Limit
 	// registrar reports whether this VM may be in the store's list.
 	registrar *join.Registrar
 
@@ -61,7 +66,8 @@
 func New(cfg Config, ln net.Listener, extra ...Listener) (*Node, error) {
 	n := &Node{cfg: cfg, kernel: kernel.New(), stop: drain.NewStop(cfg.Times.TTL, cfg.Times.Grace)}
 	onPanic := inlet.OnPanic(func(v any) { cfg.Log.AddPanic(cfg.Clock(), "inlet", v) })
-	n.callerServer = inlet.New(cfg.Forwarder, n.requestLimits, cfg.Clock, onPanic)
+	n.bodies = memory.NewLimit(cfg.MaxBodyMemory)
+	n.callerServer = inlet.New(cfg.Forwarder, n.requestLimits, cfg.Clock, onPanic, inlet.LimitBodies(n.bodies, cfg.Forwarder.RefuseBody))
 	n.state = state.New(cfg.Config, n.stopping)
 	n.registrar = &join.Registrar{
 		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
@@ -83,7 +89,8 @@
 		&listenService{name: "callers", ln: ln, server: n.callerServer},
 	}
 	for _, o := range extra {
-		services = append(services, &listenService{name: o.Name, ln: o.Listener, server: inlet.New(o.Handler, n.requestLimits, cfg.Clock, onPanic)})
+		server := inlet.New(o.Handler, n.requestLimits, cfg.Clock, onPanic, inlet.LimitBodies(n.bodies, inlet.RefuseBody))
+		services = append(services, &listenService{name: o.Name, ln: o.Listener, server: server})
 	}
 	for _, s := range services {
 		if err := n.kernel.Register(s); err != nil {
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/currantpier/currantpier/codec"
+	"github.com/currantpier/currantpier/memory"
 )
 
 // conn is one connection of a caller.
@@ -138,7 +139,7 @@
 func (c *conn) readRequests(ctx context.Context) error {
 	for {
 		r, arrived, err := c.readRequest()
-		if refusal := refusalFor(err); refusal != nil {
+		if refusal := c.server.refusalFor(err, r, arrived); refusal != nil {
 			c.refuse(refusal)
 			return errServerClosing
 		}
@@ -153,12 +154,15 @@
 		}
 		ex := &exchange{response: make(chan *codec.Response, 1), last: r.WantsClose(), head: r.Method() == http.MethodHead}
 		if !c.admitRequest() {
+			r.Release()
 			return errServerClosing
 		}
 		c.handlers.Add(1)
 		go func() {
 			defer c.handlers.Done()
-			ex.response <- c.server.handle(ctx, r, arrived)
+			a := c.server.handle(ctx, r, arrived)
+			r.Release()
+			ex.response <- a
 		}()
 		c.exchanges <- ex
 		if ex.last {
@@ -269,7 +273,8 @@
 	return errors.As(err, &ne) && ne.Timeout()
 }
 
-// readRequest reads one complete request. Arrived is when its first byte was read.
+// readRequest reads one complete request. Arrived is when its first byte was read. If there is no memory for its body, the error is
+// memory.ErrExhausted, and r has the header.
 func (c *conn) readRequest() (r *codec.Request, arrived time.Time, err error) {
 	if err := c.awaitRequest(); err != nil {
 		return nil, arrived, err
@@ -293,12 +298,24 @@
 		return nil, arrived, codec.ErrBodyTooLarge
 	}
 	_ = c.nc.SetReadDeadline(arrived.Add(bodyTimeout))
+	if err := c.readBody(r, limits.BodyBytes); err != nil {
+		r.Release()
+		return r, arrived, err
+	}
+	return r, arrived, nil
+}
+
+// readBody reads the body of a request, once there is memory for it.
+func (c *conn) readBody(r *codec.Request, limit int) error {
+	if err := r.ReserveBody(c.server.bodies.Reserve(uncountedBodyBytes)); err != nil {
+		return err
+	}
 	if r.ExpectsContinue() {
 		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, arrived, err
+			return err
 		}
 	}
-	return r, arrived, r.ReadBody(c.br, limits.BodyBytes)
+	return r.ReadBody(c.br, limit)
 }
 
 // grow replaces the read buffer by one that holds a header of n bytes.
@@ -313,8 +330,10 @@
 var errHeaderTimeout = errors.New("header not complete in time")
 
 // refusalFor returns the response to a request that could not be read, or nil if the error requires none.
-func refusalFor(err error) *codec.Response {
+func (s *Server) refusalFor(err error, r *codec.Request, arrived time.Time) *codec.Response {
 	switch {
+	case errors.Is(err, memory.ErrExhausted):
+		return s.onNoMemory(r, arrived)
 	case errors.Is(err, codec.ErrHeaderTooLarge):
 		return codec.NewResponse(http.StatusRequestHeaderFieldsTooLarge, "header over the limit\n")
 	case errors.Is(err, codec.ErrBodyTooLarge):
@@ -359,6 +378,10 @@
 		}
 	}()
 	_ = c.nc.SetWriteDeadline(c.server.clock().Add(writeTimeout))
-	_, err = c.nc.Write(a.Append(nil, last))
-	return err
+	for _, b := range a.Encode(last) {
+		if _, err := c.nc.Write(b); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -15,6 +15,7 @@
 
 	"github.com/currantpier/currantpier/codec"
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/memory"
 )
 
 const (
@@ -33,6 +34,9 @@
 	// initialBufferBytes is the initial size of a connection's read buffer, which grows to the header limit if a header
 	// needs it.
 	initialBufferBytes = 4 << 10
+	// uncountedBodyBytes is the size up to which a body doesn't count towards the memory limit, so that long bodies don't keep
+	// others from being served.
+	uncountedBodyBytes = 16 << 10
 )
 
 // defaultLimits apply until the operators' limits are available.
@@ -56,12 +60,27 @@
 // connection. It is called from the connection's goroutines. Without it such panics are not reported.
 func OnPanic(f func(value any)) Option { return func(s *Server) { s.onPanic = f } }
 
+// LimitBodies makes the server reject requests whose bodies exceed the memory that is left, before the body is read if its length
+// is known. The limit can be shared with other servers. OnRefusal returns the response to a rejected request, of which only the header
+// was read. The connection ends after it.
+func LimitBodies(limit *memory.Limit, onRefusal func(r *codec.Request, arrived time.Time) *codec.Response) Option {
+	return func(s *Server) { s.bodies, s.onNoMemory = limit, onRefusal }
+}
+
+// RefuseBody is a response to a request for whose body there is no memory.
+func RefuseBody(*codec.Request, time.Time) *codec.Response {
+	return codec.NewResponse(http.StatusServiceUnavailable, "no memory for the body\n", codec.Field{Name: "Retry-After", Value: "1"})
+}
+
 // Server serves the connections of its listeners.
 type Server struct {
 	handler Handler
 	limits  func() *fleet.Limits
 	clock   func() time.Time
 	onPanic func(value any)
+	// bodies bounds the memory for the bodies of requests, nil for no limit.
+	bodies     *memory.Limit
+	onNoMemory func(r *codec.Request, arrived time.Time) *codec.Response
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -77,7 +96,7 @@
 
 // New returns a server. Limits may return nil while no limits are available.
 func New(h Handler, limits func() *fleet.Limits, clock func() time.Time, options ...Option) *Server {
-	s := &Server{handler: h, limits: limits, clock: clock, onPanic: func(any) {}, conns: map[*conn]bool{}}
+	s := &Server{handler: h, limits: limits, clock: clock, onPanic: func(any) {}, onNoMemory: RefuseBody, conns: map[*conn]bool{}}
 	for _, o := range options {
 		o(s)
 	}
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -11,7 +11,7 @@
 // ErrExhausted is returned if the messages in progress leave too little memory for one more.
 var ErrExhausted = errors.New("no memory left for the message")
 
-// Limit bounds the sum of all reservations made from it, in bytes. It is safe for concurrent use.
+// Limit bounds the sum of all reservations made from it, in bytes. It is safe for concurrent use. A nil Limit grants any.
 type Limit struct {
 	max  int64
 	used atomic.Int64
@@ -23,8 +23,7 @@
 // Used returns the reserved bytes.
 func (l *Limit) Used() int64 { return l.used.Load() }
 
-// Reservation is the memory that one message holds. It is used by one goroutine at a time. The zero value and nil reserve from no
-// limit.
+// Reservation is the memory that one message holds. It is used by one goroutine at a time. A nil Reservation has no limit.
 type Reservation struct {
 	limit *Limit
 	// uncounted is the size up to which the message doesn't count towards the limit.
@@ -36,12 +35,15 @@
 // Reserve returns a reservation of no bytes. The first uncounted bytes of it don't count towards the limit, so that small
 // messages get through while large ones use it up.
 func (l *Limit) Reserve(uncounted int64) *Reservation {
+	if l == nil {
+		return nil
+	}
 	return &Reservation{limit: l, uncounted: uncounted}
 }
 
 // Resize changes the size of the reservation. It reports false, without a change, if it grows and the limit leaves too little.
 func (r *Reservation) Resize(size int64) bool {
-	if r == nil || r.limit == nil {
+	if r == nil {
 		return true
 	}
 	more := max(size-r.uncounted, 0) - r.held
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -61,7 +61,8 @@
 
 // Guards against a message without a limit that needs a special case.
 func TestNoLimit(t *testing.T) {
-	var r *Reservation
+	var l *Limit
+	r := l.Reserve(0)
 	if !r.Resize(1 << 40) {
 		t.Error("a reservation from no limit was refused")
 	}
--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -144,9 +144,9 @@
 // Message is one request to be sent.
 type Message struct {
 	Method string
-	// Build returns the bytes to send. It is called once a connection is available, which can take a while; an error
-	// means that the request must not be sent any more.
-	Build func() ([]byte, error)
+	// Build returns the bytes to send, in one or more parts. It is called once a connection is available, which can take a while;
+	// an error means that the request must not be sent any more.
+	Build func() ([][]byte, error)
 	// Matches reports whether a response belongs to the request. Responses to earlier requests may arrive late.
 	Matches func(*codec.Response) bool
 	// NewConnection is set if the request must not be sent on a connection that has carried another one, since Matches
@@ -170,7 +170,7 @@
 	if err != nil {
 		return nil, &Error{Stage: NotSent, cause: err}
 	}
-	b, err := m.Build()
+	parts, err := m.Build()
 	if err != nil {
 		p.releaseUnsent(t, c, reused)
 		return nil, &Error{Stage: NotSent, cause: err}
@@ -178,7 +178,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	reserved := p.responses.Reserve(uncountedBytes)
 	defer reserved.Release()
-	a, e := c.exchange(b, m, reserved)
+	a, e := c.exchange(parts, m, reserved)
 	if !stop() && e == nil {
 		// The expired deadline may be set on the connection at any time from now on.
 		p.discard(t, c)
@@ -199,14 +199,17 @@
 }
 
 // exchange writes the bytes of a message and reads the response.
-func (c *conn) exchange(b []byte, m Message, reserved *memory.Reservation) (*codec.Response, *Error) {
+func (c *conn) exchange(parts [][]byte, m Message, reserved *memory.Reservation) (*codec.Response, *Error) {
 	c.in.read = 0
-	if n, err := c.Write(b); err != nil {
-		stage := Sent
-		if n == 0 {
-			stage = NotSent
+	stage := NotSent
+	for _, b := range parts {
+		n, err := c.Write(b)
+		if n > 0 {
+			stage = Sent
+		}
+		if err != nil {
+			return nil, &Error{Stage: stage, cause: errors.Wrap(err, "write request")}
 		}
-		return nil, &Error{Stage: stage, cause: errors.Wrap(err, "write request")}
 	}
 	for range maxStrayResponses {
 		if _, err := c.br.Peek(1); err != nil {
--- a/outlet/reset_test.go
+++ b/outlet/reset_test.go
@@ -32,7 +32,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	_, err := p.Do(ctx, target, Message{
-		Method: "POST", Build: func() ([]byte, error) { return bytes.Repeat([]byte("x"), n), nil },
+		Method: "POST", Build: func() ([][]byte, error) { return [][]byte{bytes.Repeat([]byte("x"), n)}, nil },
 		Matches: func(*codec.Response) bool { return true },
 	})
 	if !errors.Is(err, context.DeadlineExceeded) {
--- a/outlet/stray_test.go
+++ b/outlet/stray_test.go
@@ -40,7 +40,7 @@
 func do(t *testing.T, p *Pool, target Target, id string, n int) *codec.Response {
 	t.Helper()
 	a, err := p.Do(context.Background(), target, Message{
-		Method: "POST", Build: func() ([]byte, error) { return bytes.Repeat([]byte("x"), n), nil },
+		Method: "POST", Build: func() ([][]byte, error) { return [][]byte{bytes.Repeat([]byte("x"), n)}, nil },
 		Matches: func(a *codec.Response) bool { return a.Field("Id") == id },
 	})
 	if err != nil {
