probe: targets are asked whether they are cold while the registry can't be read

A region was cut off and a failure domain of it evacuated meanwhile.

Cause: whether a target is cold was known from the registry alone, and while it couldn't be read its last entry counted at any age. Change: once the registry is 1.5 s old, one VM of a region sends each of its targets a health request, four a second, and tells all VMs which are cold. Entries from before don't make a target warm again. Targets that are leaving or have asked for time are not asked.

--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -54,6 +54,8 @@
 	NotRun string
 	// Responder holds the id of the target that responds.
 	Responder string
+	// Warmup holds, in responses to health requests, for how many milliseconds the target stays cold.
+	Warmup string
 }
 
 // Counters holds the counts that are not kept by route and outcome.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/currantpier/currantpier/kernel"
 	"github.com/currantpier/currantpier/memory"
 	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/probe"
 	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/state"
 	"github.com/currantpier/currantpier/trace"
@@ -55,6 +56,7 @@
 	callerServer *inlet.Server
 	state        *state.State
 	bodies       *memory.Limit
+	probes       *probe.Service
 	// registrar reports whether this VM may be in the store's list.
 	registrar *join.Registrar
 
@@ -73,6 +75,8 @@
 		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
 		Era: n.state.Era,
 	}
+	n.probes = &probe.Service{Report: n.state.ReportCold, Source: probeSource{n.state, cfg.Forwarder}, Asker: cfg.Forwarder, Clock: cfg.Clock,
+		Planner: probe.NewPlanner(cfg.Self.VM)}
 	services := []kernel.Service{
 		cfg.Peers,
 		n.state,
@@ -86,6 +90,7 @@
 			LacksConfig: n.state.LacksConfig, ConfigVersion: n.state.Version,
 		},
 		forwarderService{n},
+		n.probes,
 		&listenService{name: "callers", ln: ln, server: n.callerServer},
 	}
 	for _, o := range extra {
--- a/edge/services.go
+++ b/edge/services.go
@@ -5,7 +5,9 @@
 	"net"
 	"time"
 
+	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/inlet"
 	"github.com/currantpier/currantpier/state"
 )
@@ -36,6 +38,15 @@
 	return feed.Run(ctx, f.table, f.follower, f.n.state.Sink(ctx, f.topic), f.refresh, f.n.cfg.Clock)
 }
 
+// probeSource is what probe.Service decides by.
+type probeSource struct {
+	*state.State
+	forwarder *carry.Forwarder
+}
+
+// Snapshot implements probe.Source.
+func (p probeSource) Snapshot() *fleet.Snapshot { return p.forwarder.Snapshot() }
+
 // listenService is the service that serves one listener.
 type listenService struct {
 	name   string
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -335,6 +335,21 @@
 	return changed
 }
 
+// RecordCold records that a target of the given start time has said that it stays cold for the given time, and reports whether that
+// is news. Heartbeats from before don't make it warm again.
+func (v *View) RecordCold(now time.Time, id ident.Target, startedUnixMS int64, left time.Duration) bool {
+	r := v.records[id]
+	if r == nil || r.StartedUnixMS != startedUnixMS {
+		return false
+	}
+	until := now.Add(left)
+	if until.Sub(r.coldUntil) <= coldUntilTolerance {
+		return false
+	}
+	r.coldUntil, r.staleUntil = until, now.Add(maxHeartbeatAge)
+	return true
+}
+
 // differs reports whether e is of another start of the target, or describes another place or size.
 func (r *record) differs(e *Entry) bool {
 	return e.StartedUnixMS != r.StartedUnixMS || e.Address != r.Address || e.Slots != r.Slots || e.Service != r.Service || e.Place != r.Place
--- a/peers/service.go
+++ b/peers/service.go
@@ -33,7 +33,7 @@
 	// pause waits for the given time, or until ctx ends.
 	pause func(ctx context.Context, d time.Duration)
 
-	// deltas receives the messages of other VMs that contain changes of the registry or of the operators' table.
+	// deltas receives the messages of other VMs that contain changes of the registry or of the operators' table, or cold targets.
 	deltas chan<- proto.Message
 
 	mu   sync.Mutex
@@ -44,7 +44,7 @@
 }
 
 // NewService returns a service that exchanges the messages of view over conn. Messages with changes of the registry or of
-// the operators' table go to deltas; one that does not fit is dropped, as if the datagram were lost. onPanic is called
+// the operators' table, or with cold targets, go to deltas; one that does not fit is dropped, as if the datagram were lost. onPanic is called
 // with the value of a panic that a datagram has caused, in the goroutine that panicked.
 func NewService(view *View, conn net.PacketConn, deltas chan<- proto.Message, clock func() time.Time, onPanic func(value any)) *Service {
 	return &Service{view: view, conn: conn, deltas: deltas, clock: clock, onPanic: onPanic, pause: pause}
@@ -132,7 +132,7 @@
 		return
 	}
 	s.send(s.updateView(msg))
-	if msg.Registry == nil && msg.OperatorChange == nil {
+	if msg.Registry == nil && msg.OperatorChange == nil && len(msg.Cold) == 0 {
 		return
 	}
 	select {
@@ -170,6 +170,14 @@
 	s.send(packets)
 }
 
+// BroadcastCold tells every member that a target is cold.
+func (s *Service) BroadcastCold(c proto.ColdTarget) {
+	s.mu.Lock()
+	packets := s.view.ColdMessages(c)
+	s.mu.Unlock()
+	s.send(packets)
+}
+
 func (s *Service) send(packets []Packet) {
 	var b []byte
 	for i, p := range packets {
--- a/peers/view.go
+++ b/peers/view.go
@@ -387,3 +387,14 @@
 	}
 	return packets
 }
+
+// ColdMessages returns messages that tell every member that a target is cold.
+func (v *View) ColdMessages(c proto.ColdTarget) []Packet {
+	msg := v.newMessage()
+	msg.Cold = []proto.ColdTarget{c}
+	var packets []Packet
+	for _, m := range v.sorted {
+		packets = append(packets, Packet{To: m.PeerAddress, Message: &msg})
+	}
+	return packets
+}
--- /dev/null
+++ b/probe/plan_test.go
@@ -0,0 +1,122 @@
+package probe
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/proto"
+)
+
+var start = time.Unix(1000, 0)
+
+// snapshot returns targets of a service in the regions a and b, by turns.
+func snapshot(n int, service fleet.Service) *fleet.Snapshot {
+	s := &fleet.Snapshot{
+		Config: &fleet.Config{Services: map[ident.Service]fleet.Service{"s": service}}, RegistryRead: true,
+		Targets: map[ident.Service][]fleet.Target{},
+	}
+	for i := range n {
+		t := fleet.Target{Entry: fleet.Entry{ID: ident.Target(fmt.Sprint("t", i)), Service: "s", Place: ident.Place{Region: "a"}}}
+		if i%2 == 1 {
+			t.Place.Region = "b"
+		}
+		s.Targets["s"] = append(s.Targets["s"], t)
+	}
+	return s
+}
+
+var probed = fleet.Service{Name: "s", HealthPath: "/health", WarmupRate: 11}
+
+// group returns n VMs of region a.
+func group(n int) []proto.VMInfo {
+	var list []proto.VMInfo
+	for i := range n {
+		list = append(list, proto.VMInfo{VM: ident.VM(fmt.Sprint("vm", i)), Place: ident.Place{Region: "a"}})
+	}
+	return list
+}
+
+func ids(targets []fleet.Target) []ident.Target {
+	var list []ident.Target
+	for _, t := range targets {
+		list = append(list, t.ID)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Guards against targets that nobody asks while the registry is unknown, and against health requests of several VMs to one target,
+// which take slots and are too many for a cold one.
+func TestEachTargetIsAskedByOneVM(t *testing.T) {
+	vms := group(4)
+	asked := map[ident.Target]int{}
+	for _, vm := range vms {
+		p := NewPlanner(vm.VM)
+		for _, id := range ids(p.Due(start, snapshot(20, probed), vms, start.Add(-staleAfter))) {
+			asked[id]++
+		}
+	}
+	for i := range 20 {
+		want := 1 - i%2 // those of the other region are asked there
+		if id := ident.Target(fmt.Sprint("t", i)); asked[id] != want {
+			t.Errorf("%s is asked by %d VMs, want %d", id, asked[id], want)
+		}
+	}
+}
+
+// Guards against health requests that are not needed, and against a target that isn't asked again.
+func TestDue(t *testing.T) {
+	vms := group(1)
+	all := []ident.Target{"t0", "t2"}
+	for _, tt := range []struct {
+		name    string
+		service fleet.Service
+		age     time.Duration
+		// between is what happens between the first question and the second, which comes after the given time.
+		between func(p *Planner, s *fleet.Snapshot)
+		after   time.Duration
+		first   []ident.Target
+		second  []ident.Target
+	}{
+		{name: "registry just read", service: probed, age: staleAfter - time.Millisecond, after: 0},
+		{name: "registry not read", service: probed, age: staleAfter, first: all, after: interval - time.Millisecond},
+		{name: "answer awaited", service: probed, age: staleAfter, first: all, after: interval},
+		{name: "one answered", service: probed, age: staleAfter, first: all, after: interval, second: all[:1],
+			between: func(p *Planner, _ *fleet.Snapshot) { p.Done("t0") }},
+		{name: "answered, too early", service: probed, age: staleAfter, first: all, after: interval - time.Millisecond,
+			between: func(p *Planner, _ *fleet.Snapshot) { p.Done("t0") }},
+		{name: "cold by now", service: probed, age: staleAfter, first: all, after: interval,
+			between: func(p *Planner, s *fleet.Snapshot) {
+				p.Done("t0")
+				s.Targets["s"][0].ColdUntil = start.Add(interval + time.Second)
+			}},
+		{name: "warm again", service: probed, age: staleAfter, first: all, after: interval, second: all[:1],
+			between: func(p *Planner, s *fleet.Snapshot) {
+				p.Done("t0")
+				s.Targets["s"][0].ColdUntil = start.Add(interval)
+			}},
+		{name: "no health path", service: fleet.Service{WarmupRate: 11}, age: time.Minute},
+		{name: "no cold targets in the service", service: fleet.Service{HealthPath: "/health"}, age: time.Minute},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p, s := NewPlanner("vm0"), snapshot(4, tt.service)
+			confirmed := start.Add(-tt.age)
+			if got := ids(p.Due(start, s, vms, confirmed)); !slices.Equal(got, tt.first) {
+				t.Errorf("asked %v, want %v", got, tt.first)
+			}
+			if tt.between != nil {
+				tt.between(p, s)
+			}
+			if tt.after == 0 {
+				return
+			}
+			if got := ids(p.Due(start.Add(tt.after), s, vms, confirmed)); !slices.Equal(got, tt.second) {
+				t.Errorf("asked %v after %v, want %v", got, tt.after, tt.second)
+			}
+		})
+	}
+}
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -29,6 +29,7 @@
 	fieldRegistry
 	fieldOperatorChange
 	fieldConfigVersion
+	fieldCold
 )
 
 // Field numbers of a VMInfo.
@@ -60,6 +61,13 @@
 	operatorWhole
 )
 
+// Field numbers of a ColdTarget.
+const (
+	coldID        protowire.Number = iota + 1
+	coldStartTime                  // milliseconds since the Unix epoch
+	coldLeft                       // microseconds
+)
+
 const (
 	operatorRowKey protowire.Number = iota + 1
 	operatorRowValue
@@ -97,6 +105,9 @@
 	maxAge = (1<<(8-ageShift) - 1) * ageUnit
 )
 
+// maxColdLeft bounds the remaining warm-up in a message.
+const maxColdLeft = 24 * time.Hour
+
 // errMalformed is returned for bytes that are no valid message.
 var errMalformed = errors.New("malformed message")
 
@@ -116,6 +127,9 @@
 	if m.OperatorChange != nil {
 		b = appendMessage(b, fieldOperatorChange, appendOperatorDelta(nil, m.OperatorChange))
 	}
+	for i := range m.Cold {
+		b = appendMessage(b, fieldCold, appendColdTarget(nil, &m.Cold[i]))
+	}
 	return b
 }
 
@@ -180,6 +194,12 @@
 	return appendBool(b, operatorWhole, c.Full)
 }
 
+func appendColdTarget(b []byte, c *ColdTarget) []byte {
+	b = appendString(b, coldID, string(c.ID))
+	b = appendUint(b, coldStartTime, uint64(c.StartedUnixMS))
+	return appendUint(b, coldLeft, uint64(c.Left.Microseconds()))
+}
+
 func appendRow(b []byte, r *fleet.Row) []byte {
 	b = appendString(b, rowID, string(r.ID))
 	b = appendBool(b, rowRemoved, r.Removed)
@@ -288,6 +308,10 @@
 			m.Registry, err = decodeRegistryDelta(x.bytes)
 		case fieldOperatorChange:
 			m.OperatorChange, err = decodeOperatorDelta(x.bytes)
+		case fieldCold:
+			var c ColdTarget
+			c, err = decodeColdTarget(x.bytes)
+			m.Cold = append(m.Cold, c)
 		}
 		return err
 	})
@@ -408,6 +432,24 @@
 	return r, err
 }
 
+func decodeColdTarget(b []byte) (c ColdTarget, err error) {
+	err = decodeFields(b, func(x field) error {
+		switch x.id {
+		case coldID:
+			c.ID = ident.Target(x.bytes)
+		case coldStartTime:
+			c.StartedUnixMS = int64(x.num)
+		case coldLeft:
+			if x.num > uint64(maxColdLeft.Microseconds()) {
+				return errMalformed
+			}
+			c.Left = time.Duration(x.num) * time.Microsecond
+		}
+		return nil
+	})
+	return c, err
+}
+
 func decodeRow(b []byte) (r fleet.Row, err error) {
 	err = decodeFields(b, func(x field) error {
 		switch x.id {
--- a/state/apply.go
+++ b/state/apply.go
@@ -68,7 +68,10 @@
 // when it becomes unreachable or reachable again.
 func (s *State) recordReachability(r reading) {
 	ok := r.err == nil
-	if r.topic == Registry && !ok {
+	switch {
+	case r.topic == Registry && ok && !r.rows.Compacted:
+		s.registryConfirmed.Store(&r.at)
+	case r.topic == Registry && !ok:
 		s.view.RecordFailure()
 	}
 	if ok == !s.unreachable[r.topic] {
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -152,6 +152,9 @@
 	if m.Registry != nil {
 		changed = s.applyRegistryDelta(now, m.Registry) || changed
 	}
+	for _, c := range m.Cold {
+		changed = s.applyCold(now, c, string(m.From.VM)) || changed
+	}
 	return changed
 }
 
--- /dev/null
+++ b/state/cold_test.go
@@ -0,0 +1,72 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantpier/currantpier/feed"
+	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/proto"
+)
+
+// A target becomes cold while the registry can't be read. Guards against requests at the rate of a warm target: by the VM that
+// asked the target, by those that it tells, and by a heartbeat from before.
+func TestColdReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, sent := newTestState(now)
+	entry := fleet.Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	s.view.Apply(now, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: entry}}})
+	coldUntil := func() time.Time { return s.view.Snapshot(now).Targets["s"][0].ColdUntil }
+
+	report := proto.ColdTarget{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second}
+	if !s.applyOwnColdReport(now, report) || !coldUntil().Equal(now.Add(3*time.Second)) {
+		t.Fatalf("cold until %v, want %v", coldUntil(), now.Add(3*time.Second))
+	}
+	messages := sent.messages
+	if len(messages) != 1 || len(messages[0].Cold) != 1 || messages[0].Cold[0] != report {
+		t.Fatalf("the other VMs got %+v, want the report once", messages)
+	}
+	if s.applyOwnColdReport(now, report) || len(sent.messages) != 1 {
+		t.Error("a report that is no news was sent again")
+	}
+	s.view.Apply(now, fleet.RegistryUpdate{Rows: []fleet.Row{{Entry: entry}}})
+	if !coldUntil().Equal(now.Add(3 * time.Second)) {
+		t.Errorf("after a heartbeat from before, cold until %v", coldUntil())
+	}
+
+	other, _ := newTestState(now)
+	other.view.Apply(now, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: entry}}})
+	if !other.applyPeerMessage(now, messages[0]) || !other.view.Snapshot(now).Targets["s"][0].ColdUntil.Equal(now.Add(3*time.Second)) {
+		t.Error("the VM that was told takes the target for warm")
+	}
+	restarted := entry
+	restarted.StartedUnixMS = 901
+	other.view.Apply(now, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: restarted}}})
+	if other.applyPeerMessage(now, messages[0]) {
+		t.Error("the report of an earlier process of the target was applied")
+	}
+}
+
+// Guards against health requests to all targets in each calm second, and none once the registry can't be read: only what brings
+// rows counts as a reading.
+func TestRegistryConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, _ := newTestState(now)
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	for _, tt := range []struct {
+		name string
+		r    reading
+		want time.Time
+	}{
+		{"read", reading{at: at(1), topic: Registry}, at(1)},
+		{"failed", reading{at: at(2), topic: Registry, err: errUnreachable}, at(1)},
+		{"other table", reading{at: at(3), topic: Operator}, at(1)},
+		{"history dropped", reading{at: at(4), topic: Registry, rows: feed.Rows{Compacted: true}}, at(1)},
+		{"read again", reading{at: at(5), topic: Registry}, at(5)},
+	} {
+		s.recordReachability(tt.r)
+		if got := s.RegistryConfirmed(); !got.Equal(tt.want) {
+			t.Errorf("%s: confirmed at %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -96,6 +96,10 @@
 	// peerStates receives the states of other VMs, and stateRequests the requests for this VM's own.
 	peerStates    chan *proto.Message
 	stateRequests chan stateRequest
+	// coldReports receives the targets that have told this VM that they are cold.
+	coldReports chan proto.ColdTarget
+	// registryConfirmed is when the registry was last read or received.
+	registryConfirmed atomic.Pointer[time.Time]
 
 	started time.Time
 	view    *fleet.View
@@ -162,9 +166,10 @@
 	s := &State{
 		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsBuffer), refreshRequests: make(chan struct{}, 1),
 		peerStates: make(chan *proto.Message), stateRequests: make(chan stateRequest),
-		view: fleet.NewView(), started: cfg.Clock(), group: groupState{rank: registryBroadcastMaxRank + 1},
+		coldReports: make(chan proto.ColdTarget), view: fleet.NewView(), started: cfg.Clock(), group: groupState{rank: registryBroadcastMaxRank + 1},
 	}
 	s.summary.Store(&Summary{})
+	s.registryConfirmed.Store(&s.started)
 	return s
 }
 
@@ -220,6 +225,9 @@
 		case m := <-s.peerStates:
 			now := s.cfg.Clock()
 			s.applyInput(now, "state", func() bool { return s.applyPeerState(now, m) })
+		case c := <-s.coldReports:
+			now := s.cfg.Clock()
+			s.applyInput(now, "cold", func() bool { return s.applyOwnColdReport(now, c) })
 		case req := <-s.stateRequests:
 			req.reply <- s.respond(s.cfg.Clock(), req)
 		case <-ticker.C:
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -36,6 +36,7 @@
 	Targets            Event = "targets"
 	Leaving            Event = "leaving"
 	BackOff            Event = "back-off"
+	Cold               Event = "cold"
 	BadNotice          Event = "bad-notice"
 	Registry           Event = "registry"
 	Resumed            Event = "resumed"
