carry: targets that may have run a request count towards MaxAttempts

Cause: an attempt on a kept connection that ended without a byte of a response was taken for one that the target never read. It didn't count towards MaxAttempts, so that the same target could be asked again on a new connection, and nothing bound the next attempt to that target. Ruled out: the quota of retries, from which these attempts took like others. Change: the targets that may have run the request are kept. Once there are as many as MaxAttempts, a further attempt goes to one of them that has not failed, or there is none.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/currantpier/currantpier/codec"
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/outlet"
 	"github.com/currantpier/currantpier/pick"
@@ -90,7 +92,27 @@
 }
 
 func (k *call) pickRequest() pick.Request {
-	return pick.Request{Route: k.route, Service: k.service, Object: k.object, Deadline: k.deadline, Excluded: k.tried}
+	r := pick.Request{Route: k.route, Service: k.service, Object: k.object, Deadline: k.deadline, Excluded: k.tried}
+	if k.reachedAll() {
+		r.Only = k.reached
+	}
+	return r
+}
+
+// reachedAll reports whether as many targets may have run the request as its route allows. It may then be sent again only to one of
+// these, after a connection on which another request had been sent ended without a response.
+func (k *call) reachedAll() bool { return len(k.reached) >= k.route.MaxAttempts }
+
+// recordReached records that a target may have run the request.
+func (k *call) recordReached(t ident.Target) {
+	if !slices.Contains(k.reached, t) {
+		k.reached = append(k.reached, t)
+	}
+}
+
+// mayReachAny reports whether there may be a target left for a further attempt.
+func (k *call) mayReachAny() bool {
+	return !k.reachedAll() || slices.ContainsFunc(k.reached, func(t ident.Target) bool { return !slices.Contains(k.tried, t) })
 }
 
 // send makes one attempt and passes its result to the picker.
@@ -301,6 +323,7 @@
 	ran := k.ran(a, err)
 	if ran != kinds.RanNo {
 		k.mayHaveRun = true
+		k.recordReached(choice.Target.ID)
 	}
 	if result == pick.ServerError {
 		k.serverError = a
@@ -316,7 +339,7 @@
 	switch {
 	case !routeFound && !k.mayHaveRun:
 		return k.giveUpUnroutable(now)
-	case !routeFound, k.rejectedWhenFull(a), !retriable, k.sends >= maxSends, !notSent && len(k.tried) >= k.route.MaxAttempts, !notSent && !k.takeRetry(now):
+	case !routeFound, k.rejectedWhenFull(a), !retriable, k.sends >= maxSends, !k.mayReachAny(), !notSent && len(k.tried) >= k.route.MaxAttempts, !notSent && !k.takeRetry(now):
 		if k.askedForTime {
 			k.notBefore = k.earliestReturn(now)
 		}
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -202,6 +202,8 @@
 	// idempotent is set if the routes of all configurations so far allow repeating the request.
 	idempotent bool
 	tried      []ident.Target
+	// reached are the targets that may have run the request.
+	reached []ident.Target
 	// choiceSnapshot is the snapshot from which the target of the current attempt was chosen.
 	choiceSnapshot *fleet.Snapshot
 	// sends counts the attempts.
--- a/pick/backoff.go
+++ b/pick/backoff.go
@@ -81,7 +81,7 @@
 		return earliest
 	}
 	for _, t := range pl.targets {
-		if t.replaced || !a.Route.Allows(t.Place.Region) {
+		if t.replaced || !a.allows(t) {
 			continue
 		}
 		reason := Chosen
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -198,6 +198,13 @@
 	Deadline time.Time
 	// Excluded are the targets of earlier attempts.
 	Excluded []ident.Target
+	// Only are the targets to choose from; empty for all.
+	Only []ident.Target
+}
+
+// allows reports whether a request may go to a target by its route and by what earlier attempts have left.
+func (a *Request) allows(t *target) bool {
+	return a.Route.Allows(t.Place.Region) && (len(a.Only) == 0 || slices.Contains(a.Only, t.ID))
 }
 
 // Choice is the target selected for a request.
@@ -335,7 +342,7 @@
 	reason := NoTarget
 	p.homeBackedOff = false
 	for _, t := range pl.targets {
-		if t.replaced || !a.Route.Allows(t.Place.Region) {
+		if t.replaced || !a.allows(t) {
 			continue
 		}
 		if t.notice != nil {
