inlet: callers' connections leave descriptors for targets

Cause: nothing bounded the connections of callers. Idle ones took all descriptors of the process. Further connections waited in the kernel's queue, were read when their callers had left, and found no descriptor for a connection to a target. Ruled out: the processor (the same without its time) and the size of the configuration, which is as it was.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -42,6 +42,9 @@
 	Operator, Registry feed.Table
 	Directory          join.Directory
 	Times              Times
+	// MaxCallerConnections and MaxServiceConnections bound the connections of callers, and those on each other port; zero for no
+	// limit.
+	MaxCallerConnections, MaxServiceConnections int
 	// MaxBodyMemory bounds the memory in bytes for the bodies of all requests that are being read or forwarded, beyond the first
 	// 16 KiB of each.
 	MaxBodyMemory int64
@@ -69,7 +72,8 @@
 	n := &Node{cfg: cfg, kernel: kernel.New(), stop: drain.NewStop(cfg.Times.TTL, cfg.Times.Grace)}
 	onPanic := inlet.OnPanic(func(v any) { cfg.Log.AddPanic(cfg.Clock(), "inlet", v) })
 	n.bodies = memory.NewLimit(cfg.MaxBodyMemory)
-	n.callerServer = inlet.New(cfg.Forwarder, n.requestLimits, cfg.Clock, onPanic, inlet.LimitBodies(n.bodies, cfg.Forwarder.RefuseBody))
+	n.callerServer = inlet.New(cfg.Forwarder, n.requestLimits, cfg.Clock, onPanic,
+		inlet.LimitBodies(n.bodies, cfg.Forwarder.RefuseBody), inlet.LimitConnections(cfg.MaxCallerConnections))
 	n.state = state.New(cfg.Config, n.stopping)
 	n.registrar = &join.Registrar{
 		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
@@ -94,7 +98,8 @@
 		&listenService{name: "callers", ln: ln, server: n.callerServer},
 	}
 	for _, o := range extra {
-		server := inlet.New(o.Handler, n.requestLimits, cfg.Clock, onPanic, inlet.LimitBodies(n.bodies, inlet.RefuseBody))
+		server := inlet.New(o.Handler, n.requestLimits, cfg.Clock, onPanic, inlet.LimitBodies(n.bodies, inlet.RefuseBody),
+			inlet.LimitConnections(cfg.MaxServiceConnections))
 		services = append(services, &listenService{name: o.Name, ln: o.Listener, server: server})
 	}
 	for _, s := range services {
--- a/inlet/conn.go
+++ b/inlet/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"context"
 	"io"
 	"net"
@@ -29,6 +30,8 @@
 	handlers sync.WaitGroup
 	// cancel ends the contexts of the connection's requests.
 	cancel context.CancelCauseFunc
+	// idleAt is the connection's place among the idle ones, nil if it has a request. The server's mutex guards it.
+	idleAt *list.Element
 
 	mu sync.Mutex
 	// unanswered is the number of requests that were admitted and have no response yet.
@@ -55,6 +58,7 @@
 	defer func() { _ = nc.Close() }()
 	s.add(c)
 	defer s.remove(c)
+	s.endLongestIdle()
 
 	linger := make(chan bool, 1)
 	go func() { linger <- c.writeResponses(cancel) }()
@@ -188,6 +192,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unanswered--
+	if c.unanswered == 0 && !c.requestStarted {
+		c.server.setIdle(c, true)
+	}
 	last = ex.last || c.unanswered == 0 && (c.closing || c.server.isDraining())
 	c.finalChosen = c.finalChosen || last
 	return last
@@ -214,6 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestStarted = false
+	c.server.setIdle(c, c.unanswered == 0)
 	if c.closing {
 		c.setReadTimeout(stopGracePeriod)
 	} else {
@@ -227,6 +235,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestStarted = true
+	c.server.setIdle(c, false)
 	c.setReadTimeout(header)
 }
 
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -4,6 +4,7 @@
 package inlet
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -67,6 +68,11 @@
 	return func(s *Server) { s.bodies, s.onNoMemory = limit, onRefusal }
 }
 
+// LimitConnections bounds the open connections. Beyond n, each new one ends the one that has been idle longest. Without it, idle
+// connections of callers take all file descriptors of the process in a rush, and requests wait in the kernel's queue until their
+// callers leave.
+func LimitConnections(n int) Option { return func(s *Server) { s.maxConns = n } }
+
 // RefuseBody is a response to a request for whose body there is no memory.
 func RefuseBody(*codec.Request, time.Time) *codec.Response {
 	return codec.NewResponse(http.StatusServiceUnavailable, "no memory for the body\n", codec.Field{Name: "Retry-After", Value: "1"})
@@ -82,8 +88,13 @@
 	bodies     *memory.Limit
 	onNoMemory func(r *codec.Request, arrived time.Time) *codec.Response
 
+	// maxConns is the number of connections beyond which a new one ends an idle one, zero for no limit.
+	maxConns int
+
 	mu    sync.Mutex
 	conns map[*conn]bool
+	// idle are the connections without a request, the one that is idle longest first.
+	idle *list.List
 	// draining: each connection ends after its next response. stopped: no new connection is accepted. closed: no
 	// request is admitted.
 	draining, stopped, closed bool
@@ -96,7 +107,7 @@
 
 // New returns a server. Limits may return nil while no limits are available.
 func New(h Handler, limits func() *fleet.Limits, clock func() time.Time, options ...Option) *Server {
-	s := &Server{handler: h, limits: limits, clock: clock, onPanic: func(any) {}, onNoMemory: RefuseBody, conns: map[*conn]bool{}}
+	s := &Server{handler: h, limits: limits, clock: clock, onPanic: func(any) {}, onNoMemory: RefuseBody, conns: map[*conn]bool{}, idle: list.New()}
 	for _, o := range options {
 		o(s)
 	}
@@ -266,6 +277,40 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.removeIdle(c)
+}
+
+// setIdle records that a connection has no request, or has one.
+func (s *Server) setIdle(c *conn, idle bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeIdle(c)
+	if idle && s.conns[c] {
+		c.idleAt = s.idle.PushBack(c)
+	}
+}
+
+// removeIdle removes a connection from the idle ones. The caller must hold the mutex.
+func (s *Server) removeIdle(c *conn) {
+	if c.idleAt != nil {
+		s.idle.Remove(c.idleAt)
+		c.idleAt = nil
+	}
+}
+
+// endLongestIdle ends the connection that has been idle longest if there are more than maxConns.
+func (s *Server) endLongestIdle() {
+	s.mu.Lock()
+	var c *conn
+	if first := s.idle.Front(); s.maxConns > 0 && len(s.conns) > s.maxConns && first != nil {
+		c = first.Value.(*conn)
+		s.removeIdle(c)
+	}
+	s.mu.Unlock()
+	// The lock of a connection must be taken before that of the server.
+	if c != nil {
+		c.closeAfterPending()
+	}
 }
 
 func (s *Server) addInFlight(d int) {
