probe, memory: no wake-ups while the registry is read, no refusal by a message that doesn't fit

From reading the change as a newcomer; no fault was seen by callers.

probe woke up 20 times a second and sorted the VMs of its region each time, also while the registry was read. It now waits until the registry would be stale. Due no longer decides about that; TestUntilStale checks what a row of TestDue did. memory counted a reservation before it checked the limit, so that a message that was refused could get others refused at the same moment, and the largest number overflowed. It is checked before; TestReservations has the largest number. carry.RefuseBody uses followNewest in place of a copy of it.

--- a/carry/follow.go
+++ b/carry/follow.go
@@ -33,8 +33,8 @@
 	return true
 }
 
-// followNewest follows the newest configuration after an attempt, before a further one is decided on. It reports false if that
-// configuration has no route for the request.
+// followNewest follows the newest configuration, for instance after an attempt, before a further one is decided on. It reports
+// false if that configuration has no route for the request.
 func (k *call) followNewest() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -253,18 +253,12 @@
 // RefuseBody responds to a request for whose body there is no memory. Only its header was read.
 func (c *Forwarder) RefuseBody(r *codec.Request, arrived time.Time) *codec.Response {
 	k := &call{Forwarder: c, r: r, id: r.Field(c.headers.Attempt), arrived: arrived}
-	if cfg := c.snapshot.Load().Config; cfg != nil && !k.takeRoute(cfg) {
+	if c.snapshot.Load().Config != nil && !k.followNewest() {
 		return noRoute()
 	}
 	return c.refuse(c.clock(), k, kinds.Overloaded, "no memory for the body")
 }
 
-func (k *call) takeRoute(cfg *fleet.Config) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.follow(cfg)
-}
-
 // timeLimit returns the shorter of the caller's deadline and the route's timeout.
 func (c *Forwarder) timeLimit(r *codec.Request, route *fleet.Route) time.Duration {
 	limit := route.Timeout
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -47,13 +47,26 @@
 		return true
 	}
 	more := max(size-r.uncounted, 0) - r.held
-	if r.limit.used.Add(more) > r.limit.max && more > 0 {
-		r.limit.used.Add(-more)
+	if !r.limit.add(more) {
 		return false
 	}
 	r.held += more
 	return true
 }
 
+// add adds n bytes, or a negative number, to the used ones. It reports false, without a change, if n is positive and too little is
+// left. A message that doesn't fit is never counted, so that it can't keep another one out meanwhile.
+func (l *Limit) add(n int64) bool {
+	for {
+		used := l.used.Load()
+		if n > 0 && n > l.max-used {
+			return false
+		}
+		if l.used.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
+}
+
 // Release ends the reservation. Further calls have no effect.
 func (r *Reservation) Release() { r.Resize(0) }
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"math"
 	"sync"
 	"testing"
 )
@@ -21,6 +22,7 @@
 		{"beyond the limit", b, 51, false, 60},
 		{"up to the limit, the first bytes uncounted", b, 50, true, 100},
 		{"one more", a, 61, false, 100},
+		{"the largest number", a, math.MaxInt64, false, 100},
 		{"smaller", a, 40, true, 80},
 		{"again up to the limit", b, 70, true, 100},
 		{"uncounted only", b, 10, true, 40},
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -39,11 +39,14 @@
 	return &Planner{self: self, asked: map[ident.Target]time.Time{}, pending: map[ident.Target]bool{}}
 }
 
-// Due returns the targets to ask now and records them as asked. Group are the VMs of this VM's region that are alive, confirmed is
-// when the registry was last read or received.
-func (p *Planner) Due(now time.Time, s *fleet.Snapshot, group []proto.VMInfo, confirmed time.Time) []fleet.Target {
-	if s.Config == nil || !s.RegistryRead || now.Sub(confirmed) < staleAfter {
-		clear(p.asked)
+// untilStale returns the time until the registry is old enough that targets are asked, zero or less if it is. Confirmed is when the
+// registry was last read or received.
+func untilStale(now, confirmed time.Time) time.Duration { return staleAfter - now.Sub(confirmed) }
+
+// Due returns the targets to ask now, with a registry that is old enough, and records them as asked. Group are the VMs of this VM's
+// region that are alive.
+func (p *Planner) Due(now time.Time, s *fleet.Snapshot, group []proto.VMInfo) []fleet.Target {
+	if s.Config == nil || !s.RegistryRead {
 		return nil
 	}
 	vms := groupHashes(group)
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -56,7 +56,7 @@
 	asked := map[ident.Target]int{}
 	for _, vm := range vms {
 		p := NewPlanner(vm.VM)
-		for _, id := range ids(p.Due(start, snapshot(20, probed), vms, start.Add(-staleAfter))) {
+		for _, id := range ids(p.Due(start, snapshot(20, probed), vms)) {
 			asked[id]++
 		}
 	}
@@ -75,37 +75,34 @@
 	for _, tt := range []struct {
 		name    string
 		service fleet.Service
-		age     time.Duration
 		// between is what happens between the first question and the second, which comes after the given time.
 		between func(p *Planner, s *fleet.Snapshot)
 		after   time.Duration
 		first   []ident.Target
 		second  []ident.Target
 	}{
-		{name: "registry just read", service: probed, age: staleAfter - time.Millisecond, after: 0},
-		{name: "registry not read", service: probed, age: staleAfter, first: all, after: interval - time.Millisecond},
-		{name: "answer awaited", service: probed, age: staleAfter, first: all, after: interval},
-		{name: "one answered", service: probed, age: staleAfter, first: all, after: interval, second: all[:1],
+		{name: "registry not read", service: probed, first: all, after: interval - time.Millisecond},
+		{name: "answer awaited", service: probed, first: all, after: interval},
+		{name: "one answered", service: probed, first: all, after: interval, second: all[:1],
 			between: func(p *Planner, _ *fleet.Snapshot) { p.Done("t0") }},
-		{name: "answered, too early", service: probed, age: staleAfter, first: all, after: interval - time.Millisecond,
+		{name: "answered, too early", service: probed, first: all, after: interval - time.Millisecond,
 			between: func(p *Planner, _ *fleet.Snapshot) { p.Done("t0") }},
-		{name: "cold by now", service: probed, age: staleAfter, first: all, after: interval,
+		{name: "cold by now", service: probed, first: all, after: interval,
 			between: func(p *Planner, s *fleet.Snapshot) {
 				p.Done("t0")
 				s.Targets["s"][0].ColdUntil = start.Add(interval + time.Second)
 			}},
-		{name: "warm again", service: probed, age: staleAfter, first: all, after: interval, second: all[:1],
+		{name: "warm again", service: probed, first: all, after: interval, second: all[:1],
 			between: func(p *Planner, s *fleet.Snapshot) {
 				p.Done("t0")
 				s.Targets["s"][0].ColdUntil = start.Add(interval)
 			}},
-		{name: "no health path", service: fleet.Service{WarmupRate: 11}, age: time.Minute},
-		{name: "no cold targets in the service", service: fleet.Service{HealthPath: "/health"}, age: time.Minute},
+		{name: "no health path", service: fleet.Service{WarmupRate: 11}},
+		{name: "no cold targets in the service", service: fleet.Service{HealthPath: "/health"}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p, s := NewPlanner("vm0"), snapshot(4, tt.service)
-			confirmed := start.Add(-tt.age)
-			if got := ids(p.Due(start, s, vms, confirmed)); !slices.Equal(got, tt.first) {
+			if got := ids(p.Due(start, s, vms)); !slices.Equal(got, tt.first) {
 				t.Errorf("asked %v, want %v", got, tt.first)
 			}
 			if tt.between != nil {
@@ -114,9 +111,20 @@
 			if tt.after == 0 {
 				return
 			}
-			if got := ids(p.Due(start.Add(tt.after), s, vms, confirmed)); !slices.Equal(got, tt.second) {
+			if got := ids(p.Due(start.Add(tt.after), s, vms)); !slices.Equal(got, tt.second) {
 				t.Errorf("asked %v after %v, want %v", got, tt.after, tt.second)
 			}
 		})
 	}
 }
+
+// Guards against health requests in each calm second, and against none while the registry can't be read.
+func TestUntilStale(t *testing.T) {
+	for age, want := range map[time.Duration]time.Duration{
+		0: staleAfter, staleAfter - time.Millisecond: time.Millisecond, staleAfter: 0, time.Minute: staleAfter - time.Minute,
+	} {
+		if got := untilStale(start, start.Add(-age)); got != want {
+			t.Errorf("a registry of %v: %v, want %v", age, got, want)
+		}
+	}
+}
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// checkInterval is the time between two checks for targets to ask.
+	// checkInterval is the time between two checks for targets to ask while the registry is stale.
 	checkInterval = 50 * time.Millisecond
 	// answerTimeout bounds one request. Under load it waits for a slot.
 	answerTimeout = time.Second
@@ -59,11 +59,10 @@
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
 	for {
+		wait := untilStale(s.Clock(), s.Source.RegistryConfirmed())
 		select {
-		case <-ticker.C:
+		case <-time.After(max(wait, checkInterval)):
 		case <-ctx.Done():
 			return g.Wait()
 		}
@@ -77,9 +76,12 @@
 }
 
 func (s *Service) due(now time.Time) []fleet.Target {
+	if untilStale(now, s.Source.RegistryConfirmed()) > 0 {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.Planner.Due(now, s.Source.Snapshot(), s.Source.Group(now), s.Source.RegistryConfirmed())
+	return s.Planner.Due(now, s.Source.Snapshot(), s.Source.Group(now))
 }
 
 // ask sends one request and reports the target if it is cold. A target that doesn't answer is asked again.
