--- a/inlet/connections_test.go
+++ b/inlet/connections_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/currantpier/currantpier/codec"
+	"github.com/currantpier/currantpier/fleet"
 )
 
 // busyHandler is a handler whose requests for /busy wait until they are released.
@@ -79,3 +81,44 @@
 		t.Errorf("the request in progress: response %q", body)
 	}
 }
+
+// failingListener is a listener whose first calls of Accept fail.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process without file descriptors that doesn't show it, and one that stops accepting because of it.
+func TestAcceptFailuresAreCounted(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(echoHandler{}, func() *fleet.Limits { return nil }, time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, &failingListener{ln, 3}) }()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = nc.SetDeadline(time.Now().Add(10 * time.Second))
+	sendRequest(t, nc, "/a")
+	readResponse(t, bufio.NewReader(nc))
+	if n := s.AcceptFailures(); n != 3 {
+		t.Errorf("%d failures were counted, want 3", n)
+	}
+	_ = nc.Close()
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/inlet/inlet.go
+++ b/inlet/inlet.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,6 +89,8 @@
 	bodies     *memory.Limit
 	onNoMemory func(r *codec.Request, arrived time.Time) *codec.Response
 
+	// acceptFailures counts the calls of Accept that failed for another reason than a stop.
+	acceptFailures atomic.Uint64
 	// maxConns is the number of connections beyond which a new one ends an idle one, zero for no limit.
 	maxConns int
 
@@ -172,6 +175,7 @@
 			return nil
 		default:
 			// The process is out of file descriptors, or the caller disconnected before Accept.
+			s.acceptFailures.Add(1)
 			select {
 			case <-time.After(10 * time.Millisecond):
 			case <-ctx.Done():
@@ -180,6 +184,9 @@
 	}
 }
 
+// AcceptFailures returns how often a connection could not be accepted, as without a file descriptor for it.
+func (s *Server) AcceptFailures() uint64 { return s.acceptFailures.Load() }
+
 // Drain makes each connection end after its next response.
 func (s *Server) Drain() {
 	s.mu.Lock()
