probe: targets that were asked are forgotten after the interval

From reading the change as a newcomer: the times of all targets ever asked were kept, also of those that had left. No effect on what is asked; TestDue passes as before.

--- a/probe/plan.go
+++ b/probe/plan.go
@@ -6,6 +6,7 @@
 package probe
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,7 +29,7 @@
 // Planner decides which targets this VM asks. It is not safe for concurrent use.
 type Planner struct {
 	self ident.VM
-	// asked has the time of the last request to each target.
+	// asked has the time of the last request to each target that was asked less than interval ago.
 	asked map[ident.Target]time.Time
 	// pending are the targets whose answers are awaited.
 	pending map[ident.Target]bool
@@ -49,6 +50,7 @@
 	if s.Config == nil || !s.RegistryRead {
 		return nil
 	}
+	maps.DeleteFunc(p.asked, func(_ ident.Target, at time.Time) bool { return now.Sub(at) >= interval })
 	vms := groupHashes(group)
 	var due []fleet.Target
 	for name, list := range s.Targets {
@@ -68,7 +70,8 @@
 
 // isDue reports whether a target may have become cold without this VM's knowledge, and was not asked just now.
 func (p *Planner) isDue(now time.Time, t *fleet.Target) bool {
-	return !now.Before(t.ColdUntil) && !p.pending[t.ID] && now.Sub(p.asked[t.ID]) >= interval
+	_, justAsked := p.asked[t.ID]
+	return !now.Before(t.ColdUntil) && !p.pending[t.ID] && !justAsked
 }
 
 // Done records that the answer of a target has arrived or is no longer awaited.
