carry: the test of lost answers reads under its mutex

The write comes before the response that the test has awaited, but a socket is no synchronization for the detector. The test now holds the mutex while it reads; it checks the same.

--- a/carry/attempts_test.go
+++ b/carry/attempts_test.go
@@ -54,6 +54,9 @@
 				}()
 			}
 			wg.Wait()
+			// A target's goroutine may still be ending its connection.
+			r.mu.Lock()
+			defer r.mu.Unlock()
 			for id, on := range r.targets {
 				if len(on) > maxAttempts {
 					t.Errorf("request %s ran on the targets %v, want %d at most", id, on, maxAttempts)
