--- a/carry/faulty_target_test.go
+++ b/carry/faulty_target_test.go
@@ -39,6 +39,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveTarget(t, ln, s)
+}
+
+// serveTarget returns a target that accepts connections on ln.
+func serveTarget(t *testing.T, ln net.Listener, s connScript) *fakeTarget {
 	f := &fakeTarget{ln: ln, ended: make(chan struct{}, 64)}
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
