probe, fleet: a target whose process has ended is cold until it says otherwise

Cause: a VM takes the warm-up of a target from its registry entry, which describes the process that wrote it. A target that starts again under its id accepts connections up to 1.8 s before the new entry arrives, and VMs that were refused, or had no connection, sent it the requests of a warm one. Change: a refused connection is a report, sent to all VMs, that the target is cold by assumption. The first VM of its region asks it four times a second until it answers; the answer, or the entry of a new process, replaces the assumption. A connection that ends before any byte of a response makes the VM ask once.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -126,14 +127,24 @@
 	a, err := k.pool.Do(ctx, k.outletTarget(t), msg)
 	done := k.clock()
 	result := k.classify(ctx, a, err)
-	outcome := pick.Outcome{Result: result, Duration: done.Sub(now)}
+	outcome := pick.Outcome{Result: result, Duration: done.Sub(now), Refused: errors.Is(err, syscall.ECONNREFUSED)}
 	if a != nil {
 		outcome.Status, outcome.Load = a.Status, k.parseLoad(a)
 	}
 	k.finished(done, choice, outcome)
+	if k.connectionFailed != nil && (outcome.Refused || connectionEnded(ctx, err)) {
+		k.connectionFailed(t, outcome.Refused)
+	}
 	return a, result, err
 }
 
+// connectionEnded reports whether the target's end closed the connection on which a request was sent, before any byte of a response: as
+// when its process ends.
+func connectionEnded(ctx context.Context, err error) bool {
+	var e *outlet.Error
+	return ctx.Err() == nil && errors.As(err, &e) && e.Stage == outlet.Sent && !e.Partial
+}
+
 func (k *call) finished(now time.Time, choice pick.Choice, o pick.Outcome) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -78,6 +78,9 @@
 	Counters Counters
 	meter    *meter.Meter
 
+	// connectionFailed is called when a connection to a target fails; nil if nobody wants to know.
+	connectionFailed func(t fleet.Target, refused bool)
+
 	mu     sync.Mutex
 	picker *pick.Picker
 	quotas map[ident.Service]*retry.Quota
@@ -136,6 +139,10 @@
 	}
 }
 
+// OnConnectionFailure sets a function that is called when a connection to a target fails in a way that the end of its process can
+// explain; refused says that no process listens at its address. The function must not block. It must be set before the first request.
+func (c *Forwarder) OnConnectionFailure(f func(t fleet.Target, refused bool)) { c.connectionFailed = f }
+
 // Snapshot returns the snapshot in use.
 func (c *Forwarder) Snapshot() *fleet.Snapshot { return c.snapshot.Load() }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -79,8 +79,8 @@
 		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
 		Era: n.state.Era,
 	}
-	n.probes = &probe.Service{Report: n.state.ReportCold, Source: probeSource{n.state, cfg.Forwarder}, Asker: cfg.Forwarder, Clock: cfg.Clock,
-		Planner: probe.NewPlanner(cfg.Self.VM)}
+	n.probes = probe.New(cfg.Self.VM, probeSource{n.state, cfg.Forwarder}, cfg.Forwarder, cfg.Clock, n.state.ReportCold)
+	cfg.Forwarder.OnConnectionFailure(n.probes.ConnectionFailed)
 	services := []kernel.Service{
 		cfg.Peers,
 		n.state,
--- /dev/null
+++ b/fleet/cold_test.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a target that is taken for warm although its process has ended, and against one that stays cold after it has said
+// otherwise.
+func TestRecordCold(t *testing.T) {
+	start := time.Unix(1000, 0)
+	entry := Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	assumed := ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second, Assumed: true}
+	stated := ColdReport{ID: "t", StartedUnixMS: 900, Left: 2 * time.Second}
+	warm := ColdReport{ID: "t", StartedUnixMS: 900}
+	restarted := entry
+	restarted.StartedUnixMS, restarted.Sequence, restarted.WarmupLeft = 905, 1, time.Second
+	next := entry
+	next.Sequence++
+	for _, tt := range []struct {
+		name    string
+		reports []ColdReport
+		// after is the time at which entry, if any, is read.
+		after time.Duration
+		entry *Entry
+		// left is the warm-up that is left then.
+		left    time.Duration
+		assumed bool
+	}{
+		{"assumed", []ColdReport{assumed}, 0, nil, 3 * time.Second, true},
+		{"stated after that", []ColdReport{assumed, stated}, 0, nil, 2 * time.Second, false},
+		{"assumed after that", []ColdReport{stated, assumed}, 0, nil, 2 * time.Second, false},
+		{"warm after that", []ColdReport{assumed, warm}, 0, nil, 0, false},
+		{"warm, but stated otherwise", []ColdReport{stated, warm}, 0, nil, 2 * time.Second, false},
+		{"heartbeat from before", []ColdReport{assumed}, time.Second, &next, 2 * time.Second, true},
+		{"heartbeat from after", []ColdReport{assumed}, maxHeartbeatAge, &next, 0, false},
+		{"new process", []ColdReport{assumed}, time.Second, &restarted, time.Second, false},
+	} {
+		v := NewView()
+		v.Apply(start, RegistryUpdate{Full: true, Rows: []Row{{Entry: entry}}})
+		for _, c := range tt.reports {
+			v.RecordCold(start, c)
+		}
+		now := start.Add(tt.after)
+		if tt.entry != nil {
+			v.Apply(now, RegistryUpdate{Rows: []Row{{Entry: *tt.entry}}})
+		}
+		s := v.Snapshot(now)
+		got := s.Targets["s"][0]
+		if left := max(got.ColdUntil.Sub(now), 0); left != tt.left || got.ColdAssumed != tt.assumed || (s.ColdAssumed == 1) != tt.assumed {
+			t.Errorf("%s: cold for %v, assumed %v of %d; want %v, %v", tt.name, left, got.ColdAssumed, s.ColdAssumed, tt.left, tt.assumed)
+		}
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -30,6 +30,8 @@
 	Entry
 	// ColdUntil is the end of the warm-up, zero if the target is warm.
 	ColdUntil time.Time
+	// ColdAssumed is set if the target has not said itself that it is cold.
+	ColdAssumed bool
 	// Restarts is the number of restarts of the target that this VM has seen.
 	Restarts int
 }
@@ -44,6 +46,8 @@
 	Evacuated map[ident.Domain]bool
 	// RegistryRead is set if the registry was read at least once.
 	RegistryRead bool
+	// ColdAssumed is the number of targets that are taken for cold without having said so.
+	ColdAssumed int
 }
 
 // Usable reports whether a target of an earlier snapshot may still get new requests, and is still in the place for which it was
@@ -60,7 +64,10 @@
 	// lastRead is the time at which the last accepted heartbeat was read.
 	lastRead  time.Time
 	coldUntil time.Time
-	// staleUntil is the time until which a heartbeat may be older than the end of an evacuation and so can't shorten the warm-up.
+	// coldAssumed is set while the target is taken for cold without having said so.
+	coldAssumed bool
+	// staleUntil is the time until which a heartbeat may be older than what coldUntil is known from, and so can't shorten the
+	// warm-up of the same process.
 	staleUntil time.Time
 	// missingSince is the time at which the entry was found missing, zero while it is registered.
 	missingSince time.Time
@@ -324,9 +331,14 @@
 	r.missingSince = time.Time{}
 	r.leaving = !e.Ready || r.leaving && !restarted
 	until := coldUntil(now, &e)
-	if now.Before(r.staleUntil) && until.Before(r.coldUntil) {
+	stale := !restarted && now.Before(r.staleUntil) && until.Before(r.coldUntil)
+	if stale {
 		until = r.coldUntil
 	}
+	if !stale && r.coldAssumed {
+		r.coldAssumed = false
+		changed = true
+	}
 	if change := until.Sub(r.coldUntil); change > coldUntilTolerance || change < -coldUntilTolerance {
 		r.coldUntil = until
 		changed = true
@@ -335,21 +347,6 @@
 	return changed
 }
 
-// RecordCold records that a target of the given start time has said that it stays cold for the given time, and reports whether that
-// is news. Heartbeats from before don't make it warm again.
-func (v *View) RecordCold(now time.Time, id ident.Target, startedUnixMS int64, left time.Duration) bool {
-	r := v.records[id]
-	if r == nil || r.StartedUnixMS != startedUnixMS {
-		return false
-	}
-	until := now.Add(left)
-	if until.Sub(r.coldUntil) <= coldUntilTolerance {
-		return false
-	}
-	r.coldUntil, r.staleUntil = until, now.Add(maxHeartbeatAge)
-	return true
-}
-
 // differs reports whether e is of another start of the target, or describes another place or size.
 func (r *record) differs(e *Entry) bool {
 	return e.StartedUnixMS != r.StartedUnixMS || e.Address != r.Address || e.Slots != r.Slots || e.Service != r.Service || e.Place != r.Place
@@ -463,7 +460,10 @@
 	}
 	for _, r := range v.records {
 		if r.usable(now) && !v.evacuated[r.Place.Domain] {
-			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil, Restarts: r.restarts})
+			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil, ColdAssumed: r.coldAssumed, Restarts: r.restarts})
+			if r.coldAssumed && now.Before(r.coldUntil) {
+				s.ColdAssumed++
+			}
 		}
 	}
 	return s
--- a/peers/service.go
+++ b/peers/service.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/proto"
 )
 
@@ -170,10 +171,10 @@
 	s.send(packets)
 }
 
-// BroadcastCold tells every member that a target is cold.
-func (s *Service) BroadcastCold(c proto.ColdTarget) {
+// BroadcastCold tells every member what this VM has found out about the warm-up of targets.
+func (s *Service) BroadcastCold(reports []fleet.ColdReport) {
 	s.mu.Lock()
-	packets := s.view.ColdMessages(c)
+	packets := s.view.ColdMessages(reports)
 	s.mu.Unlock()
 	s.send(packets)
 }
--- a/peers/view.go
+++ b/peers/view.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
 )
@@ -388,10 +389,10 @@
 	return packets
 }
 
-// ColdMessages returns messages that tell every member that a target is cold.
-func (v *View) ColdMessages(c proto.ColdTarget) []Packet {
+// ColdMessages returns messages that tell every member what this VM has found out about the warm-up of targets.
+func (v *View) ColdMessages(reports []fleet.ColdReport) []Packet {
 	msg := v.newMessage()
-	msg.Cold = []proto.ColdTarget{c}
+	msg.Cold = reports
 	var packets []Packet
 	for _, m := range v.sorted {
 		packets = append(packets, Packet{To: m.PeerAddress, Message: &msg})
--- a/pick/cold_pacer.go
+++ b/pick/cold_pacer.go
@@ -44,6 +44,14 @@
 	return true
 }
 
+// assumeCold takes a target whose process has ended for cold. Until its registry entry is that of a new process, the entry doesn't
+// say so. The next snapshot has what all VMs know of it.
+func (p *Picker) assumeCold(now time.Time, t *target) {
+	if until := now.Add(p.services[t.Service].Warmup); until.After(t.ColdUntil) {
+		t.ColdUntil = until
+	}
+}
+
 // senderCount returns the number of VMs that may send to the cold target with the given hash, or zero if this VM is not
 // among them. The senders are the first VMs by rendezvous hashing: VMs with the same list of VMs select the same senders.
 func (p *Picker) senderCount(target uint64) int {
--- a/pick/outcome.go
+++ b/pick/outcome.go
@@ -47,6 +47,8 @@
 	Duration time.Duration
 	// Load is the load report of the response, nil if there is none.
 	Load *Load
+	// Refused is set if no process listens at the target's address: it has ended, and is cold once it has started again.
+	Refused bool
 }
 
 // RecordStart records that a request is sent to the chosen target.
@@ -122,6 +124,9 @@
 	case Misdirected:
 		t.replaced = true
 	case Unreachable, ResponseTooLarge:
+		if o.Refused {
+			p.assumeCold(now, t)
+		}
 		t.updateFailRate(1)
 		t.markSuspect(now)
 	case Invalid, TimedOut:
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -1,8 +1,9 @@
-// Package probe asks targets how long they stay cold while the registry, which says so otherwise, can't be read. A target can become
-// cold at any moment, and fails under the requests that a warm one takes.
+// Package probe asks targets how long they stay cold where the registry, which says so otherwise, doesn't: while it can't be read, and
+// after a connection to a target has failed. A target can become cold at any moment, also by starting again under its id, and fails
+// under the requests that a warm one takes. Its registry entry describes the process that wrote it.
 //
 // Health requests wait for a slot like others, so each target is asked by one VM: the first of the target's region by rendezvous
-// hashing, which tells all others what it learns.
+// hashing, which tells all others what it learns. Only after a failed connection the VM that had it asks, once.
 package probe
 
 import (
@@ -44,13 +45,12 @@
 // registry was last read or received.
 func untilStale(now, confirmed time.Time) time.Duration { return staleAfter - now.Sub(confirmed) }
 
-// Due returns the targets to ask now, with a registry that is old enough, and records them as asked. Group are the VMs of this VM's
-// region that are alive.
-func (p *Planner) Due(now time.Time, s *fleet.Snapshot, group []proto.VMInfo) []fleet.Target {
-	if s.Config == nil || !s.RegistryRead {
+// Due returns the targets to ask now, and records them as asked: those that are only assumed to be cold and, with a registry that is
+// stale, those that may have become cold without this VM's knowledge. Group are the VMs of this VM's region that are alive.
+func (p *Planner) Due(now time.Time, s *fleet.Snapshot, group []proto.VMInfo, stale bool) []fleet.Target {
+	if s.Config == nil || !s.RegistryRead || !stale && s.ColdAssumed == 0 {
 		return nil
 	}
-	maps.DeleteFunc(p.asked, func(_ ident.Target, at time.Time) bool { return now.Sub(at) >= interval })
 	vms := groupHashes(group)
 	var due []fleet.Target
 	for name, list := range s.Targets {
@@ -59,8 +59,9 @@
 			continue
 		}
 		for i := range list {
-			if t := &list[i]; p.isDue(now, t) && p.isFirst(vms, t) {
-				p.asked[t.ID], p.pending[t.ID] = now, true
+			t := &list[i]
+			cold := now.Before(t.ColdUntil)
+			if (cold && t.ColdAssumed || !cold && stale) && p.isFirst(vms, t) && p.Ask(now, t.ID) {
 				due = append(due, *t)
 			}
 		}
@@ -68,10 +69,31 @@
 	return due
 }
 
-// isDue reports whether a target may have become cold without this VM's knowledge, and was not asked just now.
-func (p *Planner) isDue(now time.Time, t *fleet.Target) bool {
-	_, justAsked := p.asked[t.ID]
-	return !now.Before(t.ColdUntil) && !p.pending[t.ID] && !justAsked
+// Ask records that a target is asked now. It reports false if it was asked just now, or its answer is still awaited.
+func (p *Planner) Ask(now time.Time, t ident.Target) bool {
+	if at, ok := p.asked[t]; ok && now.Sub(at) < interval || p.pending[t] {
+		return false
+	}
+	p.asked[t], p.pending[t] = now, true
+	return true
+}
+
+// Expire forgets the targets that were asked interval ago or earlier.
+func (p *Planner) Expire(now time.Time) {
+	maps.DeleteFunc(p.asked, func(_ ident.Target, at time.Time) bool { return now.Sub(at) >= interval })
+}
+
+// assumption returns the report that a target, whose process has ended, is cold. It reports false where that limits nothing, or if the
+// target is taken for cold for long enough.
+func assumption(now time.Time, s *fleet.Snapshot, t *fleet.Target) (fleet.ColdReport, bool) {
+	if s.Config == nil {
+		return fleet.ColdReport{}, false
+	}
+	svc := s.Config.Services[t.Service]
+	if svc.Warmup <= 0 || svc.WarmupRate <= 0 || t.ColdUntil.Sub(now) > svc.Warmup/2 {
+		return fleet.ColdReport{}, false
+	}
+	return fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: svc.Warmup, Assumed: true}, true
 }
 
 // Done records that the answer of a target has arrived or is no longer awaited.
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -56,7 +56,7 @@
 	asked := map[ident.Target]int{}
 	for _, vm := range vms {
 		p := NewPlanner(vm.VM)
-		for _, id := range ids(p.Due(start, snapshot(20, probed), vms)) {
+		for _, id := range ids(p.Due(start, snapshot(20, probed), vms, true)) {
 			asked[id]++
 		}
 	}
@@ -102,7 +102,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			p, s := NewPlanner("vm0"), snapshot(4, tt.service)
-			if got := ids(p.Due(start, s, vms)); !slices.Equal(got, tt.first) {
+			if got := ids(p.Due(start, s, vms, true)); !slices.Equal(got, tt.first) {
 				t.Errorf("asked %v, want %v", got, tt.first)
 			}
 			if tt.between != nil {
@@ -111,13 +111,55 @@
 			if tt.after == 0 {
 				return
 			}
-			if got := ids(p.Due(start.Add(tt.after), s, vms)); !slices.Equal(got, tt.second) {
+			if got := ids(p.Due(start.Add(tt.after), s, vms, true)); !slices.Equal(got, tt.second) {
 				t.Errorf("asked %v after %v, want %v", got, tt.after, tt.second)
 			}
 		})
 	}
 }
 
+// Guards against a target that is assumed to be cold and isn't asked, so that it gets the requests of a cold one for too long or, once
+// it has started again, those of a warm one; and against health requests to others while the registry is read.
+func TestAssumedColdTargetIsAsked(t *testing.T) {
+	p, s := NewPlanner("vm0"), snapshot(4, probed)
+	s.Targets["s"][2].ColdUntil, s.Targets["s"][2].ColdAssumed, s.ColdAssumed = start.Add(time.Second), true, 1
+	for _, tt := range []struct {
+		after time.Duration
+		want  []ident.Target
+	}{{0, []ident.Target{"t2"}}, {interval - time.Millisecond, nil}, {interval, []ident.Target{"t2"}}, {time.Second, nil}} {
+		if got := ids(p.Due(start.Add(tt.after), s, group(1), false)); !slices.Equal(got, tt.want) {
+			t.Errorf("asked %v after %v, want %v", got, tt.after, tt.want)
+		}
+		p.Done("t2")
+	}
+}
+
+// Guards against an assumption about targets that have no warm-up, and against a message for each refused connection.
+func TestAssumption(t *testing.T) {
+	warm := fleet.Target{Entry: fleet.Entry{ID: "t0", Service: "s", StartedUnixMS: 7}}
+	soonWarm, cold := warm, warm
+	soonWarm.ColdUntil, cold.ColdUntil = start.Add(time.Second), start.Add(2*time.Second)
+	want := fleet.ColdReport{ID: "t0", StartedUnixMS: 7, Left: 3 * time.Second, Assumed: true}
+	svc := fleet.Service{WarmupRate: 11, Warmup: 3 * time.Second}
+	for _, tt := range []struct {
+		name   string
+		svc    fleet.Service
+		target fleet.Target
+		ok     bool
+	}{
+		{"warm", svc, warm, true},
+		{"soon warm", svc, soonWarm, true},
+		{"cold for long", svc, cold, false},
+		{"no warm-up", fleet.Service{WarmupRate: 11}, warm, false},
+		{"no limit while cold", fleet.Service{Warmup: 3 * time.Second}, warm, false},
+	} {
+		got, ok := assumption(start, snapshot(1, tt.svc), &tt.target)
+		if ok != tt.ok || ok && got != want {
+			t.Errorf("%s: %+v, %v", tt.name, got, ok)
+		}
+	}
+}
+
 // Guards against health requests in each calm second, and against none while the registry can't be read.
 func TestUntilStale(t *testing.T) {
 	for age, want := range map[time.Duration]time.Duration{
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -4,16 +4,19 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
 )
 
 const (
-	// checkInterval is the time between two checks for targets to ask while the registry is stale.
+	// checkInterval is the time between two checks for targets to ask while there are any.
 	checkInterval = 50 * time.Millisecond
 	// answerTimeout bounds one request. Under load it waits for a slot.
 	answerTimeout = time.Second
@@ -34,17 +37,33 @@
 	AskWarmup(ctx context.Context, t fleet.Target) (time.Duration, error)
 }
 
+// failureBuffer is the capacity of the channel of failed connections. Those beyond it are dropped: other requests fail as well.
+const failureBuffer = 64
+
+// failure is a connection to a target that failed.
+type failure struct {
+	target  fleet.Target
+	refused bool
+}
+
 // Service asks targets and reports those that are cold.
 type Service struct {
-	// Report is called with each cold target, from any goroutine.
-	Report  func(ctx context.Context, c proto.ColdTarget)
+	// Report is called with what was found out about a target, from any goroutine.
+	Report  func(ctx context.Context, c fleet.ColdReport)
 	Source  Source
 	Asker   Asker
 	Clock   func() time.Time
 	Planner *Planner
 
-	mu   sync.Mutex
-	sent atomic.Uint64
+	failures chan failure
+	mu       sync.Mutex
+	sent     atomic.Uint64
+}
+
+// New returns a service for a VM.
+func New(self ident.VM, source Source, asker Asker, clock func() time.Time, report func(context.Context, fleet.ColdReport)) *Service {
+	return &Service{Report: report, Source: source, Asker: asker, Clock: clock, Planner: NewPlanner(self),
+		failures: make(chan failure, failureBuffer)}
 }
 
 // Name implements kernel.Service.
@@ -56,44 +75,92 @@
 // Sent returns the number of requests that were sent.
 func (s *Service) Sent() uint64 { return s.sent.Load() }
 
+// ConnectionFailed records that a connection to a target failed. Refused is set if no process listens at its address: the target
+// has ended, and is assumed to be cold until it says otherwise. After another failure it is asked. It doesn't block.
+func (s *Service) ConnectionFailed(t fleet.Target, refused bool) {
+	select {
+	case s.failures <- failure{t, refused}:
+	default:
+	}
+}
+
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for {
-		wait := untilStale(s.Clock(), s.Source.RegistryConfirmed())
 		select {
-		case <-time.After(max(wait, checkInterval)):
+		case <-time.After(s.untilCheck(s.Clock())):
+			for _, t := range s.due(s.Clock()) {
+				s.start(ctx, g, t)
+			}
+		case f := <-s.failures:
+			if f.refused {
+				s.assumeCold(ctx, s.Clock(), &f.target)
+			} else if s.mayAsk(s.Clock(), f.target.ID) {
+				s.start(ctx, g, f.target)
+			}
 		case <-ctx.Done():
 			return g.Wait()
 		}
-		for _, t := range s.due(s.Clock()) {
-			g.Go(func() error {
-				s.ask(ctx, t)
-				return nil
-			})
-		}
 	}
 }
 
+// untilCheck returns the time until the next check for targets to ask.
+func (s *Service) untilCheck(now time.Time) time.Duration {
+	if s.Source.Snapshot().ColdAssumed > 0 {
+		return checkInterval
+	}
+	return min(max(untilStale(now, s.Source.RegistryConfirmed()), checkInterval), interval)
+}
+
 func (s *Service) due(now time.Time) []fleet.Target {
-	if untilStale(now, s.Source.RegistryConfirmed()) > 0 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Planner.Expire(now)
+	snapshot, stale := s.Source.Snapshot(), untilStale(now, s.Source.RegistryConfirmed()) <= 0
+	if !stale && snapshot.ColdAssumed == 0 {
 		return nil
 	}
+	return s.Planner.Due(now, snapshot, s.Source.Group(now), stale)
+}
+
+func (s *Service) mayAsk(now time.Time, t ident.Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.Planner.Due(now, s.Source.Snapshot(), s.Source.Group(now))
+	return s.Planner.Ask(now, t)
+}
+
+func (s *Service) start(ctx context.Context, g *errgroup.Group, t fleet.Target) {
+	g.Go(func() error {
+		s.ask(ctx, t)
+		return nil
+	})
 }
 
-// ask sends one request and reports the target if it is cold. A target that doesn't answer is asked again.
+// ask sends one request and reports what is news: that the target is cold, that it is warm although it was assumed to be cold, or that
+// it has ended. A target that doesn't answer is asked again.
 func (s *Service) ask(ctx context.Context, t fleet.Target) {
+	defer s.done(t.ID)
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	s.sent.Add(1)
 	left, err := s.Asker.AskWarmup(ctx, t)
-	if err == nil && left > 0 {
-		s.Report(ctx, proto.ColdTarget{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: left})
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.assumeCold(ctx, s.Clock(), &t)
+	case err == nil && (left > 0 || t.ColdAssumed):
+		s.Report(ctx, fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: left})
+	}
+}
+
+func (s *Service) assumeCold(ctx context.Context, now time.Time, t *fleet.Target) {
+	if c, ok := assumption(now, s.Source.Snapshot(), t); ok {
+		s.Report(ctx, c)
 	}
+}
+
+func (s *Service) done(t ident.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Planner.Done(t.ID)
+	s.Planner.Done(t)
 }
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
@@ -40,17 +43,15 @@
 // Guards against a cold target that isn't reported, and against a warm one that is.
 func TestColdTargetIsReported(t *testing.T) {
 	asker := &coldAsker{asked: map[ident.Target]int{}}
-	reports := make(chan proto.ColdTarget, 16)
-	s := &Service{
-		Source: &fixedSource{snapshot: snapshot(4, probed), confirmed: time.Now().Add(-time.Minute)}, Asker: asker, Clock: time.Now,
-		Planner: NewPlanner("vm0"), Report: func(_ context.Context, c proto.ColdTarget) { reports <- c },
-	}
+	reports := make(chan fleet.ColdReport, 16)
+	s := New("vm0", &fixedSource{snapshot: snapshot(4, probed), confirmed: time.Now().Add(-time.Minute)}, asker, time.Now,
+		func(_ context.Context, c fleet.ColdReport) { reports <- c })
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Run(ctx) }()
 	// The second report comes after both targets have been asked again.
 	for range 2 {
-		if c := <-reports; c != (proto.ColdTarget{ID: "t0", Left: time.Second}) {
+		if c := <-reports; c != (fleet.ColdReport{ID: "t0", Left: time.Second}) {
 			t.Errorf("report %+v, want that t0 stays cold for 1 s", c)
 		}
 	}
@@ -62,3 +63,50 @@
 		t.Errorf("asked %v, %d requests", asker.asked, s.Sent())
 	}
 }
+
+// answerAsker answers each health request in the same way.
+type answerAsker struct {
+	left time.Duration
+	err  error
+}
+
+func (a answerAsker) AskWarmup(context.Context, fleet.Target) (time.Duration, error) {
+	return a.left, a.err
+}
+
+// Guards against a target that has started again and is taken for warm, and against one that is taken for cold although it only closed a
+// connection.
+func TestConnectionFailure(t *testing.T) {
+	svc := probed
+	svc.Warmup = 3 * time.Second
+	refused := errors.Wrap(syscall.ECONNREFUSED, "connect")
+	assumed := fleet.ColdReport{ID: "t0", Left: 3 * time.Second, Assumed: true}
+	for _, tt := range []struct {
+		name    string
+		refused bool
+		asker   answerAsker
+		want    fleet.ColdReport
+	}{
+		{"refused", true, answerAsker{}, assumed},
+		{"closed, then refused", false, answerAsker{err: refused}, assumed},
+		{"closed, cold", false, answerAsker{left: time.Second}, fleet.ColdReport{ID: "t0", Left: time.Second}},
+		{"closed, warm", false, answerAsker{}, fleet.ColdReport{}},
+		{"closed, no answer", false, answerAsker{err: context.DeadlineExceeded}, fleet.ColdReport{}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			reports := make(chan fleet.ColdReport, 16)
+			s := New("vm0", &fixedSource{snapshot: snapshot(1, svc), confirmed: time.Now().Add(time.Hour)}, tt.asker, time.Now,
+				func(_ context.Context, c fleet.ColdReport) { reports <- c })
+			target := s.Source.Snapshot().Targets["s"][0]
+			if tt.refused {
+				s.assumeCold(context.Background(), s.Clock(), &target)
+			} else {
+				s.ask(context.Background(), target)
+			}
+			close(reports)
+			if got := <-reports; got != tt.want {
+				t.Errorf("reported %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -61,11 +61,12 @@
 	operatorWhole
 )
 
-// Field numbers of a ColdTarget.
+// Field numbers of a fleet.ColdReport.
 const (
 	coldID        protowire.Number = iota + 1
 	coldStartTime                  // milliseconds since the Unix epoch
 	coldLeft                       // microseconds
+	coldAssumed                    // 1 if the target has not said so itself
 )
 
 const (
@@ -128,7 +129,7 @@
 		b = appendMessage(b, fieldOperatorChange, appendOperatorDelta(nil, m.OperatorChange))
 	}
 	for i := range m.Cold {
-		b = appendMessage(b, fieldCold, appendColdTarget(nil, &m.Cold[i]))
+		b = appendMessage(b, fieldCold, appendColdReport(nil, &m.Cold[i]))
 	}
 	return b
 }
@@ -194,10 +195,11 @@
 	return appendBool(b, operatorWhole, c.Full)
 }
 
-func appendColdTarget(b []byte, c *ColdTarget) []byte {
+func appendColdReport(b []byte, c *fleet.ColdReport) []byte {
 	b = appendString(b, coldID, string(c.ID))
 	b = appendUint(b, coldStartTime, uint64(c.StartedUnixMS))
-	return appendUint(b, coldLeft, uint64(c.Left.Microseconds()))
+	b = appendUint(b, coldLeft, uint64(c.Left.Microseconds()))
+	return appendBool(b, coldAssumed, c.Assumed)
 }
 
 func appendRow(b []byte, r *fleet.Row) []byte {
@@ -309,8 +311,8 @@
 		case fieldOperatorChange:
 			m.OperatorChange, err = decodeOperatorDelta(x.bytes)
 		case fieldCold:
-			var c ColdTarget
-			c, err = decodeColdTarget(x.bytes)
+			var c fleet.ColdReport
+			c, err = decodeColdReport(x.bytes)
 			m.Cold = append(m.Cold, c)
 		}
 		return err
@@ -432,7 +434,7 @@
 	return r, err
 }
 
-func decodeColdTarget(b []byte) (c ColdTarget, err error) {
+func decodeColdReport(b []byte) (c fleet.ColdReport, err error) {
 	err = decodeFields(b, func(x field) error {
 		switch x.id {
 		case coldID:
@@ -444,6 +446,8 @@
 				return errMalformed
 			}
 			c.Left = time.Duration(x.num) * time.Microsecond
+		case coldAssumed:
+			c.Assumed = x.num != 0
 		}
 		return nil
 	})
--- a/proto/message.go
+++ b/proto/message.go
@@ -55,17 +55,8 @@
 	// Registry and OperatorChange are nil in most messages.
 	Registry       *RegistryDelta
 	OperatorChange *OperatorDelta
-	// Cold are targets that have told the sender that they are cold.
-	Cold []ColdTarget
-}
-
-// ColdTarget is a target that is cold by its own word.
-type ColdTarget struct {
-	ID ident.Target
-	// StartedUnixMS is the start time in the entry by which the target was asked.
-	StartedUnixMS int64
-	// Left is the remaining warm-up, in whole microseconds.
-	Left time.Duration
+	// Cold is what the sender has found out about the warm-up of targets.
+	Cold []fleet.ColdReport
 }
 
 // RegistryDelta is what one VM has read from the registry, for the other VMs of its group.
--- a/state/cold.go
+++ b/state/cold.go
@@ -2,15 +2,23 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
 )
 
-// ReportCold records that a target has said that it is cold, and tells the other VMs.
-func (s *State) ReportCold(ctx context.Context, c proto.ColdTarget) {
+// coldReportBuffer is the capacity of the channel of reports. Many targets can fail at the same moment.
+const coldReportBuffer = 256
+
+// maxReportsPerMessage bounds the reports in one message to other VMs, so that it fits into a datagram of 1,200 bytes.
+const maxReportsPerMessage = 20
+
+// ReportCold records what this VM has found out about the warm-up of a target, and tells the other VMs.
+func (s *State) ReportCold(ctx context.Context, c fleet.ColdReport) {
 	select {
 	case s.coldReports <- c:
 	case <-ctx.Done():
@@ -27,20 +35,35 @@
 	return group
 }
 
-// applyOwnColdReport applies what this VM was told by a target and sends it to all other VMs.
-func (s *State) applyOwnColdReport(now time.Time, c proto.ColdTarget) bool {
-	if !s.applyCold(now, c, "health") {
-		return false
+// applyOwnColdReports applies a report of this VM and those that wait behind it, and sends what is news to all other VMs.
+func (s *State) applyOwnColdReports(now time.Time, first fleet.ColdReport) bool {
+	var news []fleet.ColdReport
+	for c, more := first, true; more; c, more = s.nextColdReport() {
+		if s.applyCold(now, c, "target") {
+			news = append(news, c)
+		}
+	}
+	for batch := range slices.Chunk(news, maxReportsPerMessage) {
+		s.cfg.Peers.BroadcastCold(batch)
+	}
+	return len(news) > 0
+}
+
+// nextColdReport returns the next report that waits, if any.
+func (s *State) nextColdReport() (fleet.ColdReport, bool) {
+	select {
+	case c := <-s.coldReports:
+		return c, true
+	default:
+		return fleet.ColdReport{}, false
 	}
-	s.cfg.Peers.BroadcastCold(c)
-	return true
 }
 
 // applyCold applies a report and reports whether it is news.
-func (s *State) applyCold(now time.Time, c proto.ColdTarget, from string) bool {
-	if !s.view.RecordCold(now, c.ID, c.StartedUnixMS, c.Left) {
+func (s *State) applyCold(now time.Time, c fleet.ColdReport, from string) bool {
+	if !s.view.RecordCold(now, c) {
 		return false
 	}
-	s.cfg.Log.Add(now, trace.Cold, "target", c.ID, "left", c.Left, "from", from, "registry-age", now.Sub(s.RegistryConfirmed()))
+	s.cfg.Log.Add(now, trace.Cold, "target", c.ID, "left", c.Left, "assumed", c.Assumed, "from", from, "registry-age", now.Sub(s.RegistryConfirmed()))
 	return true
 }
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
-	"github.com/currantpier/currantpier/proto"
 )
 
 // A target becomes cold while the registry can't be read. Guards against requests at the rate of a warm target: by the VM that
@@ -18,15 +17,15 @@
 	s.view.Apply(now, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: entry}}})
 	coldUntil := func() time.Time { return s.view.Snapshot(now).Targets["s"][0].ColdUntil }
 
-	report := proto.ColdTarget{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second}
-	if !s.applyOwnColdReport(now, report) || !coldUntil().Equal(now.Add(3*time.Second)) {
+	report := fleet.ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second}
+	if !s.applyOwnColdReports(now, report) || !coldUntil().Equal(now.Add(3*time.Second)) {
 		t.Fatalf("cold until %v, want %v", coldUntil(), now.Add(3*time.Second))
 	}
 	messages := sent.messages
 	if len(messages) != 1 || len(messages[0].Cold) != 1 || messages[0].Cold[0] != report {
 		t.Fatalf("the other VMs got %+v, want the report once", messages)
 	}
-	if s.applyOwnColdReport(now, report) || len(sent.messages) != 1 {
+	if s.applyOwnColdReports(now, report) || len(sent.messages) != 1 {
 		t.Error("a report that is no news was sent again")
 	}
 	s.view.Apply(now, fleet.RegistryUpdate{Rows: []fleet.Row{{Entry: entry}}})
--- a/state/state.go
+++ b/state/state.go
@@ -96,8 +96,8 @@
 	// peerStates receives the states of other VMs, and stateRequests the requests for this VM's own.
 	peerStates    chan *proto.Message
 	stateRequests chan stateRequest
-	// coldReports receives the targets that have told this VM that they are cold.
-	coldReports chan proto.ColdTarget
+	// coldReports receives what this VM has found out about the warm-up of targets.
+	coldReports chan fleet.ColdReport
 	// registryConfirmed is when the registry was last read or received.
 	registryConfirmed atomic.Pointer[time.Time]
 
@@ -166,7 +166,7 @@
 	s := &State{
 		cfg: cfg, stopping: stopping, readings: make(chan reading, readingsBuffer), refreshRequests: make(chan struct{}, 1),
 		peerStates: make(chan *proto.Message), stateRequests: make(chan stateRequest),
-		coldReports: make(chan proto.ColdTarget), view: fleet.NewView(), started: cfg.Clock(), group: groupState{rank: registryBroadcastMaxRank + 1},
+		coldReports: make(chan fleet.ColdReport, coldReportBuffer), view: fleet.NewView(), started: cfg.Clock(), group: groupState{rank: registryBroadcastMaxRank + 1},
 	}
 	s.summary.Store(&Summary{})
 	s.registryConfirmed.Store(&s.started)
@@ -227,7 +227,7 @@
 			s.applyInput(now, "state", func() bool { return s.applyPeerState(now, m) })
 		case c := <-s.coldReports:
 			now := s.cfg.Clock()
-			s.applyInput(now, "cold", func() bool { return s.applyOwnColdReport(now, c) })
+			s.applyInput(now, "cold", func() bool { return s.applyOwnColdReports(now, c) })
 		case req := <-s.stateRequests:
 			req.reply <- s.respond(s.cfg.Clock(), req)
 		case <-ticker.C:
