probe, peers: in an isolated region, a target whose answer is overdue counts as cold

Cause: while the registry can't be read, targets are asked four times a second whether they are cold, but a health request waits for a slot. Change: a VM that hears of no other region (for 3 s) reports a target whose answer takes more than 150 ms as cold by assumption; the answer ends that. In an outage of the store alone the other regions are heard and nothing changes.

--- a/peers/partition_test.go
+++ b/peers/partition_test.go
@@ -257,3 +257,38 @@
 		}
 	}
 }
+
+// Guards against a region that is cut off and doesn't notice it, and against VMs that find their region isolated because datagrams are
+// lost.
+func TestIsolated(t *testing.T) {
+	for _, n := range []int{12, 85} {
+		w := newNetwork(n, 0.05)
+		isolatedIn := func(region ident.Region) (isolated, all int) {
+			for _, v := range w.views {
+				if v.self.Place.Region != region {
+					continue
+				}
+				all++
+				if v.Isolated(w.now) {
+					isolated++
+				}
+			}
+			return isolated, all
+		}
+		w.run(5 * time.Second)
+		for range 20 {
+			w.run(HeartbeatInterval)
+			if i, all := isolatedIn("a"); i > 0 {
+				t.Errorf("of %d VMs, %d of %d of a connected region find it isolated", n, i, all)
+			}
+		}
+		w.cut = func(from, to string) bool { return (w.number[from]%3 == 0) != (w.number[to]%3 == 0) }
+		w.run(isolationPeriod + maxHeartbeatAge)
+		if i, all := isolatedIn("a"); i != all {
+			t.Errorf("of %d VMs, %d of %d of the region that was cut off find it isolated", n, i, all)
+		}
+		if i, _ := isolatedIn("b"); i > 0 {
+			t.Errorf("of %d VMs, %d of a region with a path to another one find it isolated", n, i)
+		}
+	}
+}
--- a/peers/sharing.go
+++ b/peers/sharing.go
@@ -32,6 +32,25 @@
 	return list
 }
 
+// isolationPeriod is the time without a heartbeat from another region after which this VM's region counts as isolated. In large
+// deployments, most VMs get heartbeats from other regions only through others, up to maxHeartbeatAge later.
+const isolationPeriod = maxHeartbeatAge
+
+// Isolated reports whether this VM hears of no VM of any other region, although it knows some.
+func (v *View) Isolated(now time.Time) bool {
+	known := false
+	for _, m := range v.sorted {
+		if m.Place.Region == v.self.Place.Region || m.heartbeat.Stopping {
+			continue
+		}
+		known = true
+		if now.Sub(m.lastHeartbeat) < isolationPeriod {
+			return false
+		}
+	}
+	return known
+}
+
 // HasQuorum reports whether this VM has received heartbeats from most of the deployment's failure domains, its own included,
 // within sharingTimeout. VMs that met then agree on SharingVMs, whichever parts a partition has. VMs that started in different
 // parts of a partition don't, and at most one of these parts has a quorum: half of the failure domains are one only with the
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -32,13 +32,20 @@
 	self ident.VM
 	// asked has the time of the last request to each target that was asked less than interval ago.
 	asked map[ident.Target]time.Time
-	// pending are the targets whose answers are awaited.
-	pending map[ident.Target]bool
+	// pending are the requests whose answers are awaited.
+	pending map[ident.Target]*pendingAnswer
+}
+
+// pendingAnswer is a request to a target whose answer is awaited.
+type pendingAnswer struct {
+	asked time.Time
+	// overdue is set once the target was reported as cold because the answer takes too long.
+	overdue bool
 }
 
 // NewPlanner returns a planner for a VM.
 func NewPlanner(self ident.VM) *Planner {
-	return &Planner{self: self, asked: map[ident.Target]time.Time{}, pending: map[ident.Target]bool{}}
+	return &Planner{self: self, asked: map[ident.Target]time.Time{}, pending: map[ident.Target]*pendingAnswer{}}
 }
 
 // untilStale returns the time until the registry is old enough that targets are asked, zero or less if it is. Confirmed is when the
@@ -71,10 +78,10 @@
 
 // Ask records that a target is asked now. It reports false if it was asked just now, or its answer is still awaited.
 func (p *Planner) Ask(now time.Time, t ident.Target) bool {
-	if at, ok := p.asked[t]; ok && now.Sub(at) < interval || p.pending[t] {
+	if at, ok := p.asked[t]; ok && now.Sub(at) < interval || p.pending[t] != nil {
 		return false
 	}
-	p.asked[t], p.pending[t] = now, true
+	p.asked[t], p.pending[t] = now, &pendingAnswer{asked: now}
 	return true
 }
 
@@ -96,8 +103,40 @@
 	return fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: svc.Warmup, Assumed: true}, true
 }
 
-// Done records that the answer of a target has arrived or is no longer awaited.
-func (p *Planner) Done(t ident.Target) { delete(p.pending, t) }
+// overdueAfter is the time without an answer after which a target may have become cold for longer than its rate allows, counted from
+// the answer before.
+const overdueAfter = 150 * time.Millisecond
+
+// overdueWarmup is for how long a target counts as cold whose answer is overdue. It is renewed while the answer is awaited.
+const overdueWarmup = time.Second
+
+// Overdue returns reports of the targets whose answers are awaited for longer than overdueAfter. In a region that is isolated, where
+// nothing else says that targets have become cold, one may have done so since its last answer: the request waits for a slot, and a
+// busy target gets more requests meanwhile than a cold one endures.
+func (p *Planner) Overdue(now time.Time, s *fleet.Snapshot) (reports []fleet.ColdReport) {
+	if len(p.pending) == 0 {
+		return nil
+	}
+	for _, list := range s.Targets {
+		for i := range list {
+			t := &list[i]
+			a := p.pending[t.ID]
+			if a == nil || now.Sub(a.asked) <= overdueAfter || t.ColdUntil.Sub(now) > overdueWarmup/2 {
+				continue
+			}
+			a.overdue = true
+			reports = append(reports, fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: overdueWarmup, Assumed: true})
+		}
+	}
+	return reports
+}
+
+// Done records that the answer of a target has arrived or is no longer awaited. It reports whether the answer was overdue.
+func (p *Planner) Done(t ident.Target) (overdue bool) {
+	a := p.pending[t]
+	delete(p.pending, t)
+	return a != nil && a.overdue
+}
 
 // vmHash is the hash of a VM's name.
 type vmHash struct {
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -160,6 +160,31 @@
 	}
 }
 
+// Guards against the requests of a warm target to one that has become cold while a health request waits for a slot there, in a region
+// that hears nothing else of it; and against a message in each check.
+func TestOverdueAnswer(t *testing.T) {
+	p, s := NewPlanner("vm0"), snapshot(1, probed)
+	target := &s.Targets["s"][0]
+	p.Due(start, s, group(1), true)
+	want := fleet.ColdReport{ID: "t0", Left: overdueWarmup, Assumed: true}
+	for _, tt := range []struct {
+		after    time.Duration
+		reported bool
+	}{{overdueAfter, false}, {overdueAfter + 1, true}, {overdueAfter + overdueWarmup/4, false}, {overdueAfter + overdueWarmup, true}} {
+		now := start.Add(tt.after)
+		got := p.Overdue(now, s)
+		if (len(got) == 1) != tt.reported || tt.reported && got[0] != want {
+			t.Errorf("after %v: %+v, want a report: %v", tt.after, got, tt.reported)
+		}
+		if tt.reported {
+			target.ColdUntil, target.ColdAssumed = now.Add(overdueWarmup), true
+		}
+	}
+	if !p.Done("t0") || p.Done("t0") {
+		t.Error("the answer is not overdue once")
+	}
+}
+
 // Guards against health requests in each calm second, and against none while the registry can't be read.
 func TestUntilStale(t *testing.T) {
 	for age, want := range map[time.Duration]time.Duration{
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -28,6 +28,8 @@
 	Snapshot() *fleet.Snapshot
 	// Group returns the VMs of this VM's region that are alive, this one included.
 	Group(now time.Time) []proto.VMInfo
+	// Isolated reports whether this VM hears of no VM of any other region.
+	Isolated(now time.Time) bool
 	// RegistryConfirmed returns when the registry was last read or received.
 	RegistryConfirmed() time.Time
 }
@@ -90,7 +92,11 @@
 	for {
 		select {
 		case <-time.After(s.untilCheck(s.Clock())):
-			for _, t := range s.due(s.Clock()) {
+			due, overdue := s.check(s.Clock())
+			for _, c := range overdue {
+				s.Report(ctx, c)
+			}
+			for _, t := range due {
 				s.start(ctx, g, t)
 			}
 		case f := <-s.failures:
@@ -113,15 +119,19 @@
 	return min(max(untilStale(now, s.Source.RegistryConfirmed()), checkInterval), interval)
 }
 
-func (s *Service) due(now time.Time) []fleet.Target {
+// check returns the targets to ask now, and reports of those whose answers are overdue.
+func (s *Service) check(now time.Time) (due []fleet.Target, overdue []fleet.ColdReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Planner.Expire(now)
 	snapshot, stale := s.Source.Snapshot(), untilStale(now, s.Source.RegistryConfirmed()) <= 0
-	if !stale && snapshot.ColdAssumed == 0 {
-		return nil
+	if stale && s.Source.Isolated(now) {
+		overdue = s.Planner.Overdue(now, snapshot)
+	}
+	if stale || snapshot.ColdAssumed > 0 {
+		due = s.Planner.Due(now, snapshot, s.Source.Group(now), stale)
 	}
-	return s.Planner.Due(now, snapshot, s.Source.Group(now), stale)
+	return due, overdue
 }
 
 func (s *Service) mayAsk(now time.Time, t ident.Target) bool {
@@ -140,15 +150,15 @@
 // ask sends one request and reports what is news: that the target is cold, that it is warm although it was assumed to be cold, or that
 // it has ended. A target that doesn't answer is asked again.
 func (s *Service) ask(ctx context.Context, t fleet.Target) {
-	defer s.done(t.ID)
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	s.sent.Add(1)
 	left, err := s.Asker.AskWarmup(ctx, t)
+	assumed := s.done(t.ID) || t.ColdAssumed
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		s.assumeCold(ctx, s.Clock(), &t)
-	case err == nil && (left > 0 || t.ColdAssumed):
+	case err == nil && (left > 0 || assumed):
 		s.Report(ctx, fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: left})
 	}
 }
@@ -159,8 +169,9 @@
 	}
 }
 
-func (s *Service) done(t ident.Target) {
+// done ends the wait for a target's answer, and reports whether it was reported as overdue.
+func (s *Service) done(t ident.Target) (overdue bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Planner.Done(t)
+	return s.Planner.Done(t)
 }
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -22,6 +22,7 @@
 
 func (f *fixedSource) Snapshot() *fleet.Snapshot      { return f.snapshot }
 func (f *fixedSource) Group(time.Time) []proto.VMInfo { return group(1) }
+func (f *fixedSource) Isolated(time.Time) bool        { return false }
 func (f *fixedSource) RegistryConfirmed() time.Time   { return f.confirmed }
 
 // coldAsker answers that t0 is cold and t2 is warm.
--- a/state/cold.go
+++ b/state/cold.go
@@ -35,6 +35,12 @@
 	return group
 }
 
+// Isolated reports whether this VM hears of no VM of any other region.
+func (s *State) Isolated(now time.Time) (isolated bool) {
+	s.cfg.Peers.With(func(v *peers.View) { isolated = v.Isolated(now) })
+	return isolated
+}
+
 // applyOwnColdReports applies a report of this VM and those that wait behind it, and sends what is news to all other VMs.
 func (s *State) applyOwnColdReports(now time.Time, first fleet.ColdReport) bool {
 	var news []fleet.ColdReport
