fleet, platform: decode customers and index them by API key

Cause: the first of the added deployments identifies customers by API keys. An unknown Type of one route rejected the whole configuration. Change: Tenants and AllowAnonymous are decoded; Config.CustomerOf finds the customer of a key. An invalid customer affects no other: what is left out or replaced is in Config.Warnings, without keys. A number beyond a float64 blocks its customer instead of rejecting the configuration, so rates have a JSON decoder of their own. A list of which all customers are left out still requires keys: it must not open all routes. A later customer of the same name is left out, since quotas and logs go by name, and so is one whose name a header field can't hold. A route of unknown Type is served at most once. Ruled out: json.Number for rates; it accepts strings, which must reject the configuration.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,12 @@
 	Services []WeightedService
 	// Idempotent is set if a request may be executed more than once.
 	Idempotent bool
+	// Download is set if responses are large. Requests of such routes are idempotent.
+	Download bool
+	// UnknownType is set if the configuration states a type that this build doesn't know. Requests are then executed at most once.
+	UnknownType bool
+	// Anonymous is set if requests need no API key.
+	Anonymous bool
 	// Timeout is the maximum time until the response.
 	Timeout time.Duration
 	// LatencyTarget is the time within which a response has its full value.
@@ -82,8 +88,16 @@
 	Routes   []Route
 	Services map[ident.Service]Service
 	Limits   Limits
+	// Customers is empty if requests need no API key; see RequiresKey.
+	Customers []Customer
+	// CustomersLeftOut is the number of customers that the configuration states and that are not in Customers, since they are invalid.
+	CustomersLeftOut int
+	// Warnings say what was left out or replaced while decoding. They don't contain API keys.
+	Warnings []string
 
 	hosts map[string]*host
+	// customers maps an API key to its customer.
+	customers map[string]*Customer
 }
 
 // host has the routes of one host.
@@ -93,8 +107,10 @@
 	regions HostRegions
 }
 
-// Index builds the index for Find and HostRegions. It must be called once, before other goroutines use the configuration.
+// Index builds the index for Find, HostRegions and CustomerOf. It must be called once, before other goroutines use the
+// configuration.
 func (c *Config) Index() {
+	c.indexCustomers()
 	c.hosts = map[string]*host{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
