pick: the regions of a customer apply together with the route's

Cause: a customer may be restricted to some regions, also on routes that all regions may serve. Change: Request.Regions, which allows and homeRegion respect. A restricted request is at home in the VM's own region; if that may not serve it, there is no candidate at home, and the limit on moves between regions doesn't refuse it. Without the check in allows, TestChoiceStaysInHomes and TestExcludedTargets fail; without the one in homeRegion, or with moves limited although no candidate is at home, TestHomeOfRestrictedRequests fails.

--- a/pick/homes_test.go
+++ b/pick/homes_test.go
@@ -52,6 +52,7 @@
 				a := Request{Route: &r, Object: NewObject("r", []byte(rapid.SampledFrom([]string{"", "k", "l"}).Draw(t, "key"))),
 					Deadline: now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "left")) * time.Millisecond)}
 				a.Service = p.Service(now, &r, a.Object)
+				a.Regions = rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 0, 3, rapid.ID).Draw(t, "regions of the customer")
 				for _, x := range inProgress {
 					if rapid.Bool().Draw(t, "tried") {
 						a.Excluded = append(a.Excluded, x.choice.Target.ID)
@@ -61,9 +62,10 @@
 				if reason != Chosen {
 					return
 				}
-				if !r.Allows(c.Target.Place.Region) || c.Target.Service != a.Service {
-					t.Fatalf("chose %s of %s in region %q for service %s with homes %q", c.Target.ID, c.Target.Service, c.Target.Place.Region,
-						a.Service, r.Regions)
+				customer := fleet.Route{Regions: a.Regions}
+				if !r.Allows(c.Target.Place.Region) || !customer.Allows(c.Target.Place.Region) || c.Target.Service != a.Service {
+					t.Fatalf("chose %s of %s in region %q for service %s with homes %q and %q", c.Target.ID, c.Target.Service, c.Target.Place.Region,
+						a.Service, r.Regions, a.Regions)
 				}
 				p.RecordStart(now, a, c)
 				inProgress = append(inProgress, sent{a, c})
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -196,15 +196,18 @@
 	Object  Object
 	// Deadline is the time by which the response must arrive.
 	Deadline time.Time
+	// Regions are the regions that may serve the request's customer; empty means all. They apply together with the route's.
+	Regions []ident.Region
 	// Excluded are the targets of earlier attempts.
 	Excluded []ident.Target
 	// Only are the targets to choose from; empty for all.
 	Only []ident.Target
 }
 
-// allows reports whether a request may go to a target by its route and by what earlier attempts have left.
+// allows reports whether a request may go to a target by its route, its customer and by what earlier attempts have left.
 func (a *Request) allows(t *target) bool {
-	return a.Route.Allows(t.Place.Region) && (len(a.Only) == 0 || slices.Contains(a.Only, t.ID))
+	return a.Route.Allows(t.Place.Region) && (len(a.Regions) == 0 || slices.Contains(a.Regions, t.Place.Region)) &&
+		(len(a.Only) == 0 || slices.Contains(a.Only, t.ID))
 }
 
 // Choice is the target selected for a request.
@@ -434,10 +437,11 @@
 	return lastGroup
 }
 
-// homeRegion returns the home region of the request's object. For a request without an object, and for a route that is
-// restricted to some regions, it is the VM's own region.
+// homeRegion returns the home region of the request's object. For a request without an object, and for a route or customer that is
+// restricted to some regions, it is the VM's own region. If that may not serve the request, there is no candidate at home, and the
+// request may go to any candidate.
 func (p *Picker) homeRegion(pl *pool, a Request) ident.Region {
-	if len(a.Route.Regions) > 0 || a.Object == 0 {
+	if len(a.Route.Regions) > 0 || len(a.Regions) > 0 || a.Object == 0 {
 		return p.place.Region
 	}
 	return pl.homes.RegionOf(uint64(a.Object))
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -111,6 +111,12 @@
 			r.Regions = []ident.Region{"nowhere"}
 			a.Route = &r
 		}, NoTarget},
+		{"region not allowed for the customer", func(_ *Picker, a *Request, _ ident.Target) { a.Regions = []ident.Region{"b"} }, Chosen},
+		{"no region allowed by both", func(_ *Picker, a *Request, _ ident.Target) {
+			r := *route
+			r.Regions, a.Regions = []ident.Region{"a"}, []ident.Region{"b"}
+			a.Route = &r
+		}, NoTarget},
 		{"unknown service", func(_ *Picker, a *Request, _ ident.Target) { a.Service = "none" }, NoTarget},
 	}
 	for _, tt := range tests {
@@ -134,6 +140,36 @@
 	}
 }
 
+// Guards against refusing requests that only another region than the VM's own may serve, because of the limit on moves between
+// regions, and against requests that leave the own region, where they are at home, without need.
+func TestHomeOfRestrictedRequests(t *testing.T) {
+	for _, tt := range []struct {
+		route, customer []ident.Region
+		want            ident.Region
+	}{
+		{[]ident.Region{"b"}, nil, "b"}, {nil, []ident.Region{"b"}, "b"},
+		{[]ident.Region{"a", "b"}, []ident.Region{"b", "c"}, "b"},
+		{[]ident.Region{"b", "a"}, nil, "a"}, {nil, []ident.Region{"b", "a"}, "a"},
+	} {
+		p, targets, r := New("vm", here), snapshot(3, 10), *route
+		// Half of the objects have their home elsewhere, since the own region has one target of seven.
+		targets.Targets["s"] = targets.Targets["s"][2:]
+		p.SetTargets(start, targets)
+		r.Regions = tt.route
+		for i := range 500 {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			a := request(now, fmt.Sprint(i%50))
+			a.Route, a.Regions = &r, tt.customer
+			c, reason := p.Choose(now, a)
+			if reason != Chosen || c.Target.Place.Region != tt.want {
+				t.Fatalf("%v, request %d: %v, region %q", tt, i, reason, c.Target.Place.Region)
+			}
+			p.RecordStart(now, a, c)
+			p.RecordEnd(now, a, c, Outcome{Result: Served, Duration: time.Millisecond})
+		}
+	}
+}
+
 func finish(p *Picker, a Request, id ident.Target, r Result) {
 	c := Choice{Target: p.byID[id].Target}
 	p.RecordStart(start, a, c)
