carry: requests are authenticated by customers' API keys

Cause: with customers in the configuration, only requests with the key of one may reach targets. Change: follow takes the customer with the route from one configuration, before each choice of a target, so that a key revoked while a request is in progress stops further sends: 401 if the request has not run, 502 if it may have. A missing, unknown or repeated key gets 401, a blocked customer 429, before the retry quota is credited. RefuseBody answers the same. The key is never sent to a target, and the customer's name replaces what the caller sent; both fields are removed without customers as well, since callers may go on sending keys after the operators remove the last customer. Requests without these fields are encoded as before. The customer's regions and priority apply. Refusals have the log event refused-customer: callers without a key must not use up the limit of the event refused. No line has a key. An attempt that ended by its timeout stays 504 when the key was revoked meanwhile. The harness of TestFurtherSendFollowsNewestRoute is a function now, furtherSend, which the test of revoked keys shares; its checks are the same.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -36,7 +36,7 @@
 		switch {
 		case ctx.Err() != nil && !aborted(ctx):
 			k.observe(now, "caller-left")
-			k.log.Add(now, trace.CallerLeft, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "after", now.Sub(k.arrived))
+			k.logEvent(now, trace.CallerLeft, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "after", now.Sub(k.arrived))
 			return codec.NewResponse(http.StatusBadGateway, "caller left\n")
 		case err == nil && k.isFinal(a, result):
 			return k.deliver(now, choice, a)
@@ -57,9 +57,9 @@
 	if k.deadline.Sub(now) < minRemaining {
 		return pick.Choice{}, k.giveUp(now, kinds.DeadlineTooShort, "deadline reached")
 	}
-	choice, reason, sendable := k.pick(now)
+	choice, reason, why, sendable := k.pick(now)
 	if !sendable {
-		return choice, k.giveUpUnroutable(now)
+		return choice, k.giveUpWithdrawn(now, why)
 	}
 	switch reason {
 	case pick.Chosen:
@@ -74,25 +74,28 @@
 	return choice, k.giveUp(now, kinds.NoTarget, reason.String())
 }
 
-// pick chooses a target by the newest snapshot and records that snapshot. It reports false if the newest configuration does not
-// allow sending the request any more.
-func (k *call) pick(now time.Time) (choice pick.Choice, reason pick.Reason, sendable bool) {
+// pick chooses a target by the newest snapshot and records that snapshot. It reports false and why if the newest configuration does
+// not allow sending the request any more.
+func (k *call) pick(now time.Time) (choice pick.Choice, reason pick.Reason, why kinds.Kind, sendable bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.choiceSnapshot = k.snapshot.Load()
-	if !k.follow(k.choiceSnapshot.Config) || !k.mayRepeat() {
-		return choice, reason, false
+	if why, accepted := k.follow(k.choiceSnapshot.Config); !accepted || !k.mayRepeat() {
+		return choice, reason, why, false
 	}
 	pickRequest := k.pickRequest()
 	choice, reason = k.picker.Choose(now, pickRequest)
 	if reason == pick.Chosen {
 		k.picker.RecordStart(now, pickRequest, choice)
 	}
-	return choice, reason, true
+	return choice, reason, kinds.Answered, true
 }
 
 func (k *call) pickRequest() pick.Request {
 	r := pick.Request{Route: k.route, Service: k.service, Object: k.object, Deadline: k.deadline, Excluded: k.tried}
+	if k.customer != nil {
+		r.Regions = k.customer.Regions
+	}
 	if k.reachedAll() {
 		r.Only = k.reached
 	}
@@ -174,7 +177,9 @@
 	}
 	return k.r.Encode(
 		codec.Field{Name: k.headers.Deadline, Value: strconv.FormatInt(left.Milliseconds(), 10)},
-		codec.Field{Name: k.headers.Expect, Value: string(t.ID)}), nil
+		codec.Field{Name: k.headers.Expect, Value: string(t.ID)},
+		codec.Field{Name: k.headers.Key},
+		codec.Field{Name: k.headers.Customer, Value: k.customerName()}), nil
 }
 
 // outletTarget returns the connection parameters of a target. The connection limit of its service is divided among the
@@ -310,7 +315,7 @@
 	outcome := "served"
 	if took > k.route.LatencyTarget && k.route.LatencyTarget > 0 {
 		outcome = "late"
-		k.log.Add(now, trace.Late, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "took", took,
+		k.logEvent(now, trace.Late, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "took", took,
 			"expected", choice.Expected, "known", choice.Known, "load", math.Round(choice.Load), "sends", k.sends)
 	}
 	k.observe(now, outcome)
@@ -328,7 +333,7 @@
 	if result == pick.ServerError {
 		k.serverError = a
 	}
-	routeFound := k.followNewest()
+	why, accepted := k.followNewest()
 	retriable := k.mayRepeat()
 	sameTargetAllowed := result == pick.Cancelled && retriable
 	if !sameTargetAllowed {
@@ -337,16 +342,16 @@
 	// An attempt that sent nothing to a target doesn't count towards MaxAttempts or the retry quota.
 	notSent := errors.Is(err, outlet.ErrConnectionLimit) || ran == kinds.RanNo && a == nil
 	switch {
-	case !routeFound && !k.mayHaveRun:
-		return k.giveUpUnroutable(now)
-	case !routeFound, k.rejectedWhenFull(a), !retriable, k.sends >= maxSends, !k.mayReachAny(), !notSent && len(k.tried) >= k.route.MaxAttempts, !notSent && !k.takeRetry(now):
+	case !accepted && (!k.mayHaveRun || isCustomerKind(why) && k.idempotent && result != pick.TimedOut):
+		return k.giveUpWithdrawn(now, why)
+	case !accepted, k.rejectedWhenFull(a), !retriable, k.sends >= maxSends, !k.mayReachAny(), !notSent && len(k.tried) >= k.route.MaxAttempts, !notSent && !k.takeRetry(now):
 		if k.askedForTime {
 			k.notBefore = k.earliestReturn(now)
 		}
 		return k.giveUp(now, failureKind(result), failureCause(a, err))
 	}
 	k.Counters.Retries.Add(1)
-	k.log.Add(now, trace.Retried, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "cause", failureCause(a, err),
+	k.logEvent(now, trace.Retried, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "cause", failureCause(a, err),
 		"after", now.Sub(k.arrived), "config", k.config.Version)
 	return nil
 }
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -54,6 +54,10 @@
 	NotRun string
 	// Responder holds the id of the target that responds.
 	Responder string
+	// Key holds a customer's API key. It is never sent to targets.
+	Key string
+	// Customer holds the name of the customer in requests to targets. A value that a caller sends is never passed on.
+	Customer string
 	// Warmup holds, in responses to health requests, for how many milliseconds the target stays cold.
 	Warmup string
 }
@@ -191,12 +195,16 @@
 	r       *codec.Request
 	id      string
 	arrived time.Time
-	// config is the configuration that route, service, object and deadline were taken from. All of them change together, between
+	// config is the configuration that route, customer, service, object and deadline were taken from. All of them change together, between
 	// two attempts.
 	config  *fleet.Config
 	route   *fleet.Route
 	service ident.Service
 	object  pick.Object
+	// customer is nil if the configuration requires no key, and for an anonymous request on a route that allows it.
+	customer *fleet.Customer
+	// priority is the customer's, else the route's.
+	priority int
 	// deadline is the time by which the response must be ready.
 	deadline time.Time
 	// idempotent is set if the routes of all configurations so far allow repeating the request.
@@ -226,7 +234,10 @@
 		return c.refuse(arrived, &call{Forwarder: c, r: r, arrived: arrived}, kinds.Stopping, "no configuration yet")
 	}
 	k := &call{Forwarder: c, r: r, id: r.Field(c.headers.Attempt), arrived: arrived}
-	if !k.admit(cfg) {
+	if why, accepted := k.admit(cfg); !accepted {
+		if isCustomerKind(why) {
+			return k.refuseCustomer(c.clock(), why)
+		}
 		c.meter.Observe("none", "no-route", c.clock().Sub(arrived))
 		return noRoute()
 	}
@@ -238,23 +249,27 @@
 
 func noRoute() *codec.Response { return codec.NewResponse(http.StatusNotFound, "no such route\n") }
 
-// admit takes the route of a new request from a configuration and credits the request to the retry quota of its service. It
-// reports false if there is no route.
-func (k *call) admit(cfg *fleet.Config) bool {
+// admit takes the route and the customer of a new request from a configuration and credits the request to the retry quota of its
+// service. It reports false and why if the configuration doesn't accept the request.
+func (k *call) admit(cfg *fleet.Config) (why kinds.Kind, accepted bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.follow(cfg) {
-		return false
+	if why, accepted := k.follow(cfg); !accepted {
+		return why, false
 	}
 	k.quotaOf(k.service, k.arrived).Request(k.arrived, k.quotaVMs)
-	return true
+	return kinds.Answered, true
 }
 
 // RefuseBody responds to a request for whose body there is no memory. Only its header was read.
 func (c *Forwarder) RefuseBody(r *codec.Request, arrived time.Time) *codec.Response {
 	k := &call{Forwarder: c, r: r, id: r.Field(c.headers.Attempt), arrived: arrived}
-	if c.snapshot.Load().Config != nil && !k.followNewest() {
-		return noRoute()
+	if c.snapshot.Load().Config != nil {
+		if why, accepted := k.followNewest(); isCustomerKind(why) {
+			return k.refuseCustomer(c.clock(), why)
+		} else if !accepted {
+			return noRoute()
+		}
 	}
 	return c.refuse(c.clock(), k, kinds.Overloaded, "no memory for the body")
 }
@@ -289,7 +304,7 @@
 func (k *call) giveUp(now time.Time, kind kinds.Kind, cause string) *codec.Response {
 	if k.serverError != nil {
 		k.observe(now, "target-failed")
-		k.log.Add(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", "target-failed", "cause", cause, "sends", k.sends,
+		k.logEvent(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", "target-failed", "cause", cause, "sends", k.sends,
 			"after", now.Sub(k.arrived))
 		return k.serverError
 	}
@@ -308,7 +323,7 @@
 		kind = kinds.OutcomeUnknown
 	}
 	k.observe(now, kind.String())
-	k.log.Add(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", kind, "tried", k.triedText(), "cause", cause, "sends", k.sends,
+	k.logEvent(now, trace.Failed, "id", k.id, "route", k.route.Name, "kind", kind, "tried", k.triedText(), "cause", cause, "sends", k.sends,
 		"after", now.Sub(k.arrived))
 	status := http.StatusBadGateway
 	if kind == kinds.Timeout {
@@ -329,7 +344,7 @@
 		route = k.route.Name
 	}
 	c.meter.Observe(string(route), kind.String(), now.Sub(k.arrived))
-	c.log.Add(now, trace.Refused, "id", k.id, "route", route, "kind", kind, "cause", cause, "sends", k.sends, "tried", k.triedText(),
+	k.logEvent(now, trace.Refused, "id", k.id, "route", route, "kind", kind, "cause", cause, "sends", k.sends, "tried", k.triedText(),
 		"retry-after", after, "after", now.Sub(k.arrived))
 	return codec.NewResponse(http.StatusServiceUnavailable, kind.String()+"\n", fields...)
 }
--- a/carry/forwarder_test.go
+++ b/carry/forwarder_test.go
@@ -16,7 +16,8 @@
 	"github.com/currantpier/currantpier/trace"
 )
 
-var testHeaders = Headers{Attempt: "Id", Deadline: "Deadline", Affinity: "Key", Signature: "Sig", Expect: "Expect", Load: "Load", NotRun: "Not-Run"}
+var testHeaders = Headers{Attempt: "Id", Deadline: "Deadline", Affinity: "Key", Signature: "Sig", Expect: "Expect", Load: "Load", NotRun: "Not-Run",
+	Key: "Api-Key", Customer: "Customer"}
 
 func newForwarder() *Forwarder {
 	return New(Config{Headers: testHeaders, VM: "vm", Log: trace.New("vm"), Clock: func() time.Time { return time.Unix(1000, 0) },
--- a/carry/notice_test.go
+++ b/carry/notice_test.go
@@ -28,8 +28,8 @@
 		s := c.Snapshot()
 		now := time.Now()
 		k := &call{Forwarder: c, r: newRequest(t, "Id: 1\r\n"), id: "1", arrived: now}
-		admitted := k.admit(s.Config)
-		choice, reason, sendable := k.pick(now)
+		_, admitted := k.admit(s.Config)
+		choice, reason, _, sendable := k.pick(now)
 		if !admitted || !sendable || reason != pick.Chosen {
 			t.Fatal(reason)
 		}
--- a/carry/route_change_test.go
+++ b/carry/route_change_test.go
@@ -26,11 +26,6 @@
 		change(&r)
 		return r
 	}
-	reject := func(nc net.Conn, r *http.Request) bool {
-		_, err := fmt.Fprintf(nc, "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
-		return err == nil
-	}
-	lose := func(net.Conn, *http.Request) bool { return false }
 	unchanged := func(*fleet.Route) {}
 	order := func(r *fleet.Route) { r.Idempotent = false }
 	tests := []struct {
@@ -76,53 +71,75 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			entered, release := make(chan struct{}), make(chan struct{})
-			targets := map[ident.Target]*fakeTarget{"a1": newFakeTarget(t, func(nc net.Conn, _ int, r *http.Request) bool {
-				entered <- struct{}{}
-				<-release
-				return tt.first(nc, r)
-			})}
-			for _, id := range []ident.Target{"a2", "b1", "b2"} {
-				targets[id] = newFakeTarget(t, respondOK)
-			}
-			entry := func(id ident.Target, svc ident.Service) fleet.Target {
-				return fleet.Target{Entry: fleet.Entry{ID: id, Service: svc, Address: targets[id].ln.Addr().String(), Slots: 8, Ready: true,
-					Place: ident.Place{Region: ident.Region(id[:1])}}}
-			}
-			snapshot := func(version ident.Version, routes []fleet.Route, list ...fleet.Target) *fleet.Snapshot {
-				s := &fleet.Snapshot{RegistryRead: true, Targets: map[ident.Service][]fleet.Target{},
-					Config: &fleet.Config{Version: version, Routes: routes, Services: map[ident.Service]fleet.Service{}}}
-				s.Config.Index()
-				for _, x := range list {
-					s.Targets[x.Service] = append(s.Targets[x.Service], x)
-				}
-				return s
-			}
-			c := New(Config{Headers: testHeaders, VM: "vm", Log: trace.New("vm"), Clock: time.Now, MaxResponseMemory: 4 << 20,
-				Quota: retry.QuotaLimits{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}})
-			c.Update(time.Now(), snapshot(1, []fleet.Route{route(tt.old)}, entry("a1", "s")))
-			status := make(chan int)
-			go func() { status <- c.Handle(context.Background(), newRequest(t, "Id: 1\r\n"), time.Now()).Status }()
-			<-entered
-			c.Update(time.Now(), snapshot(2, tt.newest, entry("a1", "s"), entry("a2", "s"), entry("b1", "s"), entry("b2", "s2"),
-				fleet.Target{Entry: fleet.Entry{ID: "b3", Service: "s3", Address: targets["b2"].ln.Addr().String(), Slots: 8, Ready: true,
-					Place: ident.Place{Region: "b"}}}))
-			close(release)
-			if got := <-status; got != tt.status {
-				t.Errorf("status %d, want %d", got, tt.status)
-			}
-			want, got := map[ident.Target]int64{"a1": 1}, map[ident.Target]int64{}
-			if tt.sentTo != "" {
-				want[tt.sentTo] = 1
+			status, got := furtherSend(t, tt.first, &fleet.Config{Routes: []fleet.Route{route(tt.old)}}, &fleet.Config{Routes: tt.newest})
+			if status != tt.status {
+				t.Errorf("status %d, want %d", status, tt.status)
 			}
-			for id, f := range targets {
-				if n := f.requests.Load(); n > 0 {
-					got[id] = n
-				}
-			}
-			if d := cmp.Diff(want, got); d != "" {
-				t.Errorf("requests by target: %s", d)
+			if got != tt.sentTo {
+				t.Errorf("sent again to %q, want %q", got, tt.sentTo)
 			}
 		})
 	}
 }
+
+// reject and lose are what a target does with a request that it turns away, or whose connection it ends.
+func reject(nc net.Conn, r *http.Request) bool {
+	_, err := fmt.Fprintf(nc, "HTTP/1.1 503 x\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+	return err == nil
+}
+
+func lose(net.Conn, *http.Request) bool { return false }
+
+// furtherSend replaces a configuration by the newest one while a request with the key k is in progress at the target a1, which then
+// responds with first. It returns the request's status and the target of the further send, "" if there is none.
+func furtherSend(t *testing.T, first func(nc net.Conn, r *http.Request) bool, old, newest *fleet.Config) (status int, sentTo ident.Target) {
+	t.Helper()
+	entered, release := make(chan struct{}), make(chan struct{})
+	targets := map[ident.Target]*fakeTarget{"a1": newFakeTarget(t, func(nc net.Conn, _ int, r *http.Request) bool {
+		entered <- struct{}{}
+		<-release
+		return first(nc, r)
+	})}
+	for _, id := range []ident.Target{"a2", "b1", "b2"} {
+		targets[id] = newFakeTarget(t, respondOK)
+	}
+	entry := func(id ident.Target, svc ident.Service) fleet.Target {
+		return fleet.Target{Entry: fleet.Entry{ID: id, Service: svc, Address: targets[id].ln.Addr().String(), Slots: 8, Ready: true,
+			Place: ident.Place{Region: ident.Region(id[:1])}}}
+	}
+	snapshot := func(version ident.Version, cfg *fleet.Config, list ...fleet.Target) *fleet.Snapshot {
+		cfg.Version, cfg.Services = version, map[ident.Service]fleet.Service{}
+		cfg.Index()
+		s := &fleet.Snapshot{RegistryRead: true, Targets: map[ident.Service][]fleet.Target{}, Config: cfg}
+		for _, x := range list {
+			s.Targets[x.Service] = append(s.Targets[x.Service], x)
+		}
+		return s
+	}
+	c := New(Config{Headers: testHeaders, VM: "vm", Log: trace.New("vm"), Clock: time.Now, MaxResponseMemory: 4 << 20,
+		Quota: retry.QuotaLimits{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}})
+	c.Update(time.Now(), snapshot(1, old, entry("a1", "s")))
+	result := make(chan int)
+	go func() {
+		result <- c.Handle(context.Background(), newRequest(t, "Id: 1\r\nApi-Key: k\r\n"), time.Now()).Status
+	}()
+	<-entered
+	c.Update(time.Now(), snapshot(2, newest, entry("a1", "s"), entry("a2", "s"), entry("b1", "s"), entry("b2", "s2"),
+		fleet.Target{Entry: fleet.Entry{ID: "b3", Service: "s3", Address: targets["b2"].ln.Addr().String(), Slots: 8, Ready: true,
+			Place: ident.Place{Region: "b"}}}))
+	close(release)
+	status = <-result
+	want, got := map[ident.Target]int64{"a1": 1}, map[ident.Target]int64{}
+	for id, f := range targets {
+		if n := f.requests.Load(); n > 0 {
+			got[id] = n
+			if id != "a1" {
+				sentTo, want[id] = id, 1
+			}
+		}
+	}
+	if d := cmp.Diff(want, got); d != "" || len(got) > 2 {
+		t.Errorf("requests by target: %v %s", got, d)
+	}
+	return status, sentTo
+}
--- a/codec/codec.go
+++ b/codec/codec.go
@@ -156,6 +156,14 @@
 // Field returns the first value of a header field, or "".
 func (r *Request) Field(name string) string { return string(r.msg.Header.Peek(name)) }
 
+// SingleField returns the value of a header field that occurs once, else "".
+func (r *Request) SingleField(name string) string {
+	if values := r.msg.Header.PeekAll(name); len(values) == 1 {
+		return string(values[0])
+	}
+	return ""
+}
+
 func (r *Request) Body() []byte { return r.body }
 
 // WantsClose reports whether the caller asked for the connection to be closed after the response.
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -43,6 +43,7 @@
 	Members            Event = "members"
 	BadEntry           Event = "bad-entry"
 	Refused            Event = "refused"
+	RefusedCustomer    Event = "refused-customer"
 	Failed             Event = "failed"
 	Retried            Event = "retried"
 	Late               Event = "late"
