state: what a configuration lacks is logged once

Cause: customers that are left out or blocked, and routes of unknown types, show only in refused requests. A rejected row was logged as an internal fault, again with each full reading. Change: the event bad-config. When a configuration comes into force, one line has all of its warnings; a row that can't be decoded gets one line for each version of the row in the store, with the configuration that stays in force. The event config also says how many customers there are.

--- a/state/apply.go
+++ b/state/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
@@ -118,7 +119,7 @@
 		s.operatorVersion = max(s.operatorVersion, row.Version)
 		c, err := s.cfg.Decoder.DecodeChange(row)
 		if err != nil {
-			s.cfg.Log.Add(r.at, trace.InternalFault, "row", row.Key, "version", row.Version, "err", err)
+			s.logRejected(r.at, row, err)
 			continue
 		}
 		if c == nil {
@@ -146,6 +147,16 @@
 	return changed
 }
 
+// logRejected logs that a row of the operators' table can't be decoded; what is in force stays. A full reading has the row again, which
+// isn't logged.
+func (s *State) logRejected(now time.Time, row feed.Row, err error) {
+	if row.Version == s.rejected {
+		return
+	}
+	s.rejected = row.Version
+	s.cfg.Log.Add(now, trace.BadConfig, "rejected", row.Key, "store-version", row.Version, "in-force", s.view.Version(), "err", err)
+}
+
 // applyChange applies a change that has the given version in the operators' table, and reports whether it is one.
 func (s *State) applyChange(now time.Time, c *fleet.Change, from source, version ident.Version) bool {
 	if c.Config != nil {
@@ -154,7 +165,10 @@
 		}
 		s.cfg.Peers.With(func(v *peers.View) { v.SetConfigVersion(c.Config.Version) })
 		s.cfg.Log.Add(now, trace.Config, "version", c.Config.Version, "routes", len(c.Config.Routes), "restricted", c.Config.Restricted(),
-			"from", from, "store-version", version)
+			"customers", len(c.Config.Customers), "from", from, "store-version", version)
+		if w := c.Config.Warnings; len(w) > 0 {
+			s.cfg.Log.Add(now, trace.BadConfig, "version", c.Config.Version, "warnings", len(w), "text", strings.Join(w, "; "))
+		}
 		return true
 	}
 	if !s.view.Evacuate(now, c.Domain, !c.Ended) {
--- a/state/catchup.go
+++ b/state/catchup.go
@@ -9,7 +9,6 @@
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
-	"github.com/currantpier/currantpier/trace"
 )
 
 // catchUpMaxRank is the highest rank at which a VM without access to the store requests state from other VMs all the time
@@ -55,7 +54,7 @@
 		c, err := s.cfg.Decoder.DecodeChange(row)
 		switch {
 		case err != nil:
-			s.cfg.Log.Add(now, trace.InternalFault, "row", row.Key, "version", row.Version, "err", err)
+			s.logRejected(now, row, err)
 		case c == nil:
 		case c.Config != nil:
 			changed = s.adoptConfig(now, c, row) || changed
--- a/state/state.go
+++ b/state/state.go
@@ -107,6 +107,8 @@
 	// applied has the versions up to which the tables are applied. The followers' versions are ahead of them while a
 	// reading waits to be applied.
 	applied [2]ident.Version
+	// rejected is the store's version of the last row of the operators' table that could not be decoded.
+	rejected ident.Version
 	// operatorRows has the rows of the operators' table by key, as in the store; nil before the table was read. In place of an
 	// older configuration, it has the row of the one in force.
 	operatorRows map[string]feed.Row
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -28,6 +28,7 @@
 	DependencyLost     Event = "dependency-lost"
 	DependencyRegained Event = "dependency-regained"
 	Config             Event = "config"
+	BadConfig          Event = "bad-config"
 	Behind             Event = "behind"
 	StaleReading       Event = "stale-reading"
 	StoreRestored      Event = "store-restored"
