stubs, soak: targets check that no API key arrives

Cause: a key that reaches a target on any path through retries, restarts and changes of the configuration would be disclosed there. Change: the stand-in target counts requests by the customer that they state, and those with a key. In the soak all requests carry a key and a forged customer, each configuration has another second key and a customer without a name, and no request may get 401.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -292,10 +292,17 @@
 			s.t.Errorf("%s got an incomplete response or that of another request: %+v", r.id, r.response)
 		case r.status == 200 && n == 0:
 			s.t.Errorf("%s got a response without having been executed", r.id)
-		case r.status == 404 || r.status == 400:
+		case r.status == 404 || r.status == 400 || r.status == 401:
 			s.t.Errorf("%s was rejected with status %d", r.id, r.status)
 		}
 	}
+	for _, tg := range s.tc.targets {
+		requests, withKey := tg.Customers()
+		delete(requests, customer)
+		if withKey > 0 || len(requests) > 0 {
+			s.t.Errorf("%s received %d requests with the key, and requests of customers %v", tg.ID, withKey, requests)
+		}
+	}
 	if statuses[200] < len(s.results)/4 {
 		s.t.Errorf("statuses %v: less than a quarter of the requests were served", statuses)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -197,6 +197,9 @@
 	tc.store.Put("servers", tc.targets[i].ID, tc.targets[i].Entry(service, zoneNames[i%len(zoneNames)], state, tc.sequence))
 }
 
+// customer sends all requests, with apiKey.
+const customer, apiKey = "soak customer", "soak-key"
+
 // configure stores the next configuration version, in which the route /move/ leads to the given service.
 func (tc *testCluster) configure(service string) {
 	tc.configVersion++
@@ -215,6 +218,10 @@
 			map[string]any{"Name": "desk", "HealthPath": "/healthz", "MaxConnections": 200, "WarmupS": 1, "WarmupPerS": 50},
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": 15},
+		"Tenants": []any{
+			map[string]any{"Name": customer, "ApiKeys": []string{apiKey, fmt.Sprintf("key-%d", tc.configVersion)}},
+			map[string]any{"Name": "", "ApiKeys": []string{"left out"}},
+		},
 	})
 }
 
@@ -342,7 +349,7 @@
 
 func (r request) bytes() string {
 	s := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Currantpier-Attempt-Id: %s\r\nX-Currantpier-Affinity-Key: k\r\n"+
-		"X-Currantpier-Deadline-Ms: %d\r\n", r.method, r.path, host, r.id, r.deadlineMS)
+		"X-Currantpier-Key: %s\r\nX-Currantpier-Tenant: forged\r\nX-Currantpier-Deadline-Ms: %d\r\n", r.method, r.path, host, r.id, apiKey, r.deadlineMS)
 	if r.body != "" {
 		s += fmt.Sprintf("Content-Length: %d\r\n", len(r.body))
 	}
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,6 +23,8 @@
 	headerNotExecuted = "X-Currantpier-Not-Executed"
 	headerLoad        = "X-Currantpier-Server-Load"
 	headerInstance    = "X-Currantpier-Instance-Id"
+	headerKey         = "X-Currantpier-Key"
+	headerCustomer    = "X-Currantpier-Tenant"
 )
 
 // ResponseFault is a fault of a target's response.
@@ -90,6 +94,8 @@
 	slots          chan struct{}
 	notices        Notices
 	received       int // requests received, including refused ones
+	keysReceived   int // requests with an API key, which must not reach a target
+	customers      map[string]int
 }
 
 // NewTarget returns a target that listens on a free port of host and has a queue of three times its slots.
@@ -101,7 +107,7 @@
 	return &Target{
 		ID: id, Slots: slots, QueueLimit: 3 * slots, serviceTime: serviceTime, ln: ln,
 		executions: map[string]int{}, bodies: map[string]string{}, arrivedAt: map[string]time.Time{}, finishedAt: map[string]time.Time{},
-		deadlinesMS: map[string]int{}, responseFaults: &ResponseFaults{}, slots: make(chan struct{}, slots),
+		deadlinesMS: map[string]int{}, responseFaults: &ResponseFaults{}, slots: make(chan struct{}, slots), customers: map[string]int{},
 	}, nil
 }
 
@@ -152,6 +158,24 @@
 	return all
 }
 
+// Customers returns the number of requests by the customer that they state, "" for none, and the number of requests with an API key.
+// Health requests don't count.
+func (t *Target) Customers() (requests map[string]int, withKey int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.customers), t.keysReceived
+}
+
+// recordCustomer counts a request for Customers.
+func (t *Target) recordCustomer(h http.Header) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(h[headerKey]) > 0 {
+		t.keysReceived++
+	}
+	t.customers[strings.Join(h[headerCustomer], ",")]++
+}
+
 // Attempt returns the body of an attempt, its deadline in milliseconds on arrival, and the time at which its
 // execution finished. finished is zero until then.
 func (t *Target) Attempt(id string) (body string, deadlineMS int, finished time.Time) {
@@ -190,6 +214,7 @@
 	h := w.Header()
 	if id != "" {
 		h.Set(headerAttempt, id)
+		t.recordCustomer(r.Header)
 	}
 	h.Set(headerInstance, t.ID)
 	notices := t.receive()
