--- a/kinds/kinds.go
+++ b/kinds/kinds.go
@@ -17,13 +17,13 @@
 	Answered Kind = iota
 	// BadRequest: a header, parameter or list entry is malformed.
 	BadRequest
-	// UnknownCustomer: the customer is not in the configured customer list.
+	// UnknownCustomer: the customer is not in the configured customer list, or no customer has the request's API key.
 	UnknownCustomer
 	// NotInPlan: the customer's plan does not include the service.
 	NotInPlan
 	// NotFound: no such service, order, VM or key.
 	NotFound
-	// RateLimited: the customer exceeds the request rate of its plan.
+	// RateLimited: the customer exceeds the request rate of its plan, or the configured rate is invalid.
 	RateLimited
 	// Overloaded: no slot is free, and the queue is full or the expected wait exceeds the deadline.
 	Overloaded
--- a/kinds/page_test.go
+++ b/kinds/page_test.go
@@ -18,10 +18,10 @@
 var meanings = map[Kind]string{
 	Answered:         "The upstream's answer is passed on whole; its own status is used.",
 	BadRequest:       "A header, parameter, setting or list row is malformed. The detail names it.",
-	UnknownCustomer:  "The customer is not in the list of customers' plans.",
+	UnknownCustomer:  "The customer is not in the list of customers' plans, or the request has no valid API key.",
 	NotInPlan:        "The customer's plan does not include the service, or not orders to it.",
 	NotFound:         "No such path, order, drain, move or service of a dump.",
-	RateLimited:      "The customer is above the rate of its plan.",
+	RateLimited:      "The customer is above the rate of its plan, or its rate in the configuration is invalid.",
 	Overloaded:       "No slot was free in time and the queue is full, or every target shed the request.",
 	DeadlineTooShort: "The work cannot finish before the deadline, so it was not started.",
 	NoTarget:         "The service has no target that this entry may use now.",
