--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -89,6 +89,10 @@
 	requests, connections := n.callerServer.Active()
 	pool, open := n.cfg.Forwarder.Connections()
 	lines := n.cfg.Log.QueueCounts()
+	customers, warnings := 0, 0
+	if cfg := n.cfg.Forwarder.Snapshot().Config; cfg != nil {
+		customers, warnings = len(cfg.Customers), len(cfg.Warnings)
+	}
 	for _, v := range []struct {
 		name  string
 		value any
@@ -101,7 +105,7 @@
 		{"log_lines_total", lines.Sent}, {"log_lines_dropped_total", lines.Full},
 		{"accept_failures_total", n.callerServer.AcceptFailures()}, {"health_requests_total", n.probes.Sent()},
 		{"request_body_memory_bytes", n.bodies.Used()}, {"response_body_memory_bytes", n.cfg.Forwarder.ResponseMemoryUsed()},
-		{"config_version", n.state.Version()},
+		{"config_version", n.state.Version()}, {"config_customers", customers}, {"config_warnings", warnings},
 	} {
 		if err := meter.WriteValue(b, v.name, v.value); err != nil {
 			return err
