carry: read a fourth figure of load reports, the pace

Cause: a load report with four figures was malformed, so that its load was lost as well.

Change: parseLoad accepts a pace of 1 to 10,000 percent; any malformed figure makes the whole report malformed. A line of the event late has the pace if it isn't 100 percent. Two counters on the metrics port: malformed reports, and reports of a slow pace.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -129,11 +129,22 @@
 	outcome := pick.Outcome{Result: result, Duration: done.Sub(now)}
 	if a != nil {
 		outcome.Status, outcome.Load = a.Status, k.parseLoad(a)
+		k.countLoad(a, outcome.Load)
 	}
 	k.finished(done, choice, outcome)
 	return a, result, err
 }
 
+// countLoad counts a load report that is malformed or states that work takes longer than usual.
+func (k *call) countLoad(a *codec.Response, l *pick.Load) {
+	switch {
+	case l == nil && a.Field(k.headers.Load) != "":
+		k.Counters.MalformedLoads.Add(1)
+	case l != nil && l.Pace > 100:
+		k.Counters.SlowPaces.Add(1)
+	}
+}
+
 func (k *call) finished(now time.Time, choice pick.Choice, o pick.Outcome) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -261,13 +272,18 @@
 // would distort the mean load of the service, which stands for targets without a report.
 const maxReportedLoad = 1 << 20
 
-// parseLoad parses a target's load report. It returns nil if the report is missing or malformed.
+// maxReportedPace bounds the fourth number of a load report, in percent. A machine that takes 100 times as long as usual is as good
+// as stopped; a larger number is a fault of the report.
+const maxReportedPace = 100 * 100
+
+// parseLoad parses a target's load report: running and waiting requests and slots, and optionally the pace in percent. It returns
+// nil if the report is missing or any of its numbers is malformed.
 func (k *call) parseLoad(a *codec.Response) *pick.Load {
 	parts := strings.Split(a.Field(k.headers.Load), ",")
-	if len(parts) != 3 {
+	if len(parts) != 3 && len(parts) != 4 {
 		return nil
 	}
-	var n [3]int
+	var n [4]int
 	for i, s := range parts {
 		v, err := strconv.Atoi(strings.TrimSpace(s))
 		if err != nil || v < 0 || v > maxReportedLoad {
@@ -275,7 +291,10 @@
 		}
 		n[i] = v
 	}
-	return &pick.Load{Running: n[0], Waiting: n[1], Slots: n[2]}
+	if len(parts) == 4 && (n[3] == 0 || n[3] > maxReportedPace) {
+		return nil
+	}
+	return &pick.Load{Running: n[0], Waiting: n[1], Slots: n[2], Pace: n[3]}
 }
 
 // isFinal reports whether a response is returned to the caller. After a refusal, or after a server error of an
@@ -310,8 +329,12 @@
 	outcome := "served"
 	if took > k.route.LatencyTarget && k.route.LatencyTarget > 0 {
 		outcome = "late"
-		k.log.Add(now, trace.Late, "id", k.id, "route", k.route.Name, "target", choice.Target.ID, "took", took,
-			"expected", choice.Expected, "known", choice.Known, "load", math.Round(choice.Load), "sends", k.sends)
+		fields := []any{"id", k.id, "route", k.route.Name, "target", choice.Target.ID, "took", took,
+			"expected", choice.Expected, "known", choice.Known, "load", math.Round(choice.Load), "sends", k.sends}
+		if choice.Pace != 1 {
+			fields = append(fields, "pace", math.Round(choice.Pace*100))
+		}
+		k.log.Add(now, trace.Late, fields...)
 	}
 	k.observe(now, outcome)
 	return a
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -48,7 +48,8 @@
 	Signature string
 	// Expect holds the id of the only target that may run the request.
 	Expect string
-	// Load holds a target's load report: running requests, waiting requests and slots, separated by commas.
+	// Load holds a target's load report: running requests, waiting requests and slots, separated by commas, and for some targets a
+	// fourth number, the pace in percent.
 	Load string
 	// NotRun states that the target did not run the request.
 	NotRun string
@@ -59,7 +60,11 @@
 }
 
 // Counters holds the counts that are not kept by route and outcome.
-type Counters struct{ Retries, Sends atomic.Uint64 }
+type Counters struct {
+	Retries, Sends atomic.Uint64
+	// MalformedLoads counts the load reports that could not be parsed, SlowPaces those with a pace over 100 percent.
+	MalformedLoads, SlowPaces atomic.Uint64
+}
 
 // Forwarder forwards the requests that one VM receives. It is safe for concurrent use.
 type Forwarder struct {
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -101,6 +101,8 @@
 		{"log_lines_total", lines.Sent}, {"log_lines_dropped_total", lines.Full},
 		{"accept_failures_total", n.callerServer.AcceptFailures()}, {"health_requests_total", n.probes.Sent()},
 		{"request_body_memory_bytes", n.bodies.Used()}, {"response_body_memory_bytes", n.cfg.Forwarder.ResponseMemoryUsed()},
+		{"load_reports_malformed_total", n.cfg.Forwarder.Counters.MalformedLoads.Load()},
+		{"load_reports_slow_total", n.cfg.Forwarder.Counters.SlowPaces.Load()},
 		{"config_version", n.state.Version()},
 	} {
 		if err := meter.WriteValue(b, v.name, v.value); err != nil {
