--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,8 @@
 	Services []WeightedService
 	// Idempotent is set if a request may be executed more than once.
 	Idempotent bool
+	// Download is set if responses are large.
+	Download bool
 	// Timeout is the maximum time until the response.
 	Timeout time.Duration
 	// LatencyTarget is the time within which a response has its full value.
