--- a/peers/view.go
+++ b/peers/view.go
@@ -165,7 +165,8 @@
 	}
 }
 
-// addMember adds a VM, or replaces the entry of an earlier incarnation.
+// addMember adds a VM, or replaces the entry of an earlier incarnation. VMs of a build without capacities pass entries on without
+// them; a missing capacity is taken from a later message.
 func (v *View) addMember(now time.Time, i proto.VMInfo) {
 	if i.VM == v.self.VM || i.VM == "" || i.PeerAddress == "" {
 		return
@@ -183,6 +184,9 @@
 		m.VMInfo = i
 		m.addedAt = now
 	}
+	if i.Incarnation == m.Incarnation && m.Capacity == 0 {
+		m.Capacity = i.Capacity
+	}
 }
 
 // Receive applies a message and returns the replies.
--- a/peers/view_test.go
+++ b/peers/view_test.go
@@ -152,6 +152,23 @@
 	}
 }
 
+// Guards against a capacity that is lost because a VM of an earlier build has passed the entry on without it, and against one that
+// such a VM takes back.
+func TestCapacityThroughEarlierBuild(t *testing.T) {
+	v := NewView(start, proto.VMInfo{VM: "vm0", PeerAddress: address(0)}, nil, rand.NewSource(1))
+	info := proto.VMInfo{VM: "vm1", PeerAddress: address(1), Incarnation: 5}
+	for i, tt := range []struct {
+		incarnation    ident.Incarnation
+		capacity, want int64
+	}{{5, 0, 0}, {5, 300, 300}, {5, 0, 300}, {4, 100, 300}, {6, 0, 0}, {6, 200, 200}} {
+		info.Incarnation, info.Capacity = tt.incarnation, tt.capacity
+		v.AddListed(start, []proto.VMInfo{info})
+		if got := v.members[proto.KeyOf("vm1")].Capacity; got != tt.want {
+			t.Errorf("step %d: capacity %d, want %d", i, got, tt.want)
+		}
+	}
+}
+
 // Guards against two VMs of a region that both read the registry because they order the group differently.
 func TestGroupOrder(t *testing.T) {
 	w := newNetwork(12, 0)
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -40,6 +40,7 @@
 	vmInfoRegion
 	vmInfoDomain
 	vmInfoIncarnation
+	vmInfoCapacity
 )
 
 // Field numbers of a RegistryDelta.
@@ -165,7 +166,8 @@
 	b = appendString(b, vmInfoCaller, i.CallerAddress)
 	b = appendString(b, vmInfoRegion, string(i.Place.Region))
 	b = appendString(b, vmInfoDomain, string(i.Place.Domain))
-	return appendUint(b, vmInfoIncarnation, uint64(i.Incarnation))
+	b = appendUint(b, vmInfoIncarnation, uint64(i.Incarnation))
+	return appendUint(b, vmInfoCapacity, uint64(i.Capacity))
 }
 
 func appendRegistryDelta(b []byte, n *RegistryDelta) []byte {
@@ -363,6 +365,8 @@
 			i.Place.Domain = ident.Domain(x.bytes)
 		case vmInfoIncarnation:
 			i.Incarnation = ident.Incarnation(x.num)
+		case vmInfoCapacity:
+			i.Capacity = int64(x.num)
 		}
 		return nil
 	})
--- a/proto/codec_test.go
+++ b/proto/codec_test.go
@@ -14,7 +14,7 @@
 
 func fullMessage() Message {
 	info := VMInfo{VM: "riga-1", PeerAddress: "10.0.0.1:7660", CallerAddress: "10.0.0.1:8080", Place: ident.Place{Region: "riga", Domain: "riga-a"},
-		Incarnation: 1764840000000}
+		Incarnation: 1764840000000, Capacity: 320}
 	return Message{
 		From: info, RequestMembers: true, VMs: []VMInfo{info, {VM: "riga-2", PeerAddress: "10.0.0.2:7660"}}, OperatorVersion: 7, ConfigVersion: 12,
 		Heartbeats: []Heartbeat{{VM: KeyOf("riga-1"), Incarnation: 1764840000000, Count: 300, Ready: true}, {VM: KeyOf("riga-2"), Stopping: true}},
--- a/proto/message.go
+++ b/proto/message.go
@@ -19,6 +19,17 @@
 	CallerAddress string            `json:"caller"`
 	Place         ident.Place       `json:"place"`
 	Incarnation   ident.Incarnation `json:"incarnation"`
+	// Capacity is the number of requests per second that the VM can carry; zero if it is unknown, as for a VM of a build that doesn't
+	// state it. Use KnownCapacity for a value of another VM.
+	Capacity int64 `json:"capacity,omitempty"`
+}
+
+// MaxCapacity bounds the capacity of a VM, so that sums over all VMs don't overflow.
+const MaxCapacity = 1 << 20
+
+// KnownCapacity returns the capacity, or false if it is unknown or out of bounds.
+func (i *VMInfo) KnownCapacity() (int64, bool) {
+	return i.Capacity, i.Capacity > 0 && i.Capacity <= MaxCapacity
 }
 
 // Key is the 64-bit hash of a VM's name. Heartbeats carry it in place of the longer name.
