edge: distribute callers by the capacity of VMs

Cause: VMs have links of 10 to 200 Mbit/s and 0.16 to 0.8 cores, and lookups return all VMs of a failure domain, so that a small VM gets as many callers as a large one. Large responses fill its link.

Change: if the configuration has a download route and the capacities in the caller's failure domain are unequal, a lookup returns a subset of at least 2 VMs by systematic sampling, in which a VM appears in proportion to its capacity. The source of randomness is injected. All other lookups are as before, also those with fewer than 3 VMs in the failure domain.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"math/rand"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +52,8 @@
 	MaxBodyMemory int64
 	// StatePort is the port, the same on all VMs, on which a VM serves its state to other VMs.
 	StatePort int
+	// LookupSource makes the random choices of weighted lookups.
+	LookupSource rand.Source
 }
 
 // Node is the daemon of one VM.
@@ -65,11 +69,16 @@
 
 	mu   sync.Mutex
 	stop *drain.Stop
+	// lookupRand is used while holding mu.
+	lookupRand *rand.Rand
+	// lookups counts the lookups, weightedLookups those whose answer had only some VMs, by capacity.
+	lookups, weightedLookups atomic.Uint64
 }
 
 // New returns a node that serves callers on ln and the handlers of extra on their listeners.
 func New(cfg Config, ln net.Listener, extra ...Listener) (*Node, error) {
-	n := &Node{cfg: cfg, kernel: kernel.New(), stop: drain.NewStop(cfg.Times.TTL, cfg.Times.Grace)}
+	n := &Node{cfg: cfg, kernel: kernel.New(), stop: drain.NewStop(cfg.Times.TTL, cfg.Times.Grace),
+		lookupRand: rand.New(cfg.LookupSource)}
 	onPanic := inlet.OnPanic(func(v any) { cfg.Log.AddPanic(cfg.Clock(), "inlet", v) })
 	n.bodies = memory.NewLimit(cfg.MaxBodyMemory)
 	n.callerServer = inlet.New(cfg.Forwarder, n.requestLimits, cfg.Clock, onPanic,
@@ -141,13 +150,29 @@
 func (n *Node) Lookup(now time.Time, from ident.Place, host string) []string {
 	var ready []proto.VMInfo
 	n.cfg.Peers.With(func(v *peers.View) { ready = v.Ready(now) })
+	n.lookups.Add(1)
 	var regions *fleet.HostRegions
 	if cfg := n.cfg.Forwarder.Snapshot().Config; cfg != nil {
 		regions = cfg.HostRegions(host)
+		if list := n.weightedLookup(cfg, ready, from); list != nil {
+			n.weightedLookups.Add(1)
+			return list
+		}
 	}
 	return lookup(ready, from, regions)
 }
 
+// weightedLookup returns nil if all VMs are to be returned. Without large responses the links of VMs are not scarce, and callers are
+// distributed by the number of VMs.
+func (n *Node) weightedLookup(cfg *fleet.Config, ready []proto.VMInfo, from ident.Place) []string {
+	if !cfg.HasDownloads() {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return weightedLookup(ready, from, n.lookupRand)
+}
+
 // TTL returns how long a caller may cache a lookup response.
 func (n *Node) TTL() time.Duration { return n.cfg.Times.TTL }
 
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -103,6 +103,7 @@
 		{"request_body_memory_bytes", n.bodies.Used()}, {"response_body_memory_bytes", n.cfg.Forwarder.ResponseMemoryUsed()},
 		{"load_reports_malformed_total", n.cfg.Forwarder.Counters.MalformedLoads.Load()},
 		{"load_reports_slow_total", n.cfg.Forwarder.Counters.SlowPaces.Load()},
+		{"lookups_total", n.lookups.Load()}, {"lookups_weighted_total", n.weightedLookups.Load()},
 		{"config_version", n.state.Version()},
 	} {
 		if err := meter.WriteValue(b, v.name, v.value); err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,7 +85,8 @@
 	Services map[ident.Service]Service
 	Limits   Limits
 
-	hosts map[string]*host
+	hosts     map[string]*host
+	downloads bool
 }
 
 // host has the routes of one host.
@@ -95,11 +96,12 @@
 	regions HostRegions
 }
 
-// Index builds the index for Find and HostRegions. It must be called once, before other goroutines use the configuration.
+// Index builds the index for Find, HostRegions and HasDownloads. It must be called once, before other goroutines use the configuration.
 func (c *Config) Index() {
 	c.hosts = map[string]*host{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		c.downloads = c.downloads || r.Download
 		if c.hosts[r.Host] == nil {
 			c.hosts[r.Host] = &host{routes: map[string]*Route{}}
 		}
@@ -137,6 +139,9 @@
 	return &HostRegions{}
 }
 
+// HasDownloads reports whether any route has large responses.
+func (c *Config) HasDownloads() bool { return c.downloads }
+
 // Restricted returns the number of routes that only some regions may serve.
 func (c *Config) Restricted() int {
 	n := 0
