--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,6 +98,7 @@
 	hosts map[string]*host
 	// customers maps an API key to its customer.
 	customers map[string]*Customer
+	downloads bool
 }
 
 // host has the routes of one host.
@@ -107,13 +108,14 @@
 	regions HostRegions
 }
 
-// Index builds the index for Find, HostRegions and CustomerOf. It must be called once, before other goroutines use the
+// Index builds the index for Find, HostRegions, HasDownloads and CustomerOf. It must be called once, before other goroutines use the
 // configuration.
 func (c *Config) Index() {
 	c.indexCustomers()
 	c.hosts = map[string]*host{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		c.downloads = c.downloads || r.Download
 		if c.hosts[r.Host] == nil {
 			c.hosts[r.Host] = &host{routes: map[string]*Route{}}
 		}
@@ -151,6 +153,9 @@
 	return &HostRegions{}
 }
 
+// HasDownloads reports whether any route has large responses.
+func (c *Config) HasDownloads() bool { return c.downloads }
+
 // Restricted returns the number of routes that only some regions may serve.
 func (c *Config) Restricted() int {
 	n := 0
