pick: several holders for objects whose demand needs them

Cause: a hot object overloads the one target that counts as knowing it, and with it the other objects of that target. Change: with the option WithHolders, the first targets of the home region by rendezvous hashing are an object's holders, as many as its demand needs: one for each quarter of a target's slots. Among them the least expected time decides; one without a free slot and above 1.25 times the service's mean load gets nothing while another has room. Dumps get HotObjects. Off by default. Without the option the logged results of the existing simulations are the same as before.

--- a/pick/cost.go
+++ b/pick/cost.go
@@ -16,6 +16,7 @@
 //	distance   domainPenalty, regionPenalty, or that and two round trips  traffic on the links
 //	miss       unknownObjectWeight * extra time of an unknown object      the wait of others, and the next miss
 //	spread     the same once more beyond the preferred targets            another cache that holds the object
+//	balance    estimator.balance, for one of several holders of an object the loads of the others
 const (
 	// reportDecay is the time constant with which the estimated load of other VMs at a target goes from the last report to
 	// unreportedLoad times the mean of the service.
@@ -73,6 +74,9 @@
 	c.known = e.knows(c)
 	c.expected = e.expected(c)
 	c.cost = c.expected + e.failures(c) + e.distance(c)
+	if c.holder > 0 {
+		c.cost += e.balance(c)
+	}
 	if c.known {
 		return
 	}
@@ -84,12 +88,12 @@
 }
 
 // knows reports whether the target has probably processed the object recently. The first target of an object does, since all
-// VMs send its requests there.
+// VMs send its requests there, and so do its further holders.
 func (e *estimator) knows(c *candidate) bool {
 	switch {
 	case e.request.Object == 0:
 		return false
-	case c.rank == 0 && c.group != lastGroup:
+	case c.rank == 0 && c.group != lastGroup, c.holder > 0:
 		return true
 	}
 	last, seen := c.t.lastRequest[e.request.Object]
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/hash"
+	"github.com/currantpier/currantpier/heat"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/region"
 )
@@ -92,6 +93,8 @@
 	// othersPerSlot is the exponential mean of the reports of other VMs' requests per slot.
 	othersPerSlot float64
 	homes         *region.Homes
+	// meanSlots is the mean number of slots of a target.
+	meanSlots float64
 }
 
 // Picker selects targets for the requests of one VM. It is not safe for concurrent use.
@@ -120,10 +123,16 @@
 	homeBackedOff bool
 	// spread spreads the times at which VMs send to a target again; its seed is the VM's name.
 	spread *rand.Rand
+	// heat has the demand of objects, nil without WithHolders. holderOffset counts the requests for objects with further holders,
+	// and holderBuf is a reused buffer.
+	heat         *heat.Table
+	regionVMs    int
+	holderOffset uint64
+	holderBuf    []*candidate
 }
 
 // New returns a Picker without targets for a VM at the given place.
-func New(self ident.VM, place ident.Place) *Picker {
+func New(self ident.VM, place ident.Place, options ...Option) *Picker {
 	p := &Picker{
 		self: self, place: place, selfHash: xxhash.Sum64String(string(self)),
 		byID:         map[ident.Target]*target{},
@@ -132,9 +141,14 @@
 		regionRTT:    map[ident.Region]time.Duration{},
 		splits:       map[fleet.RouteName]*split{},
 		notices:      map[ident.Target]*notice{},
+		regionVMs:    1,
+		holderBuf:    make([]*candidate, 0, heat.MaxHolders),
 	}
 	p.spread = rand.New(rand.NewSource(int64(p.selfHash)))
 	p.SetVMs(nil, true)
+	for _, o := range options {
+		o(p)
+	}
 	return p
 }
 
@@ -166,7 +180,7 @@
 	pools := p.pools
 	p.pools = make(map[ident.Service]*pool, len(s.Targets))
 	for svc, list := range s.Targets {
-		slots := map[ident.Region]float64{}
+		slots, allSlots := map[ident.Region]float64{}, 0.0
 		pl := &pool{targets: make([]*target, 0, len(list)), homes: region.NewHomes(p.place.Region)}
 		if old := pools[svc]; old != nil {
 			pl.homes, pl.othersPerSlot = old.homes, old.othersPerSlot
@@ -181,8 +195,10 @@
 			byID[ft.ID] = t
 			pl.targets = append(pl.targets, t)
 			slots[t.Place.Region] += float64(t.Slots)
+			allSlots += float64(t.Slots)
 		}
 		pl.homes.SetSlots(slots)
+		pl.meanSlots = allSlots / float64(max(len(list), 1))
 		slices.SortFunc(pl.targets, func(a, b *target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 		p.pools[svc] = pl
 	}
@@ -216,6 +232,9 @@
 	Expected time.Duration
 	// Load is the estimated number of requests of all VMs at the target.
 	Load float64
+	// Holder is the position of the target among the holders of the object, 1 for the first; 0 if the object has one holder or the
+	// target is none.
+	Holder int
 	// home is the home region of the request's object, cheapestRegion the region of the target with the least cost.
 	home, cheapestRegion ident.Region
 }
@@ -252,10 +271,15 @@
 	score uint64
 	group group
 	// rank is the target's position in its group by rendezvous hashing, at most preferredTargets.
-	rank     int
-	known    bool
-	expected time.Duration
-	cost     time.Duration
+	rank  int
+	known bool
+	// holder is the target's position among several holders of the object, 1 for the first; 0 if it is none. overBound and turn
+	// are used by estimator.balance.
+	holder    uint8
+	overBound bool
+	turn      float32
+	expected  time.Duration
+	cost      time.Duration
 }
 
 // Choose returns the target with the least cost in the regions that may serve the request: the home region of its object, and
@@ -265,11 +289,13 @@
 	if pl == nil || len(pl.targets) == 0 {
 		return Choice{}, NoTarget
 	}
+	holders := p.countHolders(now, pl, a)
 	home := p.homeRegion(pl, a)
 	list, reason := p.candidates(now, pl, a, home)
 	if len(list) == 0 {
 		return Choice{}, reason
 	}
+	p.markHolders(now, list, holders)
 	s := p.compare(now, pl, a, home, list)
 	c, reason := s.choose()
 	if reason == RegionLimit {
@@ -279,7 +305,7 @@
 		return Choice{}, reason
 	}
 	return Choice{
-		Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now), home: home,
+		Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now), Holder: int(c.holder), home: home,
 		cheapestRegion: s.cheapest.t.Place.Region,
 	}, Chosen
 }
--- a/pick/simulation_test.go
+++ b/pick/simulation_test.go
@@ -60,6 +60,10 @@
 	sent    time.Duration
 	sends   int
 	ended   bool
+	// endedAt, result and warm describe the last attempt; warm is set if the target had the object in its cache.
+	endedAt time.Duration
+	result  Result
+	warm    bool
 }
 
 type event struct {
@@ -210,7 +214,7 @@
 		}
 		t.running++
 		work := modelUncachedTime
-		if t.lookup(r.request.Object) {
+		if r.warm = t.lookup(r.request.Object); r.warm {
 			work = modelCachedTime
 		}
 		trip := time.Duration(0)
@@ -230,7 +234,7 @@
 }
 
 func (m *model) finish(t *modelTarget, r *modelRequest, res Result) {
-	r.ended = res != Overloaded
+	r.ended, r.endedAt, r.result = res != Overloaded, m.now, res
 	load := &Load{Running: t.running, Waiting: len(t.queue), Slots: t.slots}
 	status := map[Result]int{Served: http.StatusOK, Overloaded: http.StatusServiceUnavailable}[res]
 	r.vm.RecordEnd(at(m.now), r.request, r.choice, Outcome{Result: res, Status: status, Duration: m.now - r.sent, Load: load})
