--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -119,6 +119,9 @@
 func (k *call) send(ctx context.Context, now time.Time, choice pick.Choice) (*codec.Response, pick.Result, error) {
 	t := choice.Target
 	k.Counters.Sends.Add(1)
+	if choice.Holder > 1 {
+		k.Counters.FurtherHolderSends.Add(1)
+	}
 	ctx, cancel := context.WithDeadline(ctx, k.deadline.Add(responseGrace))
 	defer cancel()
 	msg := outlet.Message{Method: k.r.Method(), Build: func() ([][]byte, error) { return k.build(ctx, t) }, Matches: k.ownsResponse,
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -59,7 +59,11 @@
 }
 
 // Counters holds the counts that are not kept by route and outcome.
-type Counters struct{ Retries, Sends atomic.Uint64 }
+type Counters struct {
+	Retries, Sends atomic.Uint64
+	// FurtherHolderSends counts the sends to a holder of the request's object other than the first one.
+	FurtherHolderSends atomic.Uint64
+}
 
 // Forwarder forwards the requests that one VM receives. It is safe for concurrent use.
 type Forwarder struct {
@@ -99,13 +103,19 @@
 	MaxResponseMemory int64
 	// Notices decodes what responses say about their targets; nil if they say nothing.
 	Notices NoticeDecoder
+	// Holders gives objects as many holders as their demand needs (pick.WithHolders).
+	Holders bool
 }
 
 // New returns a Forwarder without configuration and targets.
 func New(cfg Config) *Forwarder {
+	var options []pick.Option
+	if cfg.Holders {
+		options = append(options, pick.WithHolders())
+	}
 	c := &Forwarder{
 		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, notices: cfg.Notices, meter: meter.New(),
-		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1, quotaVMs: 1,
+		picker: pick.New(cfg.VM, cfg.Place, options...), quotas: map[ident.Service]*retry.Quota{}, vms: 1, quotaVMs: 1,
 	}
 	c.pool = outlet.New(cfg.Clock, cfg.MaxResponseMemory, func(t outlet.Target, took time.Duration) {
 		c.mu.Lock()
@@ -136,6 +146,13 @@
 	}
 }
 
+// SetRegionVMs sets the number of live VMs of this VM's region, this one included, over which the callers of the region spread.
+func (c *Forwarder) SetRegionVMs(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.picker.SetRegionVMs(n)
+}
+
 // Snapshot returns the snapshot in use.
 func (c *Forwarder) Snapshot() *fleet.Snapshot { return c.snapshot.Load() }
 
@@ -154,6 +171,8 @@
 	Routes  []pick.RouteState  `json:"routes"`
 	VMs     int                `json:"vms-sharing"`
 	Notices []pick.NoticeState `json:"notices"`
+	// HotObjects are the objects with more than one holder.
+	HotObjects []pick.HotObject `json:"hot-objects,omitempty"`
 }
 
 // Dump returns the state of all targets and routes.
@@ -161,7 +180,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	targets, routes := c.picker.Dump(now)
-	return State{Targets: targets, Routes: routes, VMs: c.vms, Notices: c.picker.Notices()}
+	return State{Targets: targets, Routes: routes, VMs: c.vms, Notices: c.picker.Notices(), HotObjects: c.picker.HotObjects(now)}
 }
 
 // Sweep closes connections that were idle for too long and idle connections to targets that are no longer listed.
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -98,6 +98,7 @@
 		{"target_connections_reused_total", pool.Reused}, {"target_connections_failed_total", pool.Failed},
 		{"target_connections_found_dead_total", pool.FoundDead},
 		{"sends_total", n.cfg.Forwarder.Counters.Sends.Load()}, {"retries_total", n.cfg.Forwarder.Counters.Retries.Load()},
+		{"further_holder_sends_total", n.cfg.Forwarder.Counters.FurtherHolderSends.Load()},
 		{"log_lines_total", lines.Sent}, {"log_lines_dropped_total", lines.Full},
 		{"accept_failures_total", n.callerServer.AcceptFailures()}, {"health_requests_total", n.probes.Sent()},
 		{"request_body_memory_bytes", n.bodies.Used()}, {"response_body_memory_bytes", n.cfg.Forwarder.ResponseMemoryUsed()},
--- a/state/state.go
+++ b/state/state.go
@@ -321,6 +321,7 @@
 		s.sharingVMs, s.quorum = len(vms), quorum
 	}
 	s.cfg.Forwarder.SetVMs(vms, quorum)
+	s.cfg.Forwarder.SetRegionVMs(len(group))
 	s.recordBehind(now, behind, announced)
 	s.recordConfigBehind(now, configBehind, peerConfig)
 	if behind || configBehind && !s.lacksConfig() {
