--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -68,6 +68,8 @@
 	Retries, Sends atomic.Uint64
 	// MalformedLoads counts the load reports that could not be parsed, SlowPaces those with a pace over 100 percent.
 	MalformedLoads, SlowPaces atomic.Uint64
+	// FurtherHolderSends counts the sends to a holder of the request's object other than the first one.
+	FurtherHolderSends atomic.Uint64
 }
 
 // Forwarder forwards the requests that one VM receives. It is safe for concurrent use.
@@ -111,13 +113,19 @@
 	MaxResponseMemory int64
 	// Notices decodes what responses say about their targets; nil if they say nothing.
 	Notices NoticeDecoder
+	// Holders gives objects as many holders as their demand needs (pick.WithHolders).
+	Holders bool
 }
 
 // New returns a Forwarder without configuration and targets.
 func New(cfg Config) *Forwarder {
+	var options []pick.Option
+	if cfg.Holders {
+		options = append(options, pick.WithHolders())
+	}
 	c := &Forwarder{
 		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, notices: cfg.Notices, meter: meter.New(),
-		picker: pick.New(cfg.VM, cfg.Place), quotas: map[ident.Service]*retry.Quota{}, vms: 1, quotaVMs: 1,
+		picker: pick.New(cfg.VM, cfg.Place, options...), quotas: map[ident.Service]*retry.Quota{}, vms: 1, quotaVMs: 1,
 	}
 	c.pool = outlet.New(cfg.Clock, cfg.MaxResponseMemory, func(t outlet.Target, took time.Duration) {
 		c.mu.Lock()
@@ -152,6 +160,13 @@
 // explain; refused says that no process listens at its address. The function must not block. It must be set before the first request.
 func (c *Forwarder) OnConnectionFailure(f func(t fleet.Target, refused bool)) { c.connectionFailed = f }
 
+// SetRegionVMs sets the number of live VMs of this VM's region, this one included, over which the callers of the region spread.
+func (c *Forwarder) SetRegionVMs(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.picker.SetRegionVMs(n)
+}
+
 // Snapshot returns the snapshot in use.
 func (c *Forwarder) Snapshot() *fleet.Snapshot { return c.snapshot.Load() }
 
@@ -170,6 +185,8 @@
 	Routes  []pick.RouteState  `json:"routes"`
 	VMs     int                `json:"vms-sharing"`
 	Notices []pick.NoticeState `json:"notices"`
+	// HotObjects are the objects with more than one holder.
+	HotObjects []pick.HotObject `json:"hot-objects,omitempty"`
 }
 
 // Dump returns the state of all targets and routes.
@@ -177,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	targets, routes := c.picker.Dump(now)
-	return State{Targets: targets, Routes: routes, VMs: c.vms, Notices: c.picker.Notices()}
+	return State{Targets: targets, Routes: routes, VMs: c.vms, Notices: c.picker.Notices(), HotObjects: c.picker.HotObjects(now)}
 }
 
 // Sweep closes connections that were idle for too long and idle connections to targets that are no longer listed.
