heat: further holders only where the demand surely needs them

Cause: a VM sees few requests of an object, and 1.5 standard deviations gave further holders to objects of average demand; each evicts another object from a cache. Change: the number grows by a bound of 2.5 deviations; it shrinks as before.

--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -160,11 +160,11 @@
 // explain; refused says that no process listens at its address. The function must not block. It must be set before the first request.
 func (c *Forwarder) OnConnectionFailure(f func(t fleet.Target, refused bool)) { c.connectionFailed = f }
 
-// SetRegionVMs sets the number of live VMs of this VM's region, this one included, over which the callers of the region spread.
-func (c *Forwarder) SetRegionVMs(n int) {
+// SetCallerShare sets the part of the region's callers that use this VM.
+func (c *Forwarder) SetCallerShare(share float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.picker.SetRegionVMs(n)
+	c.picker.SetCallerShare(share)
 }
 
 // Snapshot returns the snapshot in use.
--- a/carry/holders_test.go
+++ b/carry/holders_test.go
@@ -28,7 +28,7 @@
 			c.Update(time.Now(), s)
 		}
 		c.Snapshot().Config.Routes[0].Affinity = true
-		c.SetRegionVMs(1_000_000)
+		c.SetCallerShare(1.0 / 1_000_000)
 		for i := range requests {
 			r := newRequest(t, fmt.Sprintf("Id: %d\r\nKey: hot\r\n", i))
 			done.Go(func() {
--- a/heat/heat.go
+++ b/heat/heat.go
@@ -15,12 +15,12 @@
 const (
 	// MaxHolders bounds the holders of one object.
 	MaxHolders = 16
-	// rateWindow is the time constant with which requests are forgotten. With 4 s, 87 VMs gave further holders to objects that did
-	// not need them, since each saw few requests.
+	// rateWindow is the time constant with which requests are forgotten. It must span several requests of a hot object at one VM.
 	rateWindow = 6 * time.Second
-	// deviations is the half width of the rate's confidence interval in standard deviations of a Poisson distribution. A decayed
-	// count has half of that variance.
-	deviations = 1.5
+	// growDeviations and shrinkDeviations are the half widths of the rate's confidence interval below and above, in standard deviations
+	// of a Poisson distribution. A decayed count has half of that variance. Below it is wider: a further holder that isn't needed evicts
+	// another object from a cache.
+	growDeviations, shrinkDeviations = 2.5, 1.5
 	// minRequests is the decayed number of requests below which an object gets no further holder: with many VMs, each of which
 	// stands for the same number of callers, a single request would look like a high rate.
 	minRequests = 2.5
@@ -173,6 +173,6 @@
 // lower bound, and the normal one's upper bound, since the former's is not zero without requests. An object of which each VM of a
 // large region gets a few requests would never return to one holder.
 func interval(count float64) (low, high float64) {
-	low = count + deviations*deviations/2 - deviations*math.Sqrt(count+deviations*deviations/4)
-	return low, count + deviations*math.Sqrt(count)
+	low = count + growDeviations*growDeviations/2 - growDeviations*math.Sqrt(count+growDeviations*growDeviations/4)
+	return low, count + shrinkDeviations*math.Sqrt(count)
 }
--- a/pick/holders.go
+++ b/pick/holders.go
@@ -31,9 +31,13 @@
 	return func(p *Picker) { p.heat = heat.NewTable() }
 }
 
-// SetRegionVMs sets the number of live VMs of this VM's region, this one included. The callers of an object are in one region and
-// are spread evenly over its VMs, so that the object's demand is this VM's rate times this number.
-func (p *Picker) SetRegionVMs(n int) { p.regionVMs = max(n, 1) }
+// SetCallerShare sets the part of the region's callers that use this VM. The callers of an object are in one region, so that the
+// object's demand is this VM's rate divided by this share.
+func (p *Picker) SetCallerShare(share float64) {
+	if share > 0 {
+		p.callerShare = min(share, 1)
+	}
+}
 
 // countHolders returns the number of holders of a request's object, 0 if this is not in use. It records the first attempt of the
 // request: further attempts are no further demand.
@@ -45,7 +49,7 @@
 		return p.heat.Holders(now, uint64(a.Object))
 	}
 	perHolder := holderShare * max(pl.meanSlots, 1) / max(p.serviceTimesOf(a.Route).known, time.Millisecond).Seconds()
-	return p.heat.Record(now, heat.Key{Object: uint64(a.Object), Route: a.Route, Service: a.Service}, perHolder/float64(p.regionVMs))
+	return p.heat.Record(now, heat.Key{Object: uint64(a.Object), Route: a.Route, Service: a.Service}, perHolder*p.callerShare)
 }
 
 // markHolders marks the first n candidates of the home region by rendezvous hashing as holders, so that VMs which know the same
@@ -129,7 +133,7 @@
 	var all []HotObject
 	for _, h := range p.heat.Hot(now) {
 		x := HotObject{Object: strconv.FormatUint(h.Object, 16), Route: h.Route.Name, Service: h.Service, Rate: h.Rate,
-			Demand: h.Rate * float64(p.regionVMs), Needed: h.Holders}
+			Demand: h.Rate / p.callerShare, Needed: h.Holders}
 		if pl := p.pools[h.Service]; pl != nil {
 			a := Request{Route: h.Route, Service: h.Service, Object: Object(h.Object)}
 			list, _ := p.candidates(now, pl, a, p.homeRegion(pl, a))
--- a/pick/holders_test.go
+++ b/pick/holders_test.go
@@ -31,7 +31,7 @@
 		if on {
 			WithHolders()(p)
 		}
-		p.SetRegionVMs(len(m.vms) / 3)
+		p.SetCallerShare(3 / float64(len(m.vms)))
 	}
 	return m
 }
@@ -169,7 +169,7 @@
 // heated returns a picker to which an object is so hot that it has several holders, and their targets.
 func heated(vm ident.VM, regionVMs int, s *fleet.Snapshot) (*Picker, []ident.Target) {
 	p := New(vm, here, WithHolders())
-	p.SetRegionVMs(regionVMs)
+	p.SetCallerShare(1 / float64(regionVMs))
 	p.SetTargets(start, s)
 	for i := range 200 {
 		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -131,7 +131,7 @@
 	// heat has the demand of objects, nil without WithHolders. holderOffset counts the requests for objects with further holders,
 	// and holderBuf is a reused buffer.
 	heat         *heat.Table
-	regionVMs    int
+	callerShare  float64
 	holderOffset uint64
 	holderBuf    []*candidate
 }
@@ -146,7 +146,7 @@
 		regionRTT:    map[ident.Region]time.Duration{},
 		splits:       map[fleet.RouteName]*split{},
 		notices:      map[ident.Target]*notice{},
-		regionVMs:    1,
+		callerShare:  1,
 		holderBuf:    make([]*candidate, 0, heat.MaxHolders),
 	}
 	p.spread = rand.New(rand.NewSource(int64(p.selfHash)))
--- a/state/state.go
+++ b/state/state.go
@@ -323,7 +323,7 @@
 		s.sharingVMs, s.quorum = len(vms), quorum
 	}
 	s.cfg.Forwarder.SetVMs(vms, quorum)
-	s.cfg.Forwarder.SetRegionVMs(len(group))
+	s.cfg.Forwarder.SetCallerShare(s.callerShare(group, snap.Config))
 	s.recordBehind(now, behind, announced)
 	s.recordConfigBehind(now, configBehind, peerConfig)
 	if behind || configBehind && !s.lacksConfig() {
