--- a/pick/holders.go
+++ b/pick/holders.go
@@ -12,9 +12,7 @@
 )
 
 const (
-	// holderShare is the part of a target's slots that one object may take up. The rest is for the target's other objects. With
-	// 0.4, ten objects with a third of a target's load each still overloaded their holders; with 0.2, objects of average demand
-	// got further holders.
+	// holderShare is the part of a target's slots that one object may take up. The rest is for the target's other objects.
 	holderShare = 0.25
 	// loadFactor is the bound of a holder's load, as a ratio to the mean load of the service.
 	loadFactor = 1.25
