proto, peers: messages about quotas

Cause: VMs exchange requests for tokens and loans, many times a second.

Change: Message has the field Quota. It goes to the function of OnQuota and not to the view; earlier builds skip the field and ignore a sender without an address. A number that doesn't fit its field makes the message malformed: cut, it would be another number of tokens.

Measured: FuzzDecodeDatagram's seeds, TestMessageRoundTrip and TestDecodeMalformed cover the new fields. TestQuotaMessagePassesView covers the way through peers.Service.

--- a/peers/service.go
+++ b/peers/service.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
 )
 
@@ -36,6 +37,9 @@
 	// deltas receives the messages of other VMs that contain changes of the registry or of the operators' table, or cold targets.
 	deltas chan<- proto.Message
 
+	// onQuota receives the messages about quotas; nil if they are ignored.
+	onQuota func(from ident.VM, m *proto.QuotaMessage)
+
 	mu   sync.Mutex
 	view *View
 	// badDatagrams counts datagrams that could not be received, decoded or sent, and messages that did not fit into
@@ -59,6 +63,15 @@
 	}
 }
 
+// OnQuota sets the function that receives the messages about quotas. It is called before Run.
+func (s *Service) OnQuota(f func(from ident.VM, m *proto.QuotaMessage)) { s.onQuota = f }
+
+// SendQuota sends a message about quotas to one VM. It carries only this VM's name, since it may be sent for each request; VMs of
+// builds without quotas ignore it.
+func (s *Service) SendQuota(to proto.VMInfo, m *proto.QuotaMessage) {
+	s.send([]Packet{{To: to.PeerAddress, Message: &proto.Message{From: proto.VMInfo{VM: s.view.self.VM}, Quota: m}}})
+}
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return "peers" }
 
@@ -131,6 +144,13 @@
 		s.countBadDatagram()
 		return
 	}
+	if msg.Quota != nil {
+		// Not for the view: such a message says nothing about its sender but the name.
+		if s.onQuota != nil {
+			s.onQuota(msg.From.VM, msg.Quota)
+		}
+		return
+	}
 	s.send(s.updateView(msg))
 	if msg.Registry == nil && msg.OperatorChange == nil && len(msg.Cold) == 0 {
 		return
--- a/peers/service_test.go
+++ b/peers/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"net"
 	"slices"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/proto"
 )
 
@@ -79,3 +81,23 @@
 		t.Errorf("sent to %q, %d messages dropped; want 127.0.0.1:8 only and 2", conn.sent, s.badDatagrams)
 	}
 }
+
+// Guards against a message about quotas that reaches the member list, in this build or in one that ignores its quota items: it has no
+// address of its sender.
+func TestQuotaMessagePassesView(t *testing.T) {
+	now := time.Unix(1000, 0)
+	self := proto.VMInfo{VM: "vm1", PeerAddress: address(1)}
+	view := NewView(now, self, nil, rand.NewSource(1))
+	view.AddListed(now, []proto.VMInfo{{VM: "vm2", PeerAddress: address(2)}})
+	s := NewService(view, nil, nil, func() time.Time { return now }, func(v any) { t.Error(v) })
+	var from []ident.VM
+	s.OnQuota(func(vm ident.VM, m *proto.QuotaMessage) { from = append(from, vm) })
+	for _, vm := range []ident.VM{"vm2", "vm3"} {
+		msg := proto.Message{From: proto.VMInfo{VM: vm}, Quota: &proto.QuotaMessage{Items: []proto.QuotaItem{{Kind: proto.QuotaGrant}}}}
+		s.handleDatagram(proto.AppendDatagram(nil, &msg))
+		view.Receive(now, msg) // as an earlier build does
+	}
+	if len(from) != 2 || len(view.members) != 1 || view.sorted[0].PeerAddress != address(2) {
+		t.Errorf("received from %v, %d members", from, len(view.members))
+	}
+}
--- a/peers/view.go
+++ b/peers/view.go
@@ -360,6 +360,17 @@
 	return list
 }
 
+// Alive returns the VMs that have neither failed nor announced that they stop, without this one, sorted by name.
+func (v *View) Alive(now time.Time) []proto.VMInfo {
+	var list []proto.VMInfo
+	for _, m := range v.sorted {
+		if v.alive(now, m) {
+			list = append(list, m.VMInfo)
+		}
+	}
+	return list
+}
+
 // RegionGroup returns the live VMs of the own region, including this one, which share the reading of the registry. They are
 // sorted by key, which is the order in which they take over the reading; VMs that agree on who is alive get the same
 // order.
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -30,6 +30,7 @@
 	fieldOperatorChange
 	fieldConfigVersion
 	fieldCold
+	fieldQuota
 )
 
 // Field numbers of a VMInfo.
@@ -130,6 +131,9 @@
 	for i := range m.Cold {
 		b = appendMessage(b, fieldCold, appendColdTarget(nil, &m.Cold[i]))
 	}
+	if m.Quota != nil {
+		b = appendMessage(b, fieldQuota, appendQuota(nil, m.Quota))
+	}
 	return b
 }
 
@@ -312,6 +316,8 @@
 			var c ColdTarget
 			c, err = decodeColdTarget(x.bytes)
 			m.Cold = append(m.Cold, c)
+		case fieldQuota:
+			m.Quota, err = decodeQuota(x.bytes)
 		}
 		return err
 	})
--- a/proto/codec_test.go
+++ b/proto/codec_test.go
@@ -27,6 +27,10 @@
 			{Key: "config", Value: []byte("{}"), Version: 8}, {Key: "evacuate/riga-a", Version: 7, Removed: true},
 		}, Full: true},
 		Cold: []ColdTarget{{ID: "i-3", StartedUnixMS: 1764840000002, Left: 2500 * time.Millisecond}, {ID: "i-4", Left: time.Microsecond}},
+		Quota: &QuotaMessage{Incarnation: 1764840000000, Items: []QuotaItem{
+			{Kind: QuotaRequest, Customer: "c-1", Number: 7, Count: 3, Demand: 12500, ReturnedNumber: 6, Returned: 2},
+			{Kind: QuotaLoan, Customer: "c-2", Number: 8, Next: 20 * time.Millisecond, Share: QuotaShareUnits, MilliTokens: 1500},
+		}},
 	}
 }
 
@@ -84,6 +88,11 @@
 	if _, err := DecodeMessage(b); err == nil {
 		t.Error("columns of different lengths: no error")
 	}
+	for _, it := range []QuotaItem{{Share: QuotaShareUnits + 1}, {Next: maxQuotaNext + time.Millisecond}} {
+		if _, err := DecodeMessage((&Message{Quota: &QuotaMessage{Items: []QuotaItem{it}}}).Append(nil)); err == nil {
+			t.Errorf("quota item %+v: no error", it)
+		}
+	}
 	if _, err := DecodeMessage([]byte("GET / HTTP/1.1\r\n")); err == nil {
 		t.Error("text that is no message: no error")
 	}
--- a/proto/message.go
+++ b/proto/message.go
@@ -57,6 +57,8 @@
 	OperatorChange *OperatorDelta
 	// Cold are targets that have told the sender that they are cold.
 	Cold []ColdTarget
+	// Quota is nil in most messages. A message with quota items has no other fields but the sender's name.
+	Quota *QuotaMessage
 }
 
 // ColdTarget is a target that is cold by its own word.
