quota, edge, platform: service of the quotas and its settings

Cause: the limiter needs a clock, the list of live VMs and a way for its messages.

A VM has it if the settings have QuotaWindowS, QuotaOvershoot and QuotaSlack. carry.Config takes it as CustomerQuota and doesn't call it yet; edge's quotaLimits is the one place that will take the limits from the configuration, and returns none until then, so that nothing is sent. Log events quota-refused (one for each customer in a second) and quota-reset, counters on the metrics port, a dump.

--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -99,6 +99,16 @@
 	MaxResponseMemory int64
 	// Notices decodes what responses say about their targets; nil if they say nothing.
 	Notices NoticeDecoder
+	// CustomerQuota limits the requests of customers over all VMs; nil if the deployment has no quotas.
+	CustomerQuota CustomerQuota
+}
+
+// CustomerQuota limits the requests of customers over all VMs. Nothing calls it until requests have customers.
+type CustomerQuota interface {
+	// Allow reports whether a request of the customer may be sent, and otherwise when to try again. It waits for 100 ms at most.
+	Allow(ctx context.Context, now time.Time, customer ident.Customer) (ok bool, retryAfter time.Duration)
+	// Return puts back what Allow took for a request that has reached no target.
+	Return(now time.Time, customer ident.Customer)
 }
 
 // New returns a Forwarder without configuration and targets.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/probe"
 	"github.com/currantpier/currantpier/proto"
+	"github.com/currantpier/currantpier/quota"
 	"github.com/currantpier/currantpier/state"
 	"github.com/currantpier/currantpier/trace"
 )
@@ -35,7 +36,7 @@
 	Grace time.Duration
 }
 
-// Config is the configuration of a Node. All fields are required.
+// Config is the configuration of a Node. All fields but Quota are required.
 type Config struct {
 	// Config is the configuration of the state; the node uses parts of it as well.
 	state.Config
@@ -50,6 +51,8 @@
 	MaxBodyMemory int64
 	// StatePort is the port, the same on all VMs, on which a VM serves its state to other VMs.
 	StatePort int
+	// Quota limits the requests of customers; nil in a deployment without quotas.
+	Quota *quota.Service
 }
 
 // Node is the daemon of one VM.
@@ -97,6 +100,10 @@
 		n.probes,
 		&listenService{name: "callers", ln: ln, server: n.callerServer},
 	}
+	if cfg.Quota != nil {
+		cfg.Quota.Limits = n.quotaLimits
+		services = append(services, cfg.Quota)
+	}
 	for _, o := range extra {
 		server := inlet.New(o.Handler, n.requestLimits, cfg.Clock, onPanic, inlet.LimitBodies(n.bodies, inlet.RefuseBody),
 			inlet.LimitConnections(cfg.MaxServiceConnections))
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -107,6 +107,9 @@
 			return err
 		}
 	}
+	if n.cfg.Quota != nil {
+		return writeQuotaMetrics(b, n.cfg.Quota.Counters())
+	}
 	return nil
 }
 
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -36,8 +36,8 @@
 				l.queue = append(l.queue, queued{&l.vms[i], a.pool.lend(now, from, it)})
 			}
 		case proto.QuotaLoan:
-			if a.pool != nil {
-				a.pool.receiveLoan(now, from, it)
+			if a.pool != nil && a.pool.receiveLoan(now, from, it) {
+				l.Counters.Borrowed++
 			}
 		}
 	}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -238,22 +238,23 @@
 	return b
 }
 
-// receiveLoan applies the answer to a request for a loan.
-func (p *pool) receiveLoan(now time.Time, from ident.VM, it *proto.QuotaItem) {
+// receiveLoan applies the answer to a request for a loan and reports whether anything was lent.
+func (p *pool) receiveLoan(now time.Time, from ident.VM, it *proto.QuotaItem) (borrowed bool) {
 	b := p.borrowed[from]
 	if b == nil || b.answered || b.number != it.Number || now.Sub(b.sentAt) >= borrowerLife {
-		return
+		return false
 	}
 	p.advance(now)
 	b.answered = true
 	if it.Share == 0 {
 		// The previous loan lasts until its own end.
 		b.interval = min(2*b.interval, maxLoanBackoff)
-		return
+		return false
 	}
 	b.share, b.until, b.interval = float64(min(it.Share, proto.QuotaShareUnits))/proto.QuotaShareUnits, b.sentAt.Add(borrowerLife), growInterval
 	p.level += float64(it.MilliTokens) / 1000
 	p.cap(now)
+	return true
 }
 
 // review counts the waiting VMs and returns the part that the pool needs from others, in shares.
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -48,6 +48,8 @@
 	Late               Event = "late"
 	CallerLeft         Event = "caller-left"
 	Served             Event = "served"
+	QuotaRefused       Event = "quota-refused"
+	QuotaReset         Event = "quota-reset"
 	InternalFault      Event = "internal-fault"
 )
 
