--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -138,6 +138,7 @@
 		outcome.Status, outcome.Load = a.Status, k.parseLoad(a)
 		k.countLoad(a, outcome.Load)
 	}
+	k.usedQuota = k.usedQuota || k.ran(a, err) != kinds.RanNo
 	k.finished(done, choice, outcome)
 	if k.connectionFailed != nil && (outcome.Refused || connectionEnded(ctx, err)) {
 		k.connectionFailed(t, outcome.Refused)
--- a/carry/customer.go
+++ b/carry/customer.go
@@ -1,6 +1,7 @@
 package carry
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -48,13 +49,37 @@
 	return k.giveUp(now, kinds.NoTarget, "customer changed while the request was in progress: "+k.customerCause(why))
 }
 
+// takeCustomerQuota takes the request out of its customer's quota. It returns the final response if the customer is over it.
+func (k *call) takeCustomerQuota(ctx context.Context) *codec.Response {
+	if k.customerQuota == nil || k.customer == nil {
+		return nil
+	}
+	now := k.clock()
+	if ok, retryAfter := k.customerQuota.Allow(ctx, now, k.customer.Name); !ok {
+		k.notBefore = now.Add(retryAfter)
+		return k.refuseCustomer(k.clock(), kinds.RateLimited)
+	}
+	return nil
+}
+
+// returnUnusedQuota puts the request back into its customer's quota if no target may have run it.
+func (k *call) returnUnusedQuota() {
+	if k.customerQuota != nil && k.customer != nil && !k.usedQuota {
+		k.customerQuota.Return(k.clock(), k.customer.Name)
+	}
+}
+
 // refuseCustomer responds to a request that has not run and isn't accepted because of its customer. Its log lines have an event of
 // their own, so that callers without a key don't use up the lines of refused requests of customers.
 func (k *call) refuseCustomer(now time.Time, why kinds.Kind) *codec.Response {
 	answer := why.Answer()
 	fields := []codec.Field{{Name: "Currantpier-Outcome", Value: answer.Name}}
-	if answer.After > 0 {
-		fields = append(fields, codec.Field{Name: "Retry-After", Value: strconv.FormatFloat(answer.After.Seconds(), 'f', 2, 64)})
+	after := answer.After
+	if left := k.notBefore.Sub(now); left > 0 {
+		after = left
+	}
+	if after > 0 {
+		fields = append(fields, codec.Field{Name: "Retry-After", Value: strconv.FormatFloat(after.Seconds(), 'f', 2, 64)})
 	}
 	k.observe(now, answer.Name)
 	k.logEvent(now, trace.RefusedCustomer, "id", k.id, "route", k.route.Name, "kind", why, "cause", k.customerCause(why), "sends", k.sends,
@@ -65,8 +90,10 @@
 // customerCause returns why the request isn't accepted, without its key.
 func (k *call) customerCause(why kinds.Kind) string {
 	switch {
-	case why == kinds.RateLimited:
+	case why == kinds.RateLimited && k.customer != nil && k.customer.Blocked:
 		return "the customer's rate or burst is invalid"
+	case why == kinds.RateLimited:
+		return "over the customer's quota"
 	case k.r.SingleField(k.headers.Key) == "":
 		return "no single key"
 	}
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -79,7 +79,9 @@
 	log     *trace.Log
 	clock   func() time.Time
 	quota   retry.QuotaLimits
-	notices NoticeDecoder
+	// customerQuota is nil if the deployment has no quotas.
+	customerQuota CustomerQuota
+	notices       NoticeDecoder
 
 	// stopTime is when the process gives up its requests because it stops; nil until a stop is requested.
 	stopTime     atomic.Pointer[time.Time]
@@ -115,6 +117,16 @@
 	Notices NoticeDecoder
 	// Holders gives objects as many holders as their demand needs (pick.WithHolders).
 	Holders bool
+	// CustomerQuota limits the requests of customers over all VMs; nil if the deployment has no quotas.
+	CustomerQuota CustomerQuota
+}
+
+// CustomerQuota limits the requests of customers over all VMs.
+type CustomerQuota interface {
+	// Allow reports whether a request of the customer may be sent, and otherwise when to try again. It waits for 100 ms at most.
+	Allow(ctx context.Context, now time.Time, customer ident.Customer) (ok bool, retryAfter time.Duration)
+	// Return puts back what Allow took for a request that has reached no target.
+	Return(now time.Time, customer ident.Customer)
 }
 
 // New returns a Forwarder without configuration and targets.
@@ -124,7 +136,7 @@
 		options = append(options, pick.WithHolders())
 	}
 	c := &Forwarder{
-		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, notices: cfg.Notices, meter: meter.New(),
+		headers: cfg.Headers, log: cfg.Log, clock: cfg.Clock, quota: cfg.Quota, customerQuota: cfg.CustomerQuota, notices: cfg.Notices, meter: meter.New(),
 		picker: pick.New(cfg.VM, cfg.Place, options...), quotas: map[ident.Service]*retry.Quota{}, vms: 1, quotaVMs: 1,
 	}
 	c.pool = outlet.New(cfg.Clock, cfg.MaxResponseMemory, func(t outlet.Target, took time.Duration) {
@@ -245,6 +257,8 @@
 	choiceSnapshot *fleet.Snapshot
 	// sends counts the attempts.
 	sends int
+	// usedQuota is set once a target may have run the request.
+	usedQuota bool
 	// serverError is a target's response with a 5xx status. It is returned if no other target responds.
 	serverError *codec.Response
 	// mayHaveRun is set if a target may have run the request but sent no complete response.
@@ -273,7 +287,12 @@
 	if !k.fitsBeforeStop(c.clock()) {
 		return c.refuse(c.clock(), k, kinds.Stopping, "this VM stops")
 	}
-	return k.run(ctx)
+	if final := k.takeCustomerQuota(ctx); final != nil {
+		return final
+	}
+	a := k.run(ctx)
+	k.returnUnusedQuota()
+	return a
 }
 
 func noRoute() *codec.Response { return codec.NewResponse(http.StatusNotFound, "no such route\n") }
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -30,6 +30,7 @@
 	fieldOperatorChange
 	fieldConfigVersion
 	fieldCold
+	fieldQuota
 )
 
 // Field numbers of a VMInfo.
@@ -132,6 +133,9 @@
 	for i := range m.Cold {
 		b = appendMessage(b, fieldCold, appendColdReport(nil, &m.Cold[i]))
 	}
+	if m.Quota != nil {
+		b = appendMessage(b, fieldQuota, appendQuota(nil, m.Quota))
+	}
 	return b
 }
 
@@ -316,6 +320,8 @@
 			var c fleet.ColdReport
 			c, err = decodeColdReport(x.bytes)
 			m.Cold = append(m.Cold, c)
+		case fieldQuota:
+			m.Quota, err = decodeQuota(x.bytes)
 		}
 		return err
 	})
--- a/proto/message.go
+++ b/proto/message.go
@@ -68,6 +68,8 @@
 	OperatorChange *OperatorDelta
 	// Cold is what the sender has found out about the warm-up of targets.
 	Cold []fleet.ColdReport
+	// Quota is nil in most messages. A message with quota items has no other fields but the sender's name.
+	Quota *QuotaMessage
 }
 
 // RegistryDelta is what one VM has read from the registry, for the other VMs of its group.
