pick: load reports of other VMs

Targets that are slow or overloaded get requests that others could serve. Change: RecordReports applies heard reports that are newer by their age than what is known, and FreshReports returns those to send. A report names the process of a target (hash of id, address and start time), so that a restarted target inherits none; a hash that two targets share is ignored. RecordRTT moves to cost.go, beside the round trips' use.

--- a/pick/cost.go
+++ b/pick/cost.go
@@ -16,7 +16,7 @@
 //	distance   domainPenalty, regionPenalty, or that and two round trips  traffic on the links
 //	miss       unknownObjectWeight * extra time of an unknown object      the wait of others, and the next miss
 //	spread     the same once more beyond the preferred targets            another cache that holds the object
-//	           without an object, where targets report their pace:        VMs that all choose the target that looks best
+//	           without an object, if pool.spreads:                        VMs that all choose the target that looks best
 //	           sampleWeight * service time, beyond few random targets
 //	balance    estimator.balance, for one of several holders of an object the loads of the others
 const (
@@ -67,14 +67,14 @@
 	now     time.Time
 	request Request
 	times   *serviceTimes
-	// paced is set if the targets report their pace.
-	paced bool
+	// spread is the value of pool.spreads.
+	spread bool
 	// nearestRTT is the round trip to the nearest other region.
 	nearestRTT time.Duration
 }
 
 func (p *Picker) newEstimator(now time.Time, pl *pool, a Request) estimator {
-	return estimator{p: p, now: now, request: a, paced: pl.paced, times: p.serviceTimesOf(a.Route), nearestRTT: p.nearestRegionRTT()}
+	return estimator{p: p, now: now, request: a, spread: pl.spreads(now), times: p.serviceTimesOf(a.Route), nearestRTT: p.nearestRegionRTT()}
 }
 
 // estimate sets the candidate's expected time, its cost and whether it knows the object.
@@ -91,7 +91,7 @@
 	miss := scale(e.times.unknown-e.times.known, unknownObjectWeight)
 	c.cost += miss
 	switch {
-	case e.request.Object == 0 && e.paced:
+	case e.request.Object == 0 && e.spread:
 		c.cost += scale(e.times.unknown, float64(c.rank)*sampleWeight/preferredTargets)
 	case e.request.Object != 0 && c.rank >= preferredTargets:
 		c.cost += miss
@@ -143,6 +143,15 @@
 
 func scale(d time.Duration, x float64) time.Duration { return time.Duration(float64(d) * x) }
 
+// RecordRTT records the time that it took to open a connection to a region. A shorter time replaces the estimate, a longer one
+// moves it by an eighth of the difference.
+func (p *Picker) RecordRTT(r ident.Region, d time.Duration) {
+	if old, ok := p.regionRTT[r]; ok {
+		d = min(old+(d-old)/8, d)
+	}
+	p.regionRTT[r] = d
+}
+
 // nearestRegionRTT returns the shortest measured round trip to another region, at most defaultRegionRTT.
 func (p *Picker) nearestRegionRTT() time.Duration {
 	nearest := defaultRegionRTT
@@ -176,7 +185,11 @@
 	if age >= maxReportAge {
 		return float64(t.inFlight) + unreported
 	}
-	decay := math.Exp(-float64(age) / float64(reportDecay))
+	constant := reportDecay
+	if t.heard {
+		constant = heardDecay
+	}
+	decay := math.Exp(-float64(age) / float64(constant))
 	return float64(t.inFlight) + unreported + float64((t.othersLoad-unreported)*decay)
 }
 
--- a/pick/outcome.go
+++ b/pick/outcome.go
@@ -98,10 +98,8 @@
 	}
 	t.inFlight = max(t.inFlight-1, 0)
 	if o.Load != nil {
-		t.othersLoad = max(0, float64(o.Load.Running+o.Load.Waiting-t.inFlight))
-		t.reportedAt = now
-		t.pool.othersPerSlot += float64(reportWeight * (t.othersLoad/float64(max(t.Slots, 1)) - t.pool.othersPerSlot))
-		t.recordPace(now, o.Load)
+		t.recordReport(now, o.Load)
+		t.shareOwn(o.Load)
 	}
 	if o.Status != 0 {
 		t.respondedAt = now
@@ -120,7 +118,9 @@
 	case Overloaded:
 		t.consecutiveFailures = 0
 		if o.Load == nil {
-			t.othersLoad, t.reportedAt = float64(3*t.Slots), now
+			t.othersLoad, t.reportedAt, t.heard = float64(3*t.Slots), now, false
+			// This is an estimate, no report.
+			t.shared.sendsLeft = 0
 		}
 		// The target didn't process the object, so the object isn't in its cache.
 		delete(t.lastRequest, a.Object)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -65,12 +65,16 @@
 	distance ident.Distance
 	// inFlight is the number of this VM's requests in progress at the target.
 	inFlight int
-	// othersLoad is the number of other VMs' requests at the target at the last report.
+	// othersLoad is the number of other VMs' requests at the target at the last report. heard is set if another VM got the report.
 	othersLoad float64
 	reportedAt time.Time
+	heard      bool
 	// reportedPace is the last reported pace as a ratio; zero if none was reported. It was reported at pacedAt.
 	reportedPace float64
 	pacedAt      time.Time
+	// process is the hash that identifies the target's process in reports of other VMs.
+	process uint32
+	shared  sharedReport
 	// consecutiveFailures counts failures of the connection or the response without a success in between. Until
 	// suspectUntil, the target gets no requests unless no other is left.
 	consecutiveFailures int
@@ -97,7 +101,9 @@
 	othersPerSlot float64
 	// paced is set while the targets report their pace.
 	paced bool
-	homes *region.Homes
+	// heardAt is when a report of another VM was last applied.
+	heardAt time.Time
+	homes   *region.Homes
 	// meanSlots is the mean number of slots of a target.
 	meanSlots float64
 }
@@ -107,6 +113,7 @@
 	self         ident.VM
 	place        ident.Place
 	byID         map[ident.Target]*target
+	reports      reportIndex
 	pools        map[ident.Service]*pool
 	serviceTimes map[fleet.RouteName]*serviceTimes
 	regionRTT    map[ident.Region]time.Duration
@@ -188,12 +195,13 @@
 		slots, allSlots := map[ident.Region]float64{}, 0.0
 		pl := &pool{targets: make([]*target, 0, len(list)), homes: region.NewHomes(p.place.Region)}
 		if old := pools[svc]; old != nil {
-			pl.homes, pl.othersPerSlot, pl.paced = old.homes, old.othersPerSlot, old.paced
+			pl.homes, pl.othersPerSlot, pl.paced, pl.heardAt = old.homes, old.othersPerSlot, old.paced, old.heardAt
 		}
 		for _, ft := range list {
 			t := p.byID[ft.ID]
 			if t == nil || t.StartedUnixMS != ft.StartedUnixMS || t.Address != ft.Address {
-				t = &target{hash: xxhash.Sum64String(string(ft.ID)), slowdown: 1, lastRequest: map[Object]time.Time{}}
+				t = &target{hash: xxhash.Sum64String(string(ft.ID)), slowdown: 1, lastRequest: map[Object]time.Time{},
+					process: processHash(&ft)}
 			}
 			t.Target, t.pool, t.notice = ft, pl, p.noticeFor(now, &ft)
 			t.distance = p.place.To(ft.Place)
@@ -208,6 +216,7 @@
 		p.pools[svc] = pl
 	}
 	p.byID = byID
+	p.indexProcesses()
 }
 
 // Request holds the properties of a request that determine its target.
@@ -281,7 +290,7 @@
 	score uint64
 	group group
 	// rank is the target's position in its group by rendezvous hashing, at most preferredTargets. Requests without an object are
-	// ranked by a random key if the targets report their pace, and otherwise all targets have the rank preferredTargets.
+	// ranked by a random key if pool.spreads, and otherwise all targets have the rank preferredTargets.
 	rank  int
 	known bool
 	// holder is the target's position among several holders of the object, 1 for the first; 0 if it is none. overBound and turn
@@ -373,13 +382,12 @@
 	return nil, RegionLimit
 }
 
-// candidates returns the eligible targets with their ranks. Where targets report their pace, requests without an object prefer few
-// random targets: VMs whose reports are of different ages would otherwise all choose the one target that looks best. Suspect targets are included only if there are no others.
+// candidates returns the eligible targets with their ranks. Suspect targets are included only if there are no others.
 func (p *Picker) candidates(now time.Time, pl *pool, a Request, home ident.Region) ([]candidate, Reason) {
 	list, suspects := p.candidateBuf[:0], p.suspectBuf[:0]
 	reason := NoTarget
 	p.homeBackedOff = false
-	ranked, key := a.Object != 0 || pl.paced, uint64(a.Object)
+	ranked, key := a.Object != 0 || pl.spreads(now), uint64(a.Object)
 	if ranked && a.Object == 0 {
 		key = p.spread.Uint64()
 	}
@@ -482,12 +490,3 @@
 	}
 	return pl.homes.RegionOf(uint64(a.Object))
 }
-
-// RecordRTT records the time that it took to open a connection to a region. A shorter time replaces the estimate, a longer one
-// moves it by an eighth of the difference.
-func (p *Picker) RecordRTT(r ident.Region, d time.Duration) {
-	if old, ok := p.regionRTT[r]; ok {
-		d = min(old+(d-old)/8, d)
-	}
-	p.regionRTT[r] = d
-}
