proto: load reports in messages

Cause: VMs of a region are to tell each other the load of targets (docs/design/customers-and-load.md, 2.7). Change: Message.Loads, a packed string in field 13 with 8 bytes for each report: the target's hash, load, pace in tenths and the age in units of 10 ms, rounded up. Builds without the field skip it. A string that isn't a multiple of 8 bytes, and more than 64 reports, make the whole message malformed. Varints for the loads would save one byte of eight.

--- a/proto/codec.go
+++ b/proto/codec.go
@@ -30,6 +30,7 @@
 	fieldOperatorChange
 	fieldConfigVersion
 	fieldCold
+	fieldLoads
 )
 
 // Field numbers of a VMInfo.
@@ -132,7 +133,7 @@
 	for i := range m.Cold {
 		b = appendMessage(b, fieldCold, appendColdReport(nil, &m.Cold[i]))
 	}
-	return b
+	return appendLoadReports(b, m.Loads)
 }
 
 // appendHeartbeats appends the heartbeats as one column per attribute.
@@ -316,6 +317,8 @@
 			var c fleet.ColdReport
 			c, err = decodeColdReport(x.bytes)
 			m.Cold = append(m.Cold, c)
+		case fieldLoads:
+			m.Loads, err = decodeLoadReports(m.Loads, x.bytes)
 		}
 		return err
 	})
--- a/proto/codec_test.go
+++ b/proto/codec_test.go
@@ -26,7 +26,8 @@
 		OperatorChange: &OperatorDelta{After: 2, Version: 8, Rows: []feed.Row{
 			{Key: "config", Value: []byte("{}"), Version: 8}, {Key: "evacuate/riga-a", Version: 7, Removed: true},
 		}, Full: true},
-		Cold: []fleet.ColdReport{{ID: "i-3", StartedUnixMS: 1764840000002, Left: 2500 * time.Millisecond}, {ID: "i-4", Left: time.Microsecond, Assumed: true}, {ID: "i-5"}},
+		Cold:  []fleet.ColdReport{{ID: "i-3", StartedUnixMS: 1764840000002, Left: 2500 * time.Millisecond}, {ID: "i-4", Left: time.Microsecond, Assumed: true}, {ID: "i-5"}},
+		Loads: []fleet.LoadReport{{Target: 0xfedcba98, Load: 65_000, Pace: 255, Age: 420 * time.Millisecond}, {Target: 1}},
 	}
 }
 
--- a/proto/message.go
+++ b/proto/message.go
@@ -68,6 +68,8 @@
 	OperatorChange *OperatorDelta
 	// Cold is what the sender has found out about the warm-up of targets.
 	Cold []fleet.ColdReport
+	// Loads are load reports of targets, at most MaxLoadReports.
+	Loads []fleet.LoadReport
 }
 
 // RegistryDelta is what one VM has read from the registry, for the other VMs of its group.
