peers: messages with load reports

Cause: VMs of a region are to tell each other the load of targets (docs/design/customers-and-load.md, 2.7).

--- a/peers/service.go
+++ b/peers/service.go
@@ -36,6 +36,8 @@
 
 	// deltas receives the messages of other VMs that contain changes of the registry or of the operators' table, or cold targets.
 	deltas chan<- proto.Message
+	// onLoadReports is called with received load reports; nil if nobody wants them.
+	onLoadReports func(list []fleet.LoadReport)
 
 	mu   sync.Mutex
 	view *View
@@ -133,6 +135,9 @@
 		return
 	}
 	s.send(s.updateView(msg))
+	if len(msg.Loads) > 0 && s.onLoadReports != nil {
+		s.onLoadReports(msg.Loads)
+	}
 	if msg.Registry == nil && msg.OperatorChange == nil && len(msg.Cold) == 0 {
 		return
 	}
