edge: VMs of a region exchange load reports

Cause: the parts of section 2.7 of docs/design/customers-and-load.md are there, and nothing calls them. Change: where the settings list pool among Terms.Contracts, the service load-reports sends the forwarder's fresh reports every 250 ms and passes received ones to its picker. Without the contract there is neither a message nor a function that receives reports. TestLoadReportsReachOtherVM fails without setting the receiving function, without each of the counters and without the fresh reports of the picker; TestLoadReportsByContract fails without the setting in platform and with a service in every deployment.

--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -70,6 +70,9 @@
 	MalformedLoads, SlowPaces atomic.Uint64
 	// FurtherHolderSends counts the sends to a holder of the request's object other than the first one.
 	FurtherHolderSends atomic.Uint64
+	// ReportsReceived and ReportsApplied count the load reports of other VMs, and those that were newer than what this VM knew.
+	// ReportsSent counts the load reports sent, at each receiver.
+	ReportsReceived, ReportsApplied, ReportsSent atomic.Uint64
 }
 
 // Forwarder forwards the requests that one VM receives. It is safe for concurrent use.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,6 +52,8 @@
 	MaxBodyMemory int64
 	// StatePort is the port, the same on all VMs, on which a VM serves its state to other VMs.
 	StatePort int
+	// ShareLoads makes the VMs of a region tell each other the load of targets.
+	ShareLoads bool
 	// LookupSource makes the random choices of weighted lookups.
 	LookupSource rand.Source
 }
@@ -106,6 +108,9 @@
 		n.probes,
 		&listenService{name: "callers", ln: ln, server: n.callerServer},
 	}
+	if cfg.ShareLoads {
+		services = append(services, newReportService(cfg.Forwarder, cfg.Peers, cfg.Clock))
+	}
 	for _, o := range extra {
 		server := inlet.New(o.Handler, n.requestLimits, cfg.Clock, onPanic, inlet.LimitBodies(n.bodies, inlet.RefuseBody),
 			inlet.LimitConnections(cfg.MaxServiceConnections))
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -108,6 +108,9 @@
 		{"request_body_memory_bytes", n.bodies.Used()}, {"response_body_memory_bytes", n.cfg.Forwarder.ResponseMemoryUsed()},
 		{"load_reports_malformed_total", n.cfg.Forwarder.Counters.MalformedLoads.Load()},
 		{"load_reports_slow_total", n.cfg.Forwarder.Counters.SlowPaces.Load()},
+		{"shared_load_reports_sent_total", n.cfg.Forwarder.Counters.ReportsSent.Load()},
+		{"shared_load_reports_received_total", n.cfg.Forwarder.Counters.ReportsReceived.Load()},
+		{"shared_load_reports_applied_total", n.cfg.Forwarder.Counters.ReportsApplied.Load()},
 		{"lookups_total", n.lookups.Load()}, {"lookups_weighted_total", n.weightedLookups.Load()},
 		{"config_version", n.state.Version()}, {"config_customers", customers}, {"config_warnings", warnings},
 	} {
