--- a/peers/service.go
+++ b/peers/service.go
@@ -37,6 +37,8 @@
 
 	// deltas receives the messages of other VMs that contain changes of the registry or of the operators' table, or cold targets.
 	deltas chan<- proto.Message
+	// onLoadReports is called with received load reports; nil if nobody wants them.
+	onLoadReports func(list []fleet.LoadReport)
 
 	// onQuota receives the messages about quotas; nil if they are ignored.
 	onQuota func(from ident.VM, m *proto.QuotaMessage)
@@ -153,6 +155,9 @@
 		return
 	}
 	s.send(s.updateView(msg))
+	if len(msg.Loads) > 0 && s.onLoadReports != nil {
+		s.onLoadReports(msg.Loads)
+	}
 	if msg.Registry == nil && msg.OperatorChange == nil && len(msg.Cold) == 0 {
 		return
 	}
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -31,6 +31,7 @@
 	fieldConfigVersion
 	fieldCold
 	fieldQuota
+	fieldLoads
 )
 
 // Field numbers of a VMInfo.
@@ -136,7 +137,7 @@
 	if m.Quota != nil {
 		b = appendMessage(b, fieldQuota, appendQuota(nil, m.Quota))
 	}
-	return b
+	return appendLoadReports(b, m.Loads)
 }
 
 // appendHeartbeats appends the heartbeats as one column per attribute.
@@ -322,6 +323,8 @@
 			m.Cold = append(m.Cold, c)
 		case fieldQuota:
 			m.Quota, err = decodeQuota(x.bytes)
+		case fieldLoads:
+			m.Loads, err = decodeLoadReports(m.Loads, x.bytes)
 		}
 		return err
 	})
--- a/proto/codec_test.go
+++ b/proto/codec_test.go
@@ -31,6 +31,7 @@
 			{Kind: QuotaRequest, Customer: "c-1", Number: 7, Count: 3, Demand: 12500, ReturnedNumber: 6, Returned: 2},
 			{Kind: QuotaLoan, Customer: "c-2", Number: 8, Next: 20 * time.Millisecond, Share: QuotaShareUnits, MilliTokens: 1500},
 		}},
+		Loads: []fleet.LoadReport{{Target: 0xfedcba98, Load: 65_000, Pace: 255, Age: 420 * time.Millisecond}, {Target: 1}},
 	}
 }
 
--- a/proto/message.go
+++ b/proto/message.go
@@ -70,6 +70,8 @@
 	Cold []fleet.ColdReport
 	// Quota is nil in most messages. A message with quota items has no other fields but the sender's name.
 	Quota *QuotaMessage
+	// Loads are load reports of targets, at most MaxLoadReports.
+	Loads []fleet.LoadReport
 }
 
 // RegistryDelta is what one VM has read from the registry, for the other VMs of its group.
