probe: failed connections don't postpone the checks

Cause: the loop waited on time.After in its select, so that each failed connection started the wait anew. While connections fail at shorter intervals than the checks, as when many targets are down, no target was asked and no overdue answer was noticed. Change: one timer, set again after a check only. Before: TestFailuresDontPostponeChecks, stale registry: t2 asked 0 times in 1.5 s (5 or more wanted).

--- a/probe/probe.go
+++ b/probe/probe.go
@@ -89,9 +89,12 @@
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
+	// A timer that failures don't restart: they can arrive at shorter intervals than the checks for as long as a target is down.
+	timer := time.NewTimer(s.untilCheck(s.Clock()))
+	defer timer.Stop()
 	for {
 		select {
-		case <-time.After(s.untilCheck(s.Clock())):
+		case <-timer.C:
 			due, overdue := s.check(s.Clock())
 			for _, c := range overdue {
 				s.Report(ctx, c)
@@ -99,6 +102,7 @@
 			for _, t := range due {
 				s.start(ctx, g, t)
 			}
+			timer.Reset(s.untilCheck(s.Clock()))
 		case f := <-s.failures:
 			if f.refused {
 				s.assumeCold(ctx, s.Clock(), &f.target)
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,3 +112,31 @@
 		})
 	}
 }
+
+// Guards against checks that failed connections postpone: while these keep arriving, no target would be asked, neither those assumed to
+// be cold nor, with a stale registry, any other.
+func TestFailuresDontPostponeChecks(t *testing.T) {
+	for _, stale := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			snap, confirmed := snapshot(4, probed), time.Now().Add(-time.Minute)
+			if !stale {
+				confirmed = time.Now().Add(time.Hour)
+				snap.Targets["s"][2].ColdUntil, snap.Targets["s"][2].ColdAssumed, snap.ColdAssumed = time.Now().Add(time.Hour), true, 1
+			}
+			asker := &coldAsker{asked: map[ident.Target]int{}}
+			s := New("vm0", &fixedSource{snapshot: snap, confirmed: confirmed}, asker, time.Now, func(context.Context, fleet.ColdReport) {})
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- s.Run(ctx) }()
+			for range 300 {
+				s.ConnectionFailed(snap.Targets["s"][3], false)
+				time.Sleep(checkInterval / 10)
+			}
+			cancel()
+			<-ended
+			if n := asker.asked["t2"]; n < 5 {
+				t.Errorf("stale %v: t2 was asked %d times in 1.5 s, want 5 or more", stale, n)
+			}
+		})
+	}
+}
