fleet, proto: VMs tell each other which warm-ups are assumed

Cause: the deltas of a region's reader and a VM's full state have the remaining warm-up of each entry, also if it is only assumed. Receivers took it for stated by the target: nobody asked the target any more, the renewal was refused, and the answer that it is warm was ignored. Receivers treat it as an assumed report. A VM that starts learns of it as before. Builds that don't know the field skip it and take the warm-up for stated, as until now. Ruled out: to leave the assumption out of rows; a VM that starts while the target is down would take it for warm. Before, with the line in Registered left out: TestPeerStateKeepsAssumption and TestDeltaKeepsAssumption fail (assumed false, 0 to ask), with the line in decodeRow left out TestMessageRoundTrip does. After: fleet, state, proto, platform and edge pass.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -27,12 +27,54 @@
 	if c.Left <= 0 {
 		return r.endAssumption(now)
 	}
+	if c.Assumed {
+		return r.assumeCold(now, c.Left)
+	}
 	until := now.Add(c.Left)
-	news := until.Sub(r.coldUntil) > coldUntilTolerance || r.coldAssumed && !c.Assumed
-	if !news || c.Assumed && !r.coldAssumed && now.Before(r.coldUntil) {
+	if until.Sub(r.coldUntil) <= coldUntilTolerance && !r.coldAssumed {
+		return false
+	}
+	r.coldUntil, r.coldAssumed, r.staleUntil = until, false, now.Add(maxHeartbeatAge)
+	return true
+}
+
+// applyWarmup applies the warm-up in an entry, of a new process if restarted, and reports whether it is a change. That of an entry from
+// another VM can be an assumption, which is no statement of the target.
+func (r *record) applyWarmup(now time.Time, e *Entry, restarted bool) bool {
+	if restarted && e.Assumed {
+		r.coldUntil, r.coldAssumed = time.Time{}, false
+	}
+	if e.Assumed {
+		return r.assumeCold(now, e.WarmupLeft)
+	}
+	until := coldUntil(now, e)
+	if !restarted && now.Before(r.staleUntil) && until.Before(r.coldUntil) {
+		return false
+	}
+	changed := r.coldAssumed
+	r.coldAssumed = false
+	if change := until.Sub(r.coldUntil); change > coldUntilTolerance || change < -coldUntilTolerance {
+		r.coldUntil = until
+		changed = true
+	}
+	return changed
+}
+
+// coldUntil returns the latest possible end of the warm-up by an entry read at now, zero if the target is warm.
+func coldUntil(now time.Time, e *Entry) time.Time {
+	if e.WarmupLeft <= 0 {
+		return time.Time{}
+	}
+	return now.Add(e.WarmupLeft)
+}
+
+// assumeCold takes a target for cold that has not said so, and reports whether that is news.
+func (r *record) assumeCold(now time.Time, left time.Duration) bool {
+	until := now.Add(left)
+	if until.Sub(r.coldUntil) <= coldUntilTolerance || !r.coldAssumed && now.Before(r.coldUntil) {
 		return false
 	}
-	r.coldUntil, r.coldAssumed, r.staleUntil = until, c.Assumed, now.Add(maxHeartbeatAge)
+	r.coldUntil, r.coldAssumed, r.staleUntil = until, true, now.Add(maxHeartbeatAge)
 	return true
 }
 
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -52,3 +52,27 @@
 		}
 	}
 }
+
+// Guards against an assumption in another VM's state that is taken for the target's own statement: the target then stays cold after it
+// has said otherwise. A VM that has just started learns of the assumption from such a state alone.
+func TestPeerStateKeepsAssumption(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	assumed := ColdReport{ID: "t", StartedUnixMS: 900, Left: 10 * time.Second, Assumed: true}
+	teller, told, started := NewView(), NewView(), NewView()
+	for _, v := range []*View{teller, told} {
+		v.Apply(now, RegistryUpdate{Full: true, Rows: []Row{{Entry: entry}}})
+		v.RecordCold(now, assumed)
+	}
+	for name, v := range map[string]*View{"told before": told, "started": started} {
+		at := now.Add(50 * time.Millisecond)
+		v.Apply(at, RegistryUpdate{Full: true, Rows: []Row{{Entry: teller.Registered(at)["t"]}}})
+		s := v.Snapshot(at)
+		if got := s.Targets["s"][0]; !got.ColdUntil.Equal(now.Add(10*time.Second)) || !got.ColdAssumed || s.ColdAssumed != 1 || got.Entry != entry {
+			t.Errorf("%s: %+v, %d to ask; want the entry as it was, cold by assumption", name, got, s.ColdAssumed)
+		}
+		if !v.RecordCold(at, ColdReport{ID: "t", StartedUnixMS: 900}) || at.Before(v.Snapshot(at).Targets["s"][0].ColdUntil) {
+			t.Errorf("%s: cold after the target has said that it is warm", name)
+		}
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -317,7 +317,10 @@
 func (v *View) applyEntry(now time.Time, e Entry) bool {
 	r := v.records[e.ID]
 	if r == nil {
-		v.records[e.ID] = &record{Entry: e, lastRead: now, coldUntil: coldUntil(now, &e), leaving: !e.Ready}
+		r = &record{leaving: !e.Ready}
+		r.applyWarmup(now, &e, true)
+		r.setEntry(now, e)
+		v.records[e.ID] = r
 		return true
 	}
 	if !r.supersededBy(now, &e) {
@@ -330,21 +333,17 @@
 	changed := restarted || !r.missingSince.IsZero() || e.Ready != r.Ready || r.differs(&e)
 	r.missingSince = time.Time{}
 	r.leaving = !e.Ready || r.leaving && !restarted
-	until := coldUntil(now, &e)
-	stale := !restarted && now.Before(r.staleUntil) && until.Before(r.coldUntil)
-	if stale {
-		until = r.coldUntil
-	}
-	if !stale && r.coldAssumed {
-		r.coldAssumed = false
-		changed = true
-	}
-	if change := until.Sub(r.coldUntil); change > coldUntilTolerance || change < -coldUntilTolerance {
-		r.coldUntil = until
-		changed = true
+	changed = r.applyWarmup(now, &e, restarted) || changed
+	r.setEntry(now, e)
+	return changed
+}
+
+// setEntry stores an entry that was read at now, without an assumption of another VM.
+func (r *record) setEntry(now time.Time, e Entry) {
+	if e.Assumed {
+		e.WarmupLeft, e.Assumed = 0, false
 	}
 	r.Entry, r.lastRead = e, now
-	return changed
 }
 
 // differs reports whether e is of another start of the target, or describes another place or size.
@@ -364,14 +363,6 @@
 	return r.missingSince.IsZero() && r.StartedUnixMS == e.StartedUnixMS && r.Sequence == e.Sequence
 }
 
-// coldUntil returns the latest possible end of the warm-up by an entry read at now, zero if the target is warm.
-func coldUntil(now time.Time, e *Entry) time.Time {
-	if e.WarmupLeft <= 0 {
-		return time.Time{}
-	}
-	return now.Add(e.WarmupLeft)
-}
-
 // markMissing records that an entry is missing and reports whether it was registered before. The target is usable until keepUntil.
 func (v *View) markMissing(now time.Time, id ident.Target, keepUntil time.Time) bool {
 	r := v.records[id]
@@ -442,6 +433,7 @@
 		}
 		e := r.Entry
 		e.WarmupLeft = max(r.coldUntil.Sub(now), 0)
+		e.Assumed = r.coldAssumed && e.WarmupLeft > 0
 		all[id] = e
 	}
 	return all
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -91,6 +91,7 @@
 	rowSequence
 	rowStartTime // milliseconds since the Unix epoch
 	rowLapsed
+	rowAssumed // 1 if the target has not stated the remaining warm-up; builds that don't know it take it for stated
 )
 
 // Flags of a heartbeat. The remaining high bits of their byte hold its age.
@@ -216,7 +217,8 @@
 	b = appendUint(b, rowWarmupLeft, uint64(r.WarmupLeft.Microseconds()))
 	b = appendUint(b, rowSequence, r.Sequence)
 	b = appendUint(b, rowStartTime, uint64(r.StartedUnixMS))
-	return appendBool(b, rowLapsed, r.Lapsed)
+	b = appendBool(b, rowLapsed, r.Lapsed)
+	return appendBool(b, rowAssumed, r.Assumed)
 }
 
 // appendMessage appends a length-delimited field, also if it is empty. appendString, appendBool and appendUint omit
@@ -483,6 +485,8 @@
 			r.Sequence = x.num
 		case rowLapsed:
 			r.Lapsed = x.num != 0
+		case rowAssumed:
+			r.Assumed = x.num != 0
 		case rowStartTime:
 			r.StartedUnixMS = int64(x.num)
 		}
--- a/proto/codec_test.go
+++ b/proto/codec_test.go
@@ -22,6 +22,7 @@
 			{Entry: fleet.Entry{ID: "i-1", Service: "workshop", Address: "10.0.1.1:80", Place: info.Place, Slots: 6, Ready: true,
 				WarmupLeft: 1500 * time.Millisecond, Sequence: 4, StartedUnixMS: 1764840000001}},
 			{Entry: fleet.Entry{ID: "i-2"}, Removed: true, Lapsed: true},
+			{Entry: fleet.Entry{ID: "i-6", WarmupLeft: time.Second, Assumed: true}},
 		}, OperatorVersion: 8, OperatorSince: 6, Full: true},
 		OperatorChange: &OperatorDelta{After: 2, Version: 8, Rows: []feed.Row{
 			{Key: "config", Value: []byte("{}"), Version: 8}, {Key: "evacuate/riga-a", Version: 7, Removed: true},
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -69,3 +69,29 @@
 		}
 	}
 }
+
+// Guards against a reader's delta that turns an assumption into the target's own statement: nobody asks the target then, and it counts as
+// warm when the warm-up ends, though it is still down.
+func TestDeltaKeepsAssumption(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := fleet.Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	assumed := fleet.ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second, Assumed: true}
+	reader, other := fleet.NewView(), fleet.NewView()
+	var g groupState
+	for _, v := range []*fleet.View{reader, other} {
+		v.Apply(now, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: entry}}})
+	}
+	g.nextDelta(now, reader, nil)
+	for _, v := range []*fleet.View{reader, other} {
+		v.RecordCold(now, assumed)
+	}
+	at := now.Add(500 * time.Millisecond)
+	rows := g.nextDelta(at, reader, nil)
+	other.Apply(at.Add(2*time.Millisecond), fleet.RegistryUpdate{Rows: rows})
+	if s := other.Snapshot(at); !s.Targets["s"][0].ColdAssumed || s.ColdAssumed != 1 {
+		t.Errorf("after rows %+v: assumed %v, %d to ask", rows, s.Targets["s"][0].ColdAssumed, s.ColdAssumed)
+	}
+	if !other.RecordCold(now.Add(1600*time.Millisecond), assumed) {
+		t.Error("the renewal of the assumption is refused")
+	}
+}
