fleet: an assumption goes beyond a warm-up that the target has stated

Cause: a report by assumption was refused while a stated warm-up ran. A cold target that ends is then taken for warm when the warm-up of its former process ends, though it is down or has just started again. Change: the assumption is taken if it ends later. A shorter one changes nothing. The case "assumed after that" of TestRecordCold demanded the former behaviour, and was wrong: it now demands the assumption. Two cases are new, for a shorter assumption and for the time after the stated end. Before: both fail (2 s stated for 3 s assumed; 0 s for 2.5 s). After: pass; edge passes.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -71,7 +71,7 @@
 // assumeCold takes a target for cold that has not said so, and reports whether that is news.
 func (r *record) assumeCold(now time.Time, left time.Duration) bool {
 	until := now.Add(left)
-	if until.Sub(r.coldUntil) <= coldUntilTolerance || !r.coldAssumed && now.Before(r.coldUntil) {
+	if until.Sub(r.coldUntil) <= coldUntilTolerance {
 		return false
 	}
 	r.coldUntil, r.coldAssumed, r.staleUntil = until, true, now.Add(maxHeartbeatAge)
