probe: failed connections are kept by target, and ended ones are asked after a delay

Cause: failures beyond a buffer of 64 were dropped, and with them what is known of their targets: when a failure domain ends, more targets fail at once, and each may fail only once. When all connections to a target are reset together, all VMs asked it at the same moment. Change: failures are kept by target until they are handled; of the same start, a refused connection counts before one that has ended. An ended connection makes the VM ask after a random delay of at most 200 ms, unless the target has left or what is known of its warm-up has changed since.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -54,6 +54,8 @@
 	StatePort int
 	// LookupSource makes the random choices of weighted lookups.
 	LookupSource rand.Source
+	// ProbeSource makes the random delays of health requests.
+	ProbeSource rand.Source
 }
 
 // Node is the daemon of one VM.
@@ -88,7 +90,8 @@
 		Self: cfg.Self, Peers: cfg.Peers, Directory: cfg.Directory, Log: cfg.Log, Clock: cfg.Clock, Stopping: n.stopping,
 		Era: n.state.Era,
 	}
-	n.probes = probe.New(cfg.Self.VM, probeSource{n.state, cfg.Forwarder}, cfg.Forwarder, cfg.Clock, n.state.ReportCold)
+	n.probes = probe.New(cfg.Self.VM, probeSource{n.state, cfg.Forwarder}, cfg.Forwarder, cfg.Clock, cfg.ProbeSource,
+		n.state.ReportCold)
 	cfg.Forwarder.OnConnectionFailure(n.probes.ConnectionFailed)
 	services := []kernel.Service{
 		cfg.Peers,
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -3,11 +3,13 @@
 // under the requests that a warm one takes. Its registry entry describes the process that wrote it.
 //
 // Health requests wait for a slot like others, so each target is asked by one VM: the first of the target's region by rendezvous
-// hashing, which tells all others what it learns. Only after a failed connection the VM that had it asks, once.
+// hashing, which tells all others what it learns. Only after a connection has ended the VM that had it asks,
+// once, unless another VM has told what it knows before.
 package probe
 
 import (
 	"maps"
+	"math/rand"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +36,9 @@
 	asked map[ident.Target]time.Time
 	// pending are the requests whose answers are awaited.
 	pending map[ident.Target]*pendingAnswer
+	// delayed are the requests that wait for their delay.
+	delayed map[ident.Target]delayedRequest
+	rnd     *rand.Rand
 }
 
 // pendingAnswer is a request to a target whose answer is awaited.
@@ -43,9 +48,10 @@
 	overdue bool
 }
 
-// NewPlanner returns a planner for a VM.
-func NewPlanner(self ident.VM) *Planner {
-	return &Planner{self: self, asked: map[ident.Target]time.Time{}, pending: map[ident.Target]*pendingAnswer{}}
+// NewPlanner returns a planner for a VM. Source makes the random delays.
+func NewPlanner(self ident.VM, source rand.Source) *Planner {
+	return &Planner{self: self, asked: map[ident.Target]time.Time{}, pending: map[ident.Target]*pendingAnswer{},
+		delayed: map[ident.Target]delayedRequest{}, rnd: rand.New(source)}
 }
 
 // untilStale returns the time until the registry is old enough that targets are asked, zero or less if it is. Confirmed is when the
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"slices"
 	"testing"
 	"time"
@@ -55,7 +56,7 @@
 	vms := group(4)
 	asked := map[ident.Target]int{}
 	for _, vm := range vms {
-		p := NewPlanner(vm.VM)
+		p := NewPlanner(vm.VM, rand.NewSource(1))
 		for _, id := range ids(p.Due(start, snapshot(20, probed), vms, true)) {
 			asked[id]++
 		}
@@ -101,7 +102,7 @@
 		{name: "no cold targets in the service", service: fleet.Service{HealthPath: "/health"}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			p, s := NewPlanner("vm0"), snapshot(4, tt.service)
+			p, s := NewPlanner("vm0", rand.NewSource(1)), snapshot(4, tt.service)
 			if got := ids(p.Due(start, s, vms, true)); !slices.Equal(got, tt.first) {
 				t.Errorf("asked %v, want %v", got, tt.first)
 			}
@@ -121,7 +122,7 @@
 // Guards against a target that is assumed to be cold and isn't asked, so that it gets the requests of a cold one for too long or, once
 // it has started again, those of a warm one; and against health requests to others while the registry is read.
 func TestAssumedColdTargetIsAsked(t *testing.T) {
-	p, s := NewPlanner("vm0"), snapshot(4, probed)
+	p, s := NewPlanner("vm0", rand.NewSource(1)), snapshot(4, probed)
 	s.Targets["s"][2].ColdUntil, s.Targets["s"][2].ColdAssumed, s.ColdAssumed = start.Add(time.Second), true, 1
 	for _, tt := range []struct {
 		after time.Duration
@@ -163,7 +164,7 @@
 // Guards against the requests of a warm target to one that has become cold while a health request waits for a slot there, in a region
 // that hears nothing else of it; and against a message in each check.
 func TestOverdueAnswer(t *testing.T) {
-	p, s := NewPlanner("vm0"), snapshot(1, probed)
+	p, s := NewPlanner("vm0", rand.NewSource(1)), snapshot(1, probed)
 	target := &s.Targets["s"][0]
 	p.Due(start, s, group(1), true)
 	want := fleet.ColdReport{ID: "t0", Left: overdueWarmup, Assumed: true}
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -39,15 +40,6 @@
 	AskWarmup(ctx context.Context, t fleet.Target) (time.Duration, error)
 }
 
-// failureBuffer is the capacity of the channel of failed connections. Those beyond it are dropped: other requests fail as well.
-const failureBuffer = 64
-
-// failure is a connection to a target that failed.
-type failure struct {
-	target  fleet.Target
-	refused bool
-}
-
 // Service asks targets and reports those that are cold.
 type Service struct {
 	// Report is called with what was found out about a target, from any goroutine.
@@ -57,15 +49,16 @@
 	Clock   func() time.Time
 	Planner *Planner
 
-	failures chan failure
-	mu       sync.Mutex
-	sent     atomic.Uint64
+	failures *failureSet
+	// mu guards Planner.
+	mu   sync.Mutex
+	sent atomic.Uint64
 }
 
-// New returns a service for a VM.
-func New(self ident.VM, source Source, asker Asker, clock func() time.Time, report func(context.Context, fleet.ColdReport)) *Service {
-	return &Service{Report: report, Source: source, Asker: asker, Clock: clock, Planner: NewPlanner(self),
-		failures: make(chan failure, failureBuffer)}
+// New returns a service for a VM. Delays makes the random delays of requests after a connection has ended.
+func New(self ident.VM, source Source, asker Asker, clock func() time.Time, delays rand.Source,
+	report func(context.Context, fleet.ColdReport)) *Service {
+	return &Service{Report: report, Source: source, Asker: asker, Clock: clock, Planner: NewPlanner(self, delays), failures: newFailureSet()}
 }
 
 // Name implements kernel.Service.
@@ -79,12 +72,7 @@
 
 // ConnectionFailed records that a connection to a target failed. Refused is set if no process listens at its address: the target
 // has ended, and is assumed to be cold until it says otherwise. After another failure it is asked. It doesn't block.
-func (s *Service) ConnectionFailed(t fleet.Target, refused bool) {
-	select {
-	case s.failures <- failure{t, refused}:
-	default:
-	}
-}
+func (s *Service) ConnectionFailed(t fleet.Target, refused bool) { s.failures.add(failure{t, refused}) }
 
 // Run implements kernel.Service.
 func (s *Service) Run(ctx context.Context) error {
@@ -92,6 +80,8 @@
 	// A timer that failures don't restart: they can arrive at shorter intervals than the checks for as long as a target is down.
 	timer := time.NewTimer(s.untilCheck(s.Clock()))
 	defer timer.Stop()
+	delay := time.NewTimer(maxAskDelay)
+	defer delay.Stop()
 	for {
 		select {
 		case <-timer.C:
@@ -103,12 +93,18 @@
 				s.start(ctx, g, t)
 			}
 			timer.Reset(s.untilCheck(s.Clock()))
-		case f := <-s.failures:
-			if f.refused {
-				s.assumeCold(ctx, s.Clock(), &f.target)
-			} else if s.mayAsk(s.Clock(), f.target.ID) {
-				s.start(ctx, g, f.target)
+		case <-s.failures.wake:
+			now := s.Clock()
+			for _, f := range s.failures.take() {
+				s.handleFailure(ctx, now, &f)
 			}
+			s.resetDelay(now, delay)
+		case <-delay.C:
+			now := s.Clock()
+			for _, t := range s.dueAfterDelay(now) {
+				s.start(ctx, g, t)
+			}
+			s.resetDelay(now, delay)
 		case <-ctx.Done():
 			return g.Wait()
 		}
@@ -138,10 +134,31 @@
 	return due, overdue
 }
 
-func (s *Service) mayAsk(now time.Time, t ident.Target) bool {
+// handleFailure reports a target that has refused a connection, and plans a request to another one.
+func (s *Service) handleFailure(ctx context.Context, now time.Time, f *failure) {
+	if f.refused {
+		s.assumeCold(ctx, now, &f.target)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Planner.AskLater(now, s.Source.Snapshot(), &f.target)
+}
+
+// resetDelay sets the timer to the first of the planned requests.
+func (s *Service) resetDelay(now time.Time, timer *time.Timer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d, ok := s.Planner.UntilDelayed(now); ok {
+		timer.Reset(d)
+	}
+}
+
+// dueAfterDelay returns the targets to ask now whose connections have ended.
+func (s *Service) dueAfterDelay(now time.Time) []fleet.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.Planner.Ask(now, t)
+	return s.Planner.DueAfterDelay(now, s.Source.Snapshot())
 }
 
 func (s *Service) start(ctx context.Context, g *errgroup.Group, t fleet.Target) {
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand"
 	"sync"
 	"syscall"
 	"testing"
@@ -46,7 +47,7 @@
 func TestColdTargetIsReported(t *testing.T) {
 	asker := &coldAsker{asked: map[ident.Target]int{}}
 	reports := make(chan fleet.ColdReport, 16)
-	s := New("vm0", &fixedSource{snapshot: snapshot(4, probed), confirmed: time.Now().Add(-time.Minute)}, asker, time.Now,
+	s := New("vm0", &fixedSource{snapshot: snapshot(4, probed), confirmed: time.Now().Add(-time.Minute)}, asker, time.Now, rand.NewSource(1),
 		func(_ context.Context, c fleet.ColdReport) { reports <- c })
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -97,7 +98,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			reports := make(chan fleet.ColdReport, 16)
-			s := New("vm0", &fixedSource{snapshot: snapshot(1, svc), confirmed: time.Now().Add(time.Hour)}, tt.asker, time.Now,
+			s := New("vm0", &fixedSource{snapshot: snapshot(1, svc), confirmed: time.Now().Add(time.Hour)}, tt.asker, time.Now, rand.NewSource(1),
 				func(_ context.Context, c fleet.ColdReport) { reports <- c })
 			target := s.Source.Snapshot().Targets["s"][0]
 			if tt.refused {
@@ -124,7 +125,8 @@
 				snap.Targets["s"][2].ColdUntil, snap.Targets["s"][2].ColdAssumed, snap.ColdAssumed = time.Now().Add(time.Hour), true, 1
 			}
 			asker := &coldAsker{asked: map[ident.Target]int{}}
-			s := New("vm0", &fixedSource{snapshot: snap, confirmed: confirmed}, asker, time.Now, func(context.Context, fleet.ColdReport) {})
+			s := New("vm0", &fixedSource{snapshot: snap, confirmed: confirmed}, asker, time.Now, rand.NewSource(1),
+				func(context.Context, fleet.ColdReport) {})
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan error, 1)
 			go func() { ended <- s.Run(ctx) }()
