pick: a refused connection limits nothing where the service has no warm-up rate

Cause: a refused connection marks the target as cold for a whole warm-up. Change: without a rate the target isn't marked. It is suspended as after any failure. Before: TestRefusedConnectionWithoutWarmupRate, rate 0: cold-only 2 s after the failure. After: chosen; pick and carry pass.

--- a/pick/cold_pacer.go
+++ b/pick/cold_pacer.go
@@ -45,8 +45,12 @@
 }
 
 // assumeCold takes a target whose process has ended for cold. Until its registry entry is that of a new process, the entry doesn't
-// say so. The next snapshot has what all VMs know of it.
+// say so. The next snapshot has what all VMs know of it. Without a warm-up rate nothing is known that a cold target endures, and
+// maySendCold would allow no request at all.
 func (p *Picker) assumeCold(now time.Time, t *target) {
+	if p.services[t.Service].WarmupRate <= 0 {
+		return
+	}
 	if until := now.Add(p.services[t.Service].Warmup); until.After(t.ColdUntil) {
 		t.ColdUntil = until
 	}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -377,3 +377,23 @@
 		}
 	}
 }
+
+// Guards against a target that gets no requests for a whole warm-up, of a service that states no rate for cold targets: its refused
+// connection limits nothing beyond the suspension.
+func TestRefusedConnectionWithoutWarmupRate(t *testing.T) {
+	for rate, want := range map[float64]bool{0: false, 11: true} {
+		s := snapshot(1, rate)
+		s.Targets["s"] = s.Targets["s"][:1]
+		p := New("vm0", here)
+		p.SetTargets(start, s)
+		a := request(start, "k")
+		c, _ := p.Choose(start, a)
+		p.RecordStart(start, a, c)
+		p.RecordEnd(start, a, c, Outcome{Result: Unreachable, Refused: true})
+		later := at(2 * time.Second)
+		c, reason := p.Choose(later, request(later, "k"))
+		if cold := later.Before(c.Target.ColdUntil); reason != Chosen || cold != want {
+			t.Errorf("rate %v: %v, cold %v, want it chosen, cold %v", rate, reason, cold, want)
+		}
+	}
+}
