probe: an assumption follows what is known of the target now

Cause: whether a refused connection makes a target cold was decided by the target as it was when the request was sent. The picker marks that copy itself, and the target may have answered, left or started again since: the report was then left out, or sent for nothing. Before: the four new cases of TestAssumption fail. After: pass; probe, carry and edge pass.

--- a/probe/plan.go
+++ b/probe/plan.go
@@ -96,10 +96,12 @@
 	maps.DeleteFunc(p.asked, func(_ ident.Target, at time.Time) bool { return now.Sub(at) >= interval })
 }
 
-// assumption returns the report that a target, whose process has ended, is cold. It reports false where that limits nothing, or if the
-// target is taken for cold for long enough.
-func assumption(now time.Time, s *fleet.Snapshot, t *fleet.Target) (fleet.ColdReport, bool) {
-	if s.Config == nil {
+// assumption returns the report that a target, whose process has ended, is cold. It reports false where that limits nothing, if the
+// target is taken for cold for long enough, or if it has left or started again. Chosen is the target as it was when the request was
+// sent: what is known of its warm-up may have changed since.
+func assumption(now time.Time, s *fleet.Snapshot, chosen *fleet.Target) (fleet.ColdReport, bool) {
+	t := find(s, chosen)
+	if s.Config == nil || t == nil {
 		return fleet.ColdReport{}, false
 	}
 	svc := s.Config.Services[t.Service]
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -138,7 +138,8 @@
 // Guards against an assumption about targets that have no warm-up, and against a message for each refused connection.
 func TestAssumption(t *testing.T) {
 	warm := fleet.Target{Entry: fleet.Entry{ID: "t0", Service: "s", StartedUnixMS: 7}}
-	soonWarm, cold := warm, warm
+	soonWarm, cold, restarted, other := warm, warm, warm, warm
+	restarted.StartedUnixMS, other.ID = 8, "t1"
 	soonWarm.ColdUntil, cold.ColdUntil = start.Add(time.Second), start.Add(2*time.Second)
 	want := fleet.ColdReport{ID: "t0", StartedUnixMS: 7, Left: 3 * time.Second, Assumed: true}
 	svc := fleet.Service{WarmupRate: 11, Warmup: 3 * time.Second}
@@ -146,15 +147,23 @@
 		name   string
 		svc    fleet.Service
 		target fleet.Target
+		// chosen is the target as it was when the request was sent.
+		chosen fleet.Target
 		ok     bool
 	}{
-		{"warm", svc, warm, true},
-		{"soon warm", svc, soonWarm, true},
-		{"cold for long", svc, cold, false},
-		{"no warm-up", fleet.Service{WarmupRate: 11}, warm, false},
-		{"no limit while cold", fleet.Service{Warmup: 3 * time.Second}, warm, false},
+		{"warm", svc, warm, warm, true},
+		{"soon warm", svc, soonWarm, soonWarm, true},
+		{"cold for long", svc, cold, cold, false},
+		{"cold for long since it was chosen", svc, cold, warm, false},
+		{"warm since it was chosen", svc, warm, cold, true},
+		{"started again since it was chosen", svc, restarted, warm, false},
+		{"left since it was chosen", svc, other, warm, false},
+		{"no warm-up", fleet.Service{WarmupRate: 11}, warm, warm, false},
+		{"no limit while cold", fleet.Service{Warmup: 3 * time.Second}, warm, warm, false},
 	} {
-		got, ok := assumption(start, snapshot(1, tt.svc), &tt.target)
+		s := snapshot(1, tt.svc)
+		s.Targets["s"][0] = tt.target
+		got, ok := assumption(start, s, &tt.chosen)
 		if ok != tt.ok || ok && got != want {
 			t.Errorf("%s: %+v, %v", tt.name, got, ok)
 		}
