probe: a target that stated its warm-up and ends is reported at once

Cause: a refused connection was reported only if less than half of the warm-up was left, also if the target had stated it. If no further connection was refused in the other half, the target was taken for warm when the warm-up of its former process ended. Change: the condition holds for assumptions only, which it keeps from being renewed with each failure.

--- a/probe/plan.go
+++ b/probe/plan.go
@@ -97,7 +97,7 @@
 }
 
 // assumption returns the report that a target, whose process has ended, is cold. It reports false where that limits nothing, if the
-// target is taken for cold for long enough, or if it has left or started again. Chosen is the target as it was when the request was
+// target is assumed to be cold for long enough, or if it has left or started again. Chosen is the target as it was when the request was
 // sent: what is known of its warm-up may have changed since.
 func assumption(now time.Time, s *fleet.Snapshot, chosen *fleet.Target) (fleet.ColdReport, bool) {
 	t := find(s, chosen)
@@ -105,7 +105,7 @@
 		return fleet.ColdReport{}, false
 	}
 	svc := s.Config.Services[t.Service]
-	if svc.Warmup <= 0 || svc.WarmupRate <= 0 || t.ColdUntil.Sub(now) > svc.Warmup/2 {
+	if svc.Warmup <= 0 || svc.WarmupRate <= 0 || t.ColdAssumed && t.ColdUntil.Sub(now) > svc.Warmup/2 {
 		return fleet.ColdReport{}, false
 	}
 	return fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: svc.Warmup, Assumed: true}, true
