fleet: an entry that is read again ends no assumption

Cause: 2.5 s after an assumption any entry of the same process ended it, also the one that was known before. A full reading has the last entry of a target that is down, so that the target was taken for warm. Change: an entry with the sequence that is known leaves an assumption as it is. Before: TestRecordCold, "same entry again": cold for 0 s, 500 ms wanted. After: passes; state and edge pass.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -48,7 +48,9 @@
 		return r.assumeCold(now, e.WarmupLeft)
 	}
 	until := coldUntil(now, e)
-	if !restarted && now.Before(r.staleUntil) && until.Before(r.coldUntil) {
+	// An entry that was read before the assumption says nothing new when it is read again.
+	known := now.Before(r.staleUntil) || r.coldAssumed && e.Sequence == r.Sequence
+	if !restarted && known && until.Before(r.coldUntil) {
 		return false
 	}
 	changed := r.coldAssumed
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -38,6 +38,7 @@
 		{"warm, but stated otherwise", []ColdReport{stated, warm}, 0, nil, 2 * time.Second, false},
 		{"heartbeat from before", []ColdReport{assumed}, time.Second, &next, 2 * time.Second, true},
 		{"heartbeat from after", []ColdReport{assumed}, maxHeartbeatAge, &next, 0, false},
+		{"same entry again", []ColdReport{assumed}, maxHeartbeatAge, &entry, 500 * time.Millisecond, true},
 		{"new process", []ColdReport{assumed}, time.Second, &restarted, time.Second, false},
 	} {
 		v := NewView()
