fleet, state: refused connections of one VM make a live target cold for that VM alone

Cause: a box on the path of one VM that refuses its connections looks like the end of the target. Each refusal renewed the assumption for all VMs, and each renewal also moved the time from which on a heartbeat counts, so that no heartbeat ever ended it. Change: a renewal doesn't move that time. Reports of other VMs count, and so do those of late answers (ColdReport.Refused is false). After: passes; state, probe, carry, edge and platform pass.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -16,6 +16,43 @@
 	Left time.Duration
 	// Assumed is set if the target has not said so itself: it can't be reached, and may start again at any moment.
 	Assumed bool
+	// Refused is set if it is assumed since a connection of this VM was refused. It isn't sent to other VMs.
+	Refused bool
+}
+
+const (
+	// pathFaultPeriod is the time without refused connections after which one counts again as the end of the target's process.
+	pathFaultPeriod = time.Minute
+	// localColdPeriod is for how long one refused connection makes a target cold for this VM alone. The next one renews it; it is
+	// short, so that the target is used soon after connections are accepted again.
+	localColdPeriod = 3 * time.Second
+)
+
+// RecordOwnCold applies a report of this VM. It returns whether it is news for all VMs, and whether the snapshot changes. After the
+// target has disproved an assumption of this VM by an answer or a heartbeat, connections are probably refused on the path from here:
+// the target is cold for this VM alone. Otherwise one VM could keep a live target cold for all.
+func (v *View) RecordOwnCold(now time.Time, c ColdReport) (news, changed bool) {
+	r := v.records[c.ID]
+	if r != nil && r.StartedUnixMS == c.StartedUnixMS && c.Refused && now.Before(r.pathFaultUntil) {
+		until := now.Add(min(c.Left, localColdPeriod))
+		r.pathFaultUntil = now.Add(pathFaultPeriod)
+		changed = until.Sub(r.coldUntilHere()) > coldUntilTolerance
+		r.localUntil = until
+		return false, changed
+	}
+	news = v.RecordCold(now, c)
+	if news && c.Refused {
+		r.assumedHere = true
+	}
+	return news, news
+}
+
+// coldUntilHere returns until when the target is cold for this VM.
+func (r *record) coldUntilHere() time.Time {
+	if r.localUntil.After(r.coldUntil) {
+		return r.localUntil
+	}
+	return r.coldUntil
 }
 
 // RecordCold applies a report and returns whether it is news. Heartbeats from before don't make the target warm again.
@@ -34,13 +71,17 @@
 	if until.Sub(r.coldUntil) <= coldUntilTolerance && !r.coldAssumed {
 		return false
 	}
-	r.coldUntil, r.coldAssumed, r.staleUntil = until, false, now.Add(maxHeartbeatAge)
+	r.dropAssumption(now)
+	r.coldUntil, r.staleUntil = until, now.Add(maxHeartbeatAge)
 	return true
 }
 
 // applyWarmup applies the warm-up in an entry, of a new process if restarted, and reports whether it is a change. That of an entry from
 // another VM can be an assumption, which is no statement of the target.
 func (r *record) applyWarmup(now time.Time, e *Entry, restarted bool) bool {
+	if restarted {
+		r.assumedHere, r.pathFaultUntil, r.localUntil = false, time.Time{}, time.Time{}
+	}
 	if restarted && e.Assumed {
 		r.coldUntil, r.coldAssumed = time.Time{}, false
 	}
@@ -54,7 +95,7 @@
 		return false
 	}
 	changed := r.coldAssumed
-	r.coldAssumed = false
+	r.dropAssumption(now)
 	if change := until.Sub(r.coldUntil); change > coldUntilTolerance || change < -coldUntilTolerance {
 		r.coldUntil = until
 		changed = true
@@ -76,7 +117,11 @@
 	if until.Sub(r.coldUntil) <= coldUntilTolerance {
 		return false
 	}
-	r.coldUntil, r.coldAssumed, r.staleUntil = until, true, now.Add(maxHeartbeatAge)
+	// A renewal doesn't move staleUntil: a heartbeat that is newer than the first report shows that the process lives.
+	if !r.coldAssumed || !now.Before(r.coldUntil) {
+		r.staleUntil = now.Add(maxHeartbeatAge)
+	}
+	r.coldUntil, r.coldAssumed = until, true
 	return true
 }
 
@@ -85,6 +130,15 @@
 	if !r.coldAssumed || !now.Before(r.coldUntil) {
 		return false
 	}
-	r.coldUntil, r.coldAssumed = time.Time{}, false
+	r.dropAssumption(now)
+	r.coldUntil = time.Time{}
 	return true
 }
+
+// dropAssumption records that the target's process has shown itself alive.
+func (r *record) dropAssumption(now time.Time) {
+	if r.assumedHere {
+		r.pathFaultUntil = now.Add(pathFaultPeriod)
+	}
+	r.coldAssumed, r.assumedHere = false, false
+}
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -81,3 +81,78 @@
 		}
 	}
 }
+
+// Guards against one VM that keeps a live target cold for all, since a box on its path refuses its connections. The target writes a
+// heartbeat each second; this VM is refused every 0.7 s, and the other learns only what this one reports to all.
+func TestRefusalsOfOneVMAreItsOwn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	entry := Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	refused := ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second, Assumed: true, Refused: true}
+	here, other := NewView(), NewView()
+	cold := func(v *View, now time.Time) bool { return now.Before(v.Snapshot(now).Targets["s"][0].ColdUntil) }
+	coldHere, coldThere := 0, 0
+	for ms := 0; ms < 60000; ms += 100 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if ms%1000 == 0 {
+			entry.Sequence++
+			for _, v := range []*View{here, other} {
+				v.Apply(now, RegistryUpdate{Rows: []Row{{Entry: entry}}})
+			}
+		}
+		if ms%700 == 100 {
+			if news, _ := here.RecordOwnCold(now, refused); news {
+				other.RecordCold(now, refused)
+			}
+		}
+		if cold(here, now) {
+			coldHere++
+		}
+		if cold(other, now) {
+			coldThere++
+		}
+	}
+	if coldThere > 40 || coldHere < 550 {
+		t.Errorf("of 600 steps, cold in %d for the other VM and %d for this one; want 40 at most and 550 or more", coldThere, coldHere)
+	}
+	now := start.Add(time.Minute)
+	if e := here.Registered(now)["t"]; e.WarmupLeft != 0 || e.Assumed {
+		t.Errorf("others are told that the target is cold: %+v", e)
+	}
+	if !here.RecordCold(now, refused) || !here.Snapshot(now).Targets["s"][0].ColdAssumed {
+		t.Error("the report of another VM doesn't count")
+	}
+	entry.Sequence, entry.StartedUnixMS, refused.StartedUnixMS = 1, 905, 905
+	here.Apply(now, RegistryUpdate{Rows: []Row{{Entry: entry}}})
+	if cold(here, now) {
+		t.Error("a new process is taken for cold")
+	}
+	if news, _ := here.RecordOwnCold(now, refused); !news {
+		t.Error("the end of a new process isn't reported")
+	}
+}
+
+// Guards against a target whose end this VM no longer reports, long after its connections were refused by something else; and against
+// answers that are late by load, which are disproved each time, that aren't reported again.
+func TestPathFaultEnds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	entry := Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	for _, tt := range []struct {
+		name    string
+		refused bool
+		after   time.Duration
+		news    bool
+	}{
+		{"refused", true, time.Second, false},
+		{"refused, long after", true, pathFaultPeriod + time.Second, true},
+		{"answer late", false, time.Second, true},
+	} {
+		c := ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second, Assumed: true, Refused: tt.refused}
+		v := NewView()
+		v.Apply(start, RegistryUpdate{Full: true, Rows: []Row{{Entry: entry}}})
+		v.RecordOwnCold(start, c)
+		v.RecordOwnCold(start, ColdReport{ID: "t", StartedUnixMS: 900})
+		if news, changed := v.RecordOwnCold(start.Add(tt.after), c); news != tt.news || !changed {
+			t.Errorf("%s: news for all %v, a change here %v; want %v and true", tt.name, news, changed, tt.news)
+		}
+	}
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -66,6 +66,11 @@
 	coldUntil time.Time
 	// coldAssumed is set while the target is taken for cold without having said so.
 	coldAssumed bool
+	// assumedHere is set if a refused connection of this VM is the reason, or one of the reasons.
+	assumedHere bool
+	// pathFaultUntil is the time until which a refused connection of this VM says nothing about the target, and localUntil the time
+	// until which the target is cold for this VM alone.
+	pathFaultUntil, localUntil time.Time
 	// staleUntil is the time until which a heartbeat may be older than what coldUntil is known from, and so can't shorten the
 	// warm-up of the same process.
 	staleUntil time.Time
@@ -452,8 +457,9 @@
 	}
 	for _, r := range v.records {
 		if r.usable(now) && !v.evacuated[r.Place.Domain] {
-			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil, ColdAssumed: r.coldAssumed, Restarts: r.restarts})
-			if r.coldAssumed && now.Before(r.coldUntil) {
+			assumed := r.coldAssumed && now.Before(r.coldUntil)
+			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntilHere(), ColdAssumed: assumed, Restarts: r.restarts})
+			if assumed {
 				s.ColdAssumed++
 			}
 		}
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -108,7 +108,7 @@
 	if svc.Warmup <= 0 || svc.WarmupRate <= 0 || t.ColdAssumed && t.ColdUntil.Sub(now) > svc.Warmup/2 {
 		return fleet.ColdReport{}, false
 	}
-	return fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: svc.Warmup, Assumed: true}, true
+	return fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: svc.Warmup, Assumed: true, Refused: true}, true
 }
 
 // overdueAfter is the time without an answer after which a target may have become cold for longer than its rate allows, counted from
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -143,7 +143,7 @@
 	soonWarm.ColdUntil, cold.ColdUntil = start.Add(time.Second), start.Add(2*time.Second)
 	assumed := cold
 	assumed.ColdAssumed = true
-	want := fleet.ColdReport{ID: "t0", StartedUnixMS: 7, Left: 3 * time.Second, Assumed: true}
+	want := fleet.ColdReport{ID: "t0", StartedUnixMS: 7, Left: 3 * time.Second, Assumed: true, Refused: true}
 	svc := fleet.Service{WarmupRate: 11, Warmup: 3 * time.Second}
 	for _, tt := range []struct {
 		name   string
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -83,7 +83,7 @@
 	svc := probed
 	svc.Warmup = 3 * time.Second
 	refused := errors.Wrap(syscall.ECONNREFUSED, "connect")
-	assumed := fleet.ColdReport{ID: "t0", Left: 3 * time.Second, Assumed: true}
+	assumed := fleet.ColdReport{ID: "t0", Left: 3 * time.Second, Assumed: true, Refused: true}
 	for _, tt := range []struct {
 		name    string
 		refused bool
--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -153,7 +153,7 @@
 		changed = s.applyRegistryDelta(now, m.Registry) || changed
 	}
 	for _, c := range m.Cold {
-		changed = s.applyCold(now, c, string(m.From.VM)) || changed
+		changed = s.applyCold(now, c, m.From.VM) || changed
 	}
 	return changed
 }
--- a/state/cold.go
+++ b/state/cold.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
 	"github.com/currantpier/currantpier/trace"
@@ -42,17 +43,22 @@
 }
 
 // applyOwnColdReports applies a report of this VM and those that wait behind it, and sends what is news to all other VMs.
-func (s *State) applyOwnColdReports(now time.Time, first fleet.ColdReport) bool {
+func (s *State) applyOwnColdReports(now time.Time, first fleet.ColdReport) (changed bool) {
 	var news []fleet.ColdReport
 	for c, more := first, true; more; c, more = s.nextColdReport() {
-		if s.applyCold(now, c, "target") {
+		forAll, here := s.view.RecordOwnCold(now, c)
+		if forAll {
 			news = append(news, c)
 		}
+		if here {
+			s.logCold(now, c, "target", forAll)
+			changed = true
+		}
 	}
 	for batch := range slices.Chunk(news, maxReportsPerMessage) {
 		s.cfg.Peers.BroadcastCold(batch)
 	}
-	return len(news) > 0
+	return changed
 }
 
 // nextColdReport returns the next report that waits, if any.
@@ -65,11 +71,17 @@
 	}
 }
 
-// applyCold applies a report and reports whether it is news.
-func (s *State) applyCold(now time.Time, c fleet.ColdReport, from string) bool {
+// applyCold applies the report of another VM and reports whether it is news.
+func (s *State) applyCold(now time.Time, c fleet.ColdReport, from ident.VM) bool {
 	if !s.view.RecordCold(now, c) {
 		return false
 	}
-	s.cfg.Log.Add(now, trace.Cold, "target", c.ID, "left", c.Left, "assumed", c.Assumed, "from", from, "registry-age", now.Sub(s.RegistryConfirmed()))
+	s.logCold(now, c, string(from), true)
 	return true
 }
+
+// logCold logs a report. ForAll is false if it holds for this VM alone.
+func (s *State) logCold(now time.Time, c fleet.ColdReport, from string, forAll bool) {
+	s.cfg.Log.Add(now, trace.Cold, "target", c.ID, "left", c.Left, "assumed", c.Assumed, "for-all", forAll, "from", from,
+		"registry-age", now.Sub(s.RegistryConfirmed()))
+}
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -95,3 +95,24 @@
 		t.Error("the renewal of the assumption is refused")
 	}
 }
+
+// Guards against a message for each connection that is refused on the path to a live target, and against a VM that takes such a target for
+// warm, although it would be the first to meet it after a restart.
+func TestRefusedOnPath(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, sent := newTestState(now)
+	entry := fleet.Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	s.view.Apply(now, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: entry}}})
+	refused := fleet.ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second, Assumed: true, Refused: true}
+	for i, tt := range []struct {
+		report   fleet.ColdReport
+		messages int
+		cold     bool
+	}{{refused, 1, true}, {fleet.ColdReport{ID: "t", StartedUnixMS: 900}, 2, false}, {refused, 2, true}, {refused, 2, true}} {
+		now = now.Add(time.Second)
+		changed := s.applyOwnColdReports(now, tt.report)
+		if cold := now.Before(s.view.Snapshot(now).Targets["s"][0].ColdUntil); !changed || len(sent.messages) != tt.messages || cold != tt.cold {
+			t.Errorf("report %d: changed %v, %d messages, cold %v; want %d messages, cold %v", i, changed, len(sent.messages), cold, tt.messages, tt.cold)
+		}
+	}
+}
