state, peers: reports of cold targets are collected for 10 ms and fill their messages

Cause: each report was applied and sent as it came, unless others waited behind it. A message took up to 20 reports, whatever their length. Change: reports of this VM wait 10 ms for others, are applied together and published once. A message takes as many as fit into 1,200 bytes.

--- a/peers/view.go
+++ b/peers/view.go
@@ -60,6 +60,9 @@
 	// addresses in one message.
 	advertiseFor  = 2 * time.Second
 	maxAdvertised = 10
+	// maxColdBytes bounds a message with reports about the warm-up of targets, so that its datagram isn't fragmented: with the
+	// headers of IP and UDP it stays below 1,280 bytes, which each IPv6 link carries.
+	maxColdBytes = 1200
 	// behindGrace is how long a VM waits for a peer to send a change, counted from the first message with a newer
 	// version.
 	behindGrace = 400 * time.Millisecond
@@ -393,13 +396,21 @@
 	return packets
 }
 
-// ColdMessages returns messages that tell every member what this VM has found out about the warm-up of targets.
+// ColdMessages returns messages that tell every member what this VM has found out about the warm-up of targets. Each message takes as
+// many reports as fit into maxColdBytes.
 func (v *View) ColdMessages(reports []fleet.ColdReport) []Packet {
-	msg := v.newMessage()
-	msg.Cold = reports
 	var packets []Packet
-	for _, m := range v.sorted {
-		packets = append(packets, Packet{To: m.PeerAddress, Message: &msg})
+	for len(reports) > 0 {
+		msg := v.newMessage()
+		n, size := 0, len(msg.Append(nil))
+		for n < len(reports) && (n == 0 || size+proto.ColdReportBytes(&reports[n]) <= maxColdBytes) {
+			size += proto.ColdReportBytes(&reports[n])
+			n++
+		}
+		msg.Cold, reports = reports[:n], reports[n:]
+		for _, m := range v.sorted {
+			packets = append(packets, Packet{To: m.PeerAddress, Message: &msg})
+		}
 	}
 	return packets
 }
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -198,6 +198,11 @@
 	return appendBool(b, operatorWhole, c.Full)
 }
 
+// ColdReportBytes returns the number of bytes that a report adds to a message.
+func ColdReportBytes(c *fleet.ColdReport) int {
+	return protowire.SizeTag(fieldCold) + protowire.SizeBytes(len(appendColdReport(nil, c)))
+}
+
 func appendColdReport(b []byte, c *fleet.ColdReport) []byte {
 	b = appendString(b, coldID, string(c.ID))
 	b = appendUint(b, coldStartTime, uint64(c.StartedUnixMS))
--- a/state/cold.go
+++ b/state/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/currantpier/currantpier/fleet"
@@ -15,8 +14,9 @@
 // coldReportBuffer is the capacity of the channel of reports. Many targets can fail at the same moment.
 const coldReportBuffer = 256
 
-// maxReportsPerMessage bounds the reports in one message to other VMs, so that it fits into a datagram of 1,200 bytes.
-const maxReportsPerMessage = 20
+// coldCollectPeriod is how long reports of this VM are collected before they are applied and sent. When a failure domain ends, the reports of
+// all its targets come within moments; each application copies the whole registry into a snapshot.
+const coldCollectPeriod = 10 * time.Millisecond
 
 // ReportCold records what this VM has found out about the warm-up of a target, and tells the other VMs.
 func (s *State) ReportCold(ctx context.Context, c fleet.ColdReport) {
@@ -42,10 +42,20 @@
 	return isolated
 }
 
-// applyOwnColdReports applies a report of this VM and those that wait behind it, and sends what is news to all other VMs.
-func (s *State) applyOwnColdReports(now time.Time, first fleet.ColdReport) (changed bool) {
+// collectCold keeps a report of this VM until the timer, which the first one starts, ends.
+func (s *State) collectCold(c fleet.ColdReport, timer *time.Timer) {
+	if len(s.collectedCold) == 0 {
+		timer.Reset(coldCollectPeriod)
+	}
+	s.collectedCold = append(s.collectedCold, c)
+}
+
+// applyOwnColdReports applies the reports of this VM that were collected, and sends what is news to all other VMs.
+func (s *State) applyOwnColdReports(now time.Time) (changed bool) {
 	var news []fleet.ColdReport
-	for c, more := first, true; more; c, more = s.nextColdReport() {
+	reports := s.collectedCold
+	s.collectedCold = nil
+	for _, c := range reports {
 		forAll, here := s.view.RecordOwnCold(now, c)
 		if forAll {
 			news = append(news, c)
@@ -55,22 +65,10 @@
 			changed = true
 		}
 	}
-	for batch := range slices.Chunk(news, maxReportsPerMessage) {
-		s.cfg.Peers.BroadcastCold(batch)
-	}
+	s.cfg.Peers.BroadcastCold(news)
 	return changed
 }
 
-// nextColdReport returns the next report that waits, if any.
-func (s *State) nextColdReport() (fleet.ColdReport, bool) {
-	select {
-	case c := <-s.coldReports:
-		return c, true
-	default:
-		return fleet.ColdReport{}, false
-	}
-}
-
 // applyCold applies the report of another VM and reports whether it is news.
 func (s *State) applyCold(now time.Time, c fleet.ColdReport, from ident.VM) bool {
 	if !s.view.RecordCold(now, c) {
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -1,11 +1,16 @@
 package state
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
+	"github.com/currantpier/currantpier/ident"
 )
 
 // A target becomes cold while the registry can't be read. Guards against requests at the rate of a warm target: by the VM that
@@ -18,14 +23,16 @@
 	coldUntil := func() time.Time { return s.view.Snapshot(now).Targets["s"][0].ColdUntil }
 
 	report := fleet.ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second}
-	if !s.applyOwnColdReports(now, report) || !coldUntil().Equal(now.Add(3*time.Second)) {
+	s.collectedCold = []fleet.ColdReport{report}
+	if !s.applyOwnColdReports(now) || !coldUntil().Equal(now.Add(3*time.Second)) {
 		t.Fatalf("cold until %v, want %v", coldUntil(), now.Add(3*time.Second))
 	}
 	messages := sent.messages
 	if len(messages) != 1 || len(messages[0].Cold) != 1 || messages[0].Cold[0] != report {
 		t.Fatalf("the other VMs got %+v, want the report once", messages)
 	}
-	if s.applyOwnColdReports(now, report) || len(sent.messages) != 1 {
+	s.collectedCold = []fleet.ColdReport{report}
+	if s.applyOwnColdReports(now) || len(sent.messages) != 1 {
 		t.Error("a report that is no news was sent again")
 	}
 	s.view.Apply(now, fleet.RegistryUpdate{Rows: []fleet.Row{{Entry: entry}}})
@@ -110,9 +117,52 @@
 		cold     bool
 	}{{refused, 1, true}, {fleet.ColdReport{ID: "t", StartedUnixMS: 900}, 2, false}, {refused, 2, true}, {refused, 2, true}} {
 		now = now.Add(time.Second)
-		changed := s.applyOwnColdReports(now, tt.report)
+		s.collectedCold = []fleet.ColdReport{tt.report}
+		changed := s.applyOwnColdReports(now)
 		if cold := now.Before(s.view.Snapshot(now).Targets["s"][0].ColdUntil); !changed || len(sent.messages) != tt.messages || cold != tt.cold {
 			t.Errorf("report %d: changed %v, %d messages, cold %v; want %d messages, cold %v", i, changed, len(sent.messages), cold, tt.messages, tt.cold)
 		}
 	}
 }
+
+// Guards against a message and a snapshot for each of the targets that end together, and against messages too long for a datagram, whose
+// fragments links drop. The reports come one after another, as from health requests in progress.
+func TestColdReportsAreSentTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, sent := newTestState(time.Now())
+		s.cfg.Clock = time.Now
+		s.cfg.Forwarder = carry.New(carry.Config{VM: "vm", Log: s.cfg.Log, Clock: time.Now})
+		update := fleet.RegistryUpdate{Full: true}
+		for i := range 100 {
+			id := ident.Target(fmt.Sprintf("target-with-an-id-of-fifty-bytes-in-its-domain-%03d", i))
+			update.Rows = append(update.Rows, fleet.Row{Entry: fleet.Entry{ID: id, Service: "s", Ready: true, StartedUnixMS: 1764840000000}})
+		}
+		s.view.Apply(time.Now(), update)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Run(ctx) }()
+		began, snapshots := time.Now(), map[*fleet.Snapshot]bool{}
+		for i := range update.Rows {
+			e := &update.Rows[i].Entry
+			s.ReportCold(ctx, fleet.ColdReport{ID: e.ID, StartedUnixMS: e.StartedUnixMS, Left: 3 * time.Second, Assumed: true})
+			time.Sleep(coldCollectPeriod / 200)
+			synctest.Wait()
+			snapshots[s.cfg.Forwarder.Snapshot()] = true
+		}
+		time.Sleep(coldCollectPeriod)
+		cancel()
+		<-ended
+		snapshots[s.cfg.Forwarder.Snapshot()] = true
+		reports, bytes := 0, 0
+		for _, m := range sent.messages {
+			reports, bytes = reports+len(m.Cold), max(bytes, len(m.Append(nil)))
+		}
+		if reports != 100 || bytes > 1200 || len(sent.messages) > 7 || len(snapshots) != 2 {
+			t.Errorf("%d reports in %d messages of up to %d bytes, %d snapshots; want 100, 7 messages at most, 1200 bytes, 2 snapshots",
+				reports, len(sent.messages), bytes, len(snapshots))
+		}
+		if s.view.Snapshot(began).ColdAssumed != 100 {
+			t.Errorf("%d targets are cold by assumption, want 100", s.view.Snapshot(began).ColdAssumed)
+		}
+	})
+}
--- a/state/state.go
+++ b/state/state.go
@@ -98,6 +98,8 @@
 	stateRequests chan stateRequest
 	// coldReports receives what this VM has found out about the warm-up of targets.
 	coldReports chan fleet.ColdReport
+	// collectedCold are the reports that are applied together.
+	collectedCold []fleet.ColdReport
 	// registryConfirmed is when the registry was last read or received.
 	registryConfirmed atomic.Pointer[time.Time]
 
@@ -216,6 +218,8 @@
 func (s *State) Run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	collected := time.NewTimer(coldCollectPeriod)
+	defer collected.Stop()
 	lastSweep := s.cfg.Clock()
 	for {
 		select {
@@ -228,8 +232,10 @@
 			now := s.cfg.Clock()
 			s.applyInput(now, "state", func() bool { return s.applyPeerState(now, m) })
 		case c := <-s.coldReports:
+			s.collectCold(c, collected)
+		case <-collected.C:
 			now := s.cfg.Clock()
-			s.applyInput(now, "cold", func() bool { return s.applyOwnColdReports(now, c) })
+			s.applyInput(now, "cold", func() bool { return s.applyOwnColdReports(now) })
 		case req := <-s.stateRequests:
 			req.reply <- s.respond(s.cfg.Clock(), req)
 		case <-ticker.C:
