peers: a region that is cut off for long stays isolated

Cause: a region was isolated if the VMs of other regions that are in the list of members weren't heard. Change: whether there are other regions follows from the configured failure domains and their regions. VMs that announce their stop are heard.

--- a/peers/partition_test.go
+++ b/peers/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand"
 	"slices"
 	"testing"
 	"time"
@@ -290,5 +291,39 @@
 		if i, _ := isolatedIn("b"); i > 0 {
 			t.Errorf("of %d VMs, %d of a region with a path to another one find it isolated", n, i)
 		}
+		// By then the VMs of the other regions have been removed from the lists of members.
+		w.run(removeAfter + 10*time.Second)
+		if i, all := isolatedIn("a"); i != all {
+			t.Errorf("of %d VMs, %d of %d of the region find it isolated after %v", n, i, all, removeAfter+10*time.Second)
+		}
+		// The first VMs of a region read the store's list each minute.
+		w.cut = nil
+		w.views[address(0)].AddListed(w.now, []proto.VMInfo{w.views[address(1)].self})
+		w.run(10 * time.Second)
+		if i, _ := isolatedIn("a"); i > 0 {
+			t.Errorf("of %d VMs, %d find their region isolated after the end of the cut", n, i)
+		}
+	}
+}
+
+// Guards against a VM that finds its region isolated although it has only started, or although there is no other region; and against one
+// that started in an isolated region and has never heard of another one.
+func TestIsolatedAtStart(t *testing.T) {
+	here := ident.Place{Region: "a", Domain: "a1"}
+	for _, tt := range []struct {
+		name    string
+		domains map[ident.Domain]ident.Region
+		after   time.Duration
+		want    bool
+	}{
+		{"just started", map[ident.Domain]ident.Region{"a1": "a", "b1": "b"}, isolationPeriod - 1, false},
+		{"never heard", map[ident.Domain]ident.Region{"a1": "a", "b1": "b"}, isolationPeriod, true},
+		{"one region", map[ident.Domain]ident.Region{"a1": "a", "a2": "a"}, time.Minute, false},
+		{"unknown failure domains", nil, time.Minute, false},
+	} {
+		v := NewView(start, proto.VMInfo{VM: "vm0", Place: here}, nil, rand.NewSource(1), WithDomains(tt.domains))
+		if got := v.Isolated(start.Add(tt.after)); got != tt.want {
+			t.Errorf("%s: isolated %v, want %v", tt.name, got, tt.want)
+		}
 	}
 }
--- a/peers/sharing.go
+++ b/peers/sharing.go
@@ -36,19 +36,20 @@
 // deployments, most VMs get heartbeats from other regions only through others, up to maxHeartbeatAge later.
 const isolationPeriod = maxHeartbeatAge
 
-// Isolated reports whether this VM hears of no VM of any other region, although it knows some.
+// Isolated reports whether this VM hears of no VM of any other region, although there are some: by the failure domains of the deployment,
+// since members without heartbeats are removed, or by the members. A VM that has just started may not have heard of them yet.
 func (v *View) Isolated(now time.Time) bool {
-	known := false
+	expected := v.otherRegions && now.Sub(v.started) >= isolationPeriod
 	for _, m := range v.sorted {
-		if m.Place.Region == v.self.Place.Region || m.heartbeat.Stopping {
+		if m.Place.Region == v.self.Place.Region {
 			continue
 		}
-		known = true
 		if now.Sub(m.lastHeartbeat) < isolationPeriod {
 			return false
 		}
+		expected = expected || !m.heartbeat.Stopping
 	}
-	return known
+	return expected
 }
 
 // HasQuorum reports whether this VM has received heartbeats from most of the deployment's failure domains, its own included,
--- a/peers/view.go
+++ b/peers/view.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"math/rand"
 	"slices"
@@ -118,6 +119,8 @@
 	lastMembersRequest time.Time
 	// domains are the deployment's failure domains, sorted; none if they are unknown.
 	domains []ident.Domain
+	// otherRegions is set if some of the failure domains are in other regions.
+	otherRegions bool
 	// seeds are the addresses that receive requests for all members while no other VM is known.
 	seeds []string
 	// operatorVersion is the newest version of the operators' table that this VM has read, peerOperatorVersion the
@@ -135,9 +138,15 @@
 // Option changes a setting of a View.
 type Option func(*View)
 
-// WithDomains sets the failure domains of the deployment, which HasQuorum counts.
-func WithDomains(domains []ident.Domain) Option {
-	return func(v *View) { v.domains = slices.Sorted(slices.Values(domains)) }
+// WithDomains sets the failure domains of the deployment with their regions. HasQuorum counts the failure domains, and Isolated
+// expects VMs in each region.
+func WithDomains(domains map[ident.Domain]ident.Region) Option {
+	return func(v *View) {
+		v.domains = slices.Sorted(maps.Keys(domains))
+		for _, r := range domains {
+			v.otherRegions = v.otherRegions || r != v.self.Place.Region
+		}
+	}
 }
 
 // NewView returns a view that contains only its own VM.
--- a/peers/view_test.go
+++ b/peers/view_test.go
@@ -44,7 +44,7 @@
 	self := proto.VMInfo{VM: ident.VM(fmt.Sprint("vm", i)), PeerAddress: address(i), CallerAddress: "c" + fmt.Sprint(i), Incarnation: inc,
 		Place: ident.Place{Region: ident.Region(r), Domain: ident.Domain(r + string("12"[i/3%2]))}}
 	v := NewView(w.now, self, []string{address(0), address(1)}, rand.NewSource(int64(i)),
-		WithDomains([]ident.Domain{"a1", "a2", "b1", "b2", "c1", "c2"}))
+		WithDomains(map[ident.Domain]ident.Region{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}))
 	v.SetState(true, false)
 	w.views[address(i)], w.number[address(i)] = v, i
 }
