state: a report that ends an assumption is sent twice

Cause: messages between VMs are sent once. A VM that missed the one that ends an assumption kept the target cold for up to a whole warm-up: no VM asks the target any more, and its entry looks as before. Change: 0.5 s later the VM that ended the assumption sends what it knows then once more, unless the target is assumed to be cold again or has started again. Before, with the call in tick left out: TestEndOfAssumptionIsRepeated, 8.5 s left at the other VM. After: 0 s; state and edge pass.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -47,6 +47,23 @@
 	return news, news
 }
 
+// AssumedCold reports whether a target is cold by assumption.
+func (v *View) AssumedCold(now time.Time, id ident.Target) bool {
+	r := v.records[id]
+	return r != nil && r.coldAssumed && now.Before(r.coldUntil)
+}
+
+// Repeat returns what a report that ended an assumption says now. It returns false if the target has started again or is assumed to be
+// cold again.
+func (v *View) Repeat(now time.Time, c ColdReport) (ColdReport, bool) {
+	r := v.records[c.ID]
+	if r == nil || r.StartedUnixMS != c.StartedUnixMS || v.AssumedCold(now, c.ID) {
+		return c, false
+	}
+	c.Left = max(r.coldUntil.Sub(now), 0)
+	return c, true
+}
+
 // coldUntilHere returns until when the target is cold for this VM.
 func (r *record) coldUntilHere() time.Time {
 	if r.localUntil.After(r.coldUntil) {
--- a/state/cold.go
+++ b/state/cold.go
@@ -18,6 +18,16 @@
 // all its targets come within moments; each application copies the whole registry into a snapshot.
 const coldCollectPeriod = 10 * time.Millisecond
 
+// coldRepeatDelay is the time after which a report that ends an assumption is sent a second time. A VM that missed the first keeps the
+// target cold for up to a whole warm-up, and nobody asks the target any more.
+const coldRepeatDelay = 500 * time.Millisecond
+
+// endedAssumption is a report of this VM that ended an assumption.
+type endedAssumption struct {
+	at     time.Time
+	report fleet.ColdReport
+}
+
 // ReportCold records what this VM has found out about the warm-up of a target, and tells the other VMs.
 func (s *State) ReportCold(ctx context.Context, c fleet.ColdReport) {
 	select {
@@ -56,10 +66,14 @@
 	reports := s.collectedCold
 	s.collectedCold = nil
 	for _, c := range reports {
+		ends := !c.Assumed && s.view.AssumedCold(now, c.ID)
 		forAll, here := s.view.RecordOwnCold(now, c)
 		if forAll {
 			news = append(news, c)
 		}
+		if forAll && ends {
+			s.endedCold = append(s.endedCold, endedAssumption{now, c})
+		}
 		if here {
 			s.logCold(now, c, "target", forAll)
 			changed = true
@@ -69,6 +83,18 @@
 	return changed
 }
 
+// repeatEnded sends the reports that ended assumptions coldRepeatDelay ago once more.
+func (s *State) repeatEnded(now time.Time) {
+	var due []fleet.ColdReport
+	for len(s.endedCold) > 0 && now.Sub(s.endedCold[0].at) >= coldRepeatDelay {
+		if c, ok := s.view.Repeat(now, s.endedCold[0].report); ok {
+			due = append(due, c)
+		}
+		s.endedCold = s.endedCold[1:]
+	}
+	s.cfg.Peers.BroadcastCold(due)
+}
+
 // applyCold applies the report of another VM and reports whether it is news.
 func (s *State) applyCold(now time.Time, c fleet.ColdReport, from ident.VM) bool {
 	if !s.view.RecordCold(now, c) {
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,3 +167,63 @@
 		}
 	})
 }
+
+// Guards against a VM that keeps a warm target cold for a whole warm-up, because the message that ended the assumption was lost; and against
+// a repetition that ends a later assumption.
+func TestEndOfAssumptionIsRepeated(t *testing.T) {
+	start := time.Unix(1000, 0)
+	entry := fleet.Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	restarted := entry
+	restarted.StartedUnixMS = 901
+	assumed := fleet.ColdReport{ID: "t", StartedUnixMS: 900, Left: 9 * time.Second, Assumed: true}
+	warm, cold := fleet.ColdReport{ID: "t", StartedUnixMS: 900}, fleet.ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second}
+	for _, tt := range []struct {
+		name    string
+		reports []fleet.ColdReport
+		// between is what another VM reports before the repetition, if entry isn't read first.
+		between *fleet.ColdReport
+		entry   fleet.Entry
+		want    []fleet.ColdReport
+		// left is the warm-up that a VM with the assumption has after the repetition.
+		left time.Duration
+	}{
+		{"warm", []fleet.ColdReport{assumed, warm}, nil, entry, []fleet.ColdReport{warm}, 0},
+		{"cold", []fleet.ColdReport{assumed, cold}, nil, entry,
+			[]fleet.ColdReport{{ID: "t", StartedUnixMS: 900, Left: cold.Left - coldRepeatDelay}}, cold.Left - coldRepeatDelay},
+		{"no assumption", []fleet.ColdReport{cold}, nil, entry, nil, 9*time.Second - coldRepeatDelay},
+		{"assumed again", []fleet.ColdReport{assumed, warm}, &assumed, entry, nil, 9*time.Second - coldRepeatDelay},
+		{"started again", []fleet.ColdReport{assumed, warm}, nil, restarted, nil, 9*time.Second - coldRepeatDelay},
+	} {
+		s, sent := newTestState(start)
+		s.cfg.Forwarder = carry.New(carry.Config{VM: "vm", Log: s.cfg.Log, Clock: s.cfg.Clock})
+		other := fleet.NewView()
+		for _, v := range []*fleet.View{s.view, other} {
+			v.Apply(start, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: entry}}})
+		}
+		other.RecordCold(start, assumed)
+		for _, c := range tt.reports {
+			s.collectedCold = []fleet.ColdReport{c}
+			s.applyOwnColdReports(start)
+		}
+		s.tick(start.Add(coldRepeatDelay - 1))
+		s.view.Apply(start, fleet.RegistryUpdate{Rows: []fleet.Row{{Entry: tt.entry}}})
+		if tt.between != nil {
+			s.applyCold(start, *tt.between, "other")
+		}
+		sent.messages = nil
+		now := start.Add(coldRepeatDelay)
+		for range 3 {
+			s.tick(now)
+		}
+		var got []fleet.ColdReport
+		for _, m := range sent.messages {
+			for _, c := range m.Cold {
+				got = append(got, c)
+				other.RecordCold(now, c)
+			}
+		}
+		if left := max(other.Snapshot(now).Targets["s"][0].ColdUntil.Sub(now), 0); !slices.Equal(got, tt.want) || left != tt.left {
+			t.Errorf("%s: sent %+v, the other VM has %v left; want %+v, %v", tt.name, got, left, tt.want, tt.left)
+		}
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -100,6 +100,8 @@
 	coldReports chan fleet.ColdReport
 	// collectedCold are the reports that are applied together.
 	collectedCold []fleet.ColdReport
+	// endedCold are the reports that are to be sent a second time, the oldest first.
+	endedCold []endedAssumption
 	// registryConfirmed is when the registry was last read or received.
 	registryConfirmed atomic.Pointer[time.Time]
 
@@ -261,6 +263,7 @@
 	}
 	s.syncPeers(now)
 	s.checkOperatorAge(now)
+	s.repeatEnded(now)
 	s.rereadRegistry(now)
 	s.queryPeers.Store(s.shouldQueryPeers())
 	s.lacking.Store(s.lacksChange())
