probe: tests of what the service reports

Cause: the tests called the parts of the service. Changes to Run, to the use of Isolated and Overdue, and to the handling of an assumed target that answers that it is warm passed them. Change: TestReportsOfService runs the service with a fake clock.

--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,11 +21,12 @@
 type fixedSource struct {
 	snapshot  *fleet.Snapshot
 	confirmed time.Time
+	isolated  bool
 }
 
 func (f *fixedSource) Snapshot() *fleet.Snapshot      { return f.snapshot }
 func (f *fixedSource) Group(time.Time) []proto.VMInfo { return group(1) }
-func (f *fixedSource) Isolated(time.Time) bool        { return false }
+func (f *fixedSource) Isolated(time.Time) bool        { return f.isolated }
 func (f *fixedSource) RegistryConfirmed() time.Time   { return f.confirmed }
 
 // coldAsker answers that t0 is cold and t2 is warm.
@@ -142,3 +144,65 @@
 		})
 	}
 }
+
+// slowAsker answers after a time that the target is warm.
+type slowAsker time.Duration
+
+func (a slowAsker) AskWarmup(ctx context.Context, _ fleet.Target) (time.Duration, error) {
+	select {
+	case <-time.After(time.Duration(a)):
+		return 0, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// Guards against answers that are waited for in an isolated region while the target gets the requests of a warm one, and against busy
+// targets that count as cold elsewhere. Also against an assumption that outlasts the answer that the target is warm.
+func TestReportsOfService(t *testing.T) {
+	overdue, warm := fleet.ColdReport{ID: "t0", Left: overdueWarmup, Assumed: true}, fleet.ColdReport{ID: "t0"}
+	for _, tt := range []struct {
+		name                     string
+		stale, isolated, assumed bool
+		answer                   time.Duration
+		want                     []fleet.ColdReport
+	}{
+		{"isolated, late", true, true, false, 2 * overdueAfter, []fleet.ColdReport{overdue, warm}},
+		{"isolated, in time", true, true, false, overdueAfter / 2, nil},
+		{"isolated, no answer", true, true, false, time.Hour, []fleet.ColdReport{overdue}},
+		{"not isolated, late", true, false, false, 2 * overdueAfter, nil},
+		{"registry known", false, true, false, 2 * overdueAfter, nil},
+		{"assumed, warm", false, false, true, 0, []fleet.ColdReport{warm}},
+		{"assumed, no answer", false, false, true, time.Hour, nil},
+		{"assumed, no answer, isolated, registry known", false, true, true, time.Hour, nil},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			source := &fixedSource{snapshot: snapshot(1, probed), confirmed: time.Now().Add(time.Hour), isolated: tt.isolated}
+			if tt.stale {
+				source.confirmed = time.Now().Add(-time.Minute)
+			}
+			if target := &source.snapshot.Targets["s"][0]; tt.assumed {
+				target.ColdUntil, target.ColdAssumed, source.snapshot.ColdAssumed = time.Now().Add(time.Second), true, 1
+			}
+			var mu sync.Mutex
+			var got []fleet.ColdReport
+			s := New("vm0", source, slowAsker(tt.answer), time.Now, rand.NewSource(1), func(_ context.Context, c fleet.ColdReport) {
+				mu.Lock()
+				defer mu.Unlock()
+				// The snapshot stays as it was, so that reports are repeated.
+				if !slices.Contains(got, c) {
+					got = append(got, c)
+				}
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- s.Run(ctx) }()
+			time.Sleep(interval + 2*overdueAfter)
+			cancel()
+			<-ended
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+			}
+		})
+	}
+}
