carry: a test of which failed connections are reported

Cause: no test called the function that OnConnectionFailure sets, so that removing the call or a part of its condition passed. Change: TestConnectionFailureIsReported, one case for each part of the condition.

--- a/carry/restart_test.go
+++ b/carry/restart_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,3 +50,66 @@
 		t.Errorf("the target that started again got %d requests in its first second, %d are allowed", n, allowed)
 	}
 }
+
+// Guards against a target whose end is not reported, so that it counts as warm when it starts again, and against reports of other failures,
+// each of which would lead to a health request: a late response, a broken one, a caller that leaves.
+func TestConnectionFailureIsReported(t *testing.T) {
+	closes := func(net.Conn, int, *http.Request) bool { return false }
+	silent := func(nc net.Conn, _ int, _ *http.Request) bool {
+		_, _ = nc.Read(make([]byte, 1))
+		return false
+	}
+	for _, tt := range []struct {
+		name   string
+		target connScript
+		// listens is false for a target whose process has ended, leaves is set if the caller leaves during the request.
+		listens, leaves bool
+		want            []bool
+	}{
+		{"refused", respondOK, false, false, []bool{true}},
+		{"ended", closes, true, false, []bool{false}},
+		{"part of a response", func(nc net.Conn, _ int, _ *http.Request) bool {
+			_, _ = nc.Write([]byte("HTTP/1.1 200"))
+			return false
+		}, true, false, nil},
+		{"late", silent, true, false, nil},
+		{"caller leaves", silent, true, true, nil},
+		{"served", respondOK, true, false, nil},
+		{"malformed address", nil, true, false, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			// No other test listens on this address, so that a closed port stays closed.
+			ln, err := net.Listen("tcp", "127.0.77.2:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			target := serveTarget(t, ln, func(nc net.Conn, n int, r *http.Request) bool {
+				if tt.leaves {
+					cancel()
+				}
+				return tt.target(nc, n, r)
+			})
+			c := newForwarderFor(t, false, 300*time.Millisecond, target)
+			var got []bool
+			c.OnConnectionFailure(func(failed fleet.Target, refused bool) {
+				if failed.ID != "t0" {
+					t.Errorf("target %s failed", failed.ID)
+				}
+				got = append(got, refused)
+			})
+			if !tt.listens {
+				_ = ln.Close()
+			}
+			if s := c.Snapshot(); tt.target == nil {
+				s.Targets["s"][0].Address = "without-port"
+				c.Update(time.Now(), s)
+			}
+			c.Handle(ctx, newRequest(t, "Id: 1\r\n"), time.Now())
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("reported %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
