state: a report about a target whose entry has lapsed doesn't register it again

Cause: after an outage of the store the entry of a target can be missing while the target stays usable for 2.1 s. A report of another VM in that time changes its warm-up; the reader took the difference for a change of the entry and sent it to its region as a registered one. The other VMs then used a target that had left. Change: such an entry is sent as lapsed, as if its target had been touched.

--- a/state/broadcast.go
+++ b/state/broadcast.go
@@ -75,6 +75,10 @@
 	included := map[ident.Target]bool{}
 	for i := range rows {
 		included[rows[i].ID] = true
+		if !rows[i].Removed && v.Lapsed(now, rows[i].ID) {
+			// Its warm-up has changed by a report. As a registered entry it would be used again after its grace period.
+			rows[i] = fleet.Row{Entry: fleet.Entry{ID: rows[i].ID}, Removed: true, Lapsed: true}
+		}
 	}
 	for _, id := range touched {
 		e, ok := present[id]
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -227,3 +227,21 @@
 		}
 	}
 }
+
+// Guards against a target that left and is used again: its entry may only have lapsed during an outage of the store, a report of another VM
+// changes its warm-up meanwhile, and the reader sends the entry to its region as one that is registered.
+func TestDeltaOfLapsedColdTarget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := fleet.Entry{ID: "t", Service: "s", Address: "10.0.0.1:80", Ready: true, Sequence: 4, StartedUnixMS: 900}
+	v := fleet.NewView()
+	v.Apply(now, fleet.RegistryUpdate{Full: true, Rows: []fleet.Row{{Entry: entry}}})
+	var g groupState
+	g.nextDelta(now, v, nil)
+	v.RecordFailure()
+	v.Apply(now, fleet.RegistryUpdate{Full: true})
+	v.RecordCold(now, fleet.ColdReport{ID: "t", StartedUnixMS: 900, Left: 3 * time.Second, Assumed: true})
+	rows := g.nextDelta(now, v, nil)
+	if !v.Lapsed(now, "t") || len(rows) != 1 || !rows[0].Removed || !rows[0].Lapsed {
+		t.Errorf("sent %+v, want the entry as lapsed", rows)
+	}
+}
