state: the model of convergence delivers reports of cold targets

Cause: messages that have only reports of cold targets were dropped by the model, so that TestVMsConverge said nothing about them. Change: the model delivers them. A new fault lets a VM report a refused connection, and after the last fault each VM must have dropped such assumptions, and know a new one.

--- a/state/convergence_test.go
+++ b/state/convergence_test.go
@@ -30,6 +30,8 @@
 const (
 	// applyTime is the time after which a confirmed configuration is in force on each VM that reaches the store and the others.
 	applyTime = 2500 * time.Millisecond
+	// modelWarmup is the warm-up of a target.
+	modelWarmup = 3 * time.Second
 	// contactTime is the time after the last fault from which on applyTime holds.
 	contactTime = 4 * time.Second
 )
@@ -45,7 +47,7 @@
 var faultKinds = []string{
 	"config", "config", "evacuate", "register", "drain", "leave", "restart-target",
 	"restore", "restore", "restore-slowly", "compact", "refuse", "refuse-all", "cut", "pause", "restart-vm", "noise", "old-build",
-	"burst",
+	"burst", "refuse-connection",
 }
 
 func drawFaults(t *rapid.T) []fault {
@@ -110,6 +112,11 @@
 				o.refused = w.newOutage(f.length)
 			}
 		}
+	case "refuse-connection":
+		if len(w.targets) > 0 {
+			v.reportAssumed(w.targets[f.vm%len(w.targets)], true)
+		}
+		return w.now
 	case "cut":
 		v.cutUntil = until
 	case "pause":
@@ -126,6 +133,37 @@
 	return until
 }
 
+// reportAssumed lets a VM report that a target is cold by assumption: it has refused a connection, or its answer is late.
+func (v *modelVM) reportAssumed(t *modelTarget, refused bool) {
+	c := fleet.ColdReport{ID: t.id, StartedUnixMS: t.born, Left: modelWarmup, Assumed: true, Refused: refused}
+	v.deltas = append(v.deltas, v.input(nil, func(now time.Time) bool {
+		v.s.collectedCold = append(v.s.collectedCold, c)
+		return v.s.applyOwnColdReports(now)
+	}))
+}
+
+// checkColdReports checks that what one VM reports of a target is known on each, and that heartbeats end it everywhere.
+func (w *network) checkColdReports() {
+	i := slices.IndexFunc(w.targets, func(t *modelTarget) bool { return t.ready && !t.left })
+	if i < 0 {
+		return
+	}
+	t := w.targets[i]
+	for _, v := range w.vms {
+		if v.s.view.AssumedCold(w.now, t.id) {
+			w.t.Fatalf("%s: the target %s writes heartbeats and is cold by assumption", v.info.VM, t.id)
+		}
+	}
+	// A refused connection may count for one VM alone by now.
+	w.vms[w.rnd.Intn(len(w.vms))].reportAssumed(t, false)
+	w.run(2 * (maxDelay + maxQueueDelay))
+	for _, v := range w.vms {
+		if !v.s.view.AssumedCold(w.now, t.id) {
+			w.t.Fatalf("%s doesn't know that the target %s is assumed to be cold", v.info.VM, t.id)
+		}
+	}
+}
+
 // copyTime returns the time of a copy of the given age. The first configuration is in each copy: it is written before there is
 // traffic.
 func (w *network) copyTime(age time.Duration) time.Time {
@@ -335,6 +373,7 @@
 	}
 	w.run(max(calm.Sub(w.now), 0) + contactTime + applyTime)
 	w.checkInForce("after the last fault")
+	w.checkColdReports()
 	for range 3 {
 		w.configure()
 		w.begin(fault{kind: "evacuate", vm: w.rnd.Intn(2)})
--- a/state/model_test.go
+++ b/state/model_test.go
@@ -289,7 +289,7 @@
 		var replies []peers.Packet
 		v.s.cfg.Peers.With(func(view *peers.View) { replies = view.Receive(now, d.msg) })
 		v.w.sendAll(v, replies)
-		if (d.msg.Registry != nil || d.msg.OperatorChange != nil) && len(v.deltas) < PeerMessageBuffer {
+		if (d.msg.Registry != nil || d.msg.OperatorChange != nil || len(d.msg.Cold) > 0) && len(v.deltas) < PeerMessageBuffer {
 			v.deltas = append(v.deltas, v.input(loggedMessage(d.msg), func(now time.Time) bool { return v.s.applyPeerMessage(now, d.msg) }))
 		}
 	}
