fleet: one definition of what is assumed about a warm-up

Cause: "assumed" was explained in six places, each with a part of the reasons, and the name ColdAssumed stood for a flag of a target and for a number of targets. Change: ColdReport has the definition, other comments refer to it.

--- a/fleet/cold.go
+++ b/fleet/cold.go
@@ -8,15 +8,19 @@
 
 // ColdReport is what a VM has found out about the warm-up of a target other than by its registry entry. An entry describes the
 // process that wrote it, and stays until the next one: a target that has started again is warm by its entry until then.
+//
+// A report is either stated, the target has answered so, or assumed: a connection was refused, so that the process has ended and a new
+// one may start at any moment, or an answer is late in an isolated region. An assumption lasts for the warm-up that it names, until the
+// target answers, a new process writes an entry, or a heartbeat of the same process is read that was written after the assumption.
 type ColdReport struct {
 	ID ident.Target
 	// StartedUnixMS is the start time in the entry that the report corrects.
 	StartedUnixMS int64
 	// Left is the remaining warm-up, in whole microseconds. Zero says that the target is warm.
 	Left time.Duration
-	// Assumed is set if the target has not said so itself: it can't be reached, and may start again at any moment.
+	// Assumed is set if the report is an assumption.
 	Assumed bool
-	// Refused is set if it is assumed since a connection of this VM was refused. It isn't sent to other VMs.
+	// Refused is set if the reason of an assumption is a refused connection of this VM. It isn't sent to other VMs.
 	Refused bool
 }
 
@@ -128,7 +132,7 @@
 	return now.Add(e.WarmupLeft)
 }
 
-// assumeCold takes a target for cold that has not said so, and reports whether that is news.
+// assumeCold applies an assumption and reports whether it is news.
 func (r *record) assumeCold(now time.Time, left time.Duration) bool {
 	until := now.Add(left)
 	if until.Sub(r.coldUntil) <= coldUntilTolerance {
@@ -142,7 +146,7 @@
 	return true
 }
 
-// endAssumption makes a target warm that was only taken for cold, and reports whether it was.
+// endAssumption makes a target warm that is cold by assumption, and reports whether it was.
 func (r *record) endAssumption(now time.Time) bool {
 	if !r.coldAssumed || !now.Before(r.coldUntil) {
 		return false
@@ -152,7 +156,7 @@
 	return true
 }
 
-// dropAssumption records that the target's process has shown itself alive.
+// dropAssumption ends an assumption, if there is one, since the target's process has shown that it lives.
 func (r *record) dropAssumption(now time.Time) {
 	if r.assumedHere {
 		r.pathFaultUntil = now.Add(pathFaultPeriod)
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -52,8 +52,8 @@
 		}
 		s := v.Snapshot(now)
 		got := s.Targets["s"][0]
-		if left := max(got.ColdUntil.Sub(now), 0); left != tt.left || got.ColdAssumed != tt.assumed || (s.ColdAssumed == 1) != tt.assumed {
-			t.Errorf("%s: cold for %v, assumed %v of %d; want %v, %v", tt.name, left, got.ColdAssumed, s.ColdAssumed, tt.left, tt.assumed)
+		if left := max(got.ColdUntil.Sub(now), 0); left != tt.left || got.ColdAssumed != tt.assumed || (s.AssumedCold == 1) != tt.assumed {
+			t.Errorf("%s: cold for %v, assumed %v of %d; want %v, %v", tt.name, left, got.ColdAssumed, s.AssumedCold, tt.left, tt.assumed)
 		}
 	}
 }
@@ -73,8 +73,8 @@
 		at := now.Add(50 * time.Millisecond)
 		v.Apply(at, RegistryUpdate{Full: true, Rows: []Row{{Entry: teller.Registered(at)["t"]}}})
 		s := v.Snapshot(at)
-		if got := s.Targets["s"][0]; !got.ColdUntil.Equal(now.Add(10*time.Second)) || !got.ColdAssumed || s.ColdAssumed != 1 || got.Entry != entry {
-			t.Errorf("%s: %+v, %d to ask; want the entry as it was, cold by assumption", name, got, s.ColdAssumed)
+		if got := s.Targets["s"][0]; !got.ColdUntil.Equal(now.Add(10*time.Second)) || !got.ColdAssumed || s.AssumedCold != 1 || got.Entry != entry {
+			t.Errorf("%s: %+v, %d to ask; want the entry as it was, cold by assumption", name, got, s.AssumedCold)
 		}
 		if !v.RecordCold(at, ColdReport{ID: "t", StartedUnixMS: 900}) || at.Before(v.Snapshot(at).Targets["s"][0].ColdUntil) {
 			t.Errorf("%s: cold after the target has said that it is warm", name)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -186,7 +186,7 @@
 	Ready bool
 	// WarmupLeft is the remaining warm-up time when the entry was written.
 	WarmupLeft time.Duration
-	// Assumed is set if WarmupLeft is an assumption of a VM. It isn't in the registry, but in what VMs tell each other of it.
+	// Assumed is set if WarmupLeft is an assumption; see ColdReport. It isn't in the registry, but in what VMs tell each other of it.
 	Assumed bool
 	// Sequence increases with each heartbeat and may begin again when the target restarts.
 	Sequence uint64
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -30,7 +30,7 @@
 	Entry
 	// ColdUntil is the end of the warm-up, zero if the target is warm.
 	ColdUntil time.Time
-	// ColdAssumed is set if the target has not said itself that it is cold.
+	// ColdAssumed is set if the target is cold by assumption; see ColdReport.
 	ColdAssumed bool
 	// Restarts is the number of restarts of the target that this VM has seen.
 	Restarts int
@@ -46,8 +46,8 @@
 	Evacuated map[ident.Domain]bool
 	// RegistryRead is set if the registry was read at least once.
 	RegistryRead bool
-	// ColdAssumed is the number of targets that are taken for cold without having said so.
-	ColdAssumed int
+	// AssumedCold is the number of targets that are cold by assumption.
+	AssumedCold int
 }
 
 // Usable reports whether a target of an earlier snapshot may still get new requests, and is still in the place for which it was
@@ -64,7 +64,7 @@
 	// lastRead is the time at which the last accepted heartbeat was read.
 	lastRead  time.Time
 	coldUntil time.Time
-	// coldAssumed is set while the target is taken for cold without having said so.
+	// coldAssumed is set if coldUntil is an assumption, which may have run out.
 	coldAssumed bool
 	// assumedHere is set if a refused connection of this VM is the reason, or one of the reasons.
 	assumedHere bool
@@ -460,7 +460,7 @@
 			assumed := r.coldAssumed && now.Before(r.coldUntil)
 			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntilHere(), ColdAssumed: assumed, Restarts: r.restarts})
 			if assumed {
-				s.ColdAssumed++
+				s.AssumedCold++
 			}
 		}
 	}
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -61,7 +61,7 @@
 // Due returns the targets to ask now, and records them as asked: those that are only assumed to be cold and, with a registry that is
 // stale, those that may have become cold without this VM's knowledge. Group are the VMs of this VM's region that are alive.
 func (p *Planner) Due(now time.Time, s *fleet.Snapshot, group []proto.VMInfo, stale bool) []fleet.Target {
-	if s.Config == nil || !s.RegistryRead || !stale && s.ColdAssumed == 0 {
+	if s.Config == nil || !s.RegistryRead || !stale && s.AssumedCold == 0 {
 		return nil
 	}
 	vms := groupHashes(group)
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -123,7 +123,7 @@
 // it has started again, those of a warm one; and against health requests to others while the registry is read.
 func TestAssumedColdTargetIsAsked(t *testing.T) {
 	p, s := NewPlanner("vm0", rand.NewSource(1)), snapshot(4, probed)
-	s.Targets["s"][2].ColdUntil, s.Targets["s"][2].ColdAssumed, s.ColdAssumed = start.Add(time.Second), true, 1
+	s.Targets["s"][2].ColdUntil, s.Targets["s"][2].ColdAssumed, s.AssumedCold = start.Add(time.Second), true, 1
 	for _, tt := range []struct {
 		after time.Duration
 		want  []ident.Target
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -113,7 +113,7 @@
 
 // untilCheck returns the time until the next check for targets to ask.
 func (s *Service) untilCheck(now time.Time) time.Duration {
-	if s.Source.Snapshot().ColdAssumed > 0 {
+	if s.Source.Snapshot().AssumedCold > 0 {
 		return checkInterval
 	}
 	return min(max(untilStale(now, s.Source.RegistryConfirmed()), checkInterval), interval)
@@ -128,7 +128,7 @@
 	if stale && s.Source.Isolated(now) {
 		overdue = s.Planner.Overdue(now, snapshot)
 	}
-	if stale || snapshot.ColdAssumed > 0 {
+	if stale || snapshot.AssumedCold > 0 {
 		due = s.Planner.Due(now, snapshot, s.Source.Group(now), stale)
 	}
 	return due, overdue
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -124,7 +124,7 @@
 			snap, confirmed := snapshot(4, probed), time.Now().Add(-time.Minute)
 			if !stale {
 				confirmed = time.Now().Add(time.Hour)
-				snap.Targets["s"][2].ColdUntil, snap.Targets["s"][2].ColdAssumed, snap.ColdAssumed = time.Now().Add(time.Hour), true, 1
+				snap.Targets["s"][2].ColdUntil, snap.Targets["s"][2].ColdAssumed, snap.AssumedCold = time.Now().Add(time.Hour), true, 1
 			}
 			asker := &coldAsker{asked: map[ident.Target]int{}}
 			s := New("vm0", &fixedSource{snapshot: snap, confirmed: confirmed}, asker, time.Now, rand.NewSource(1),
@@ -182,7 +182,7 @@
 				source.confirmed = time.Now().Add(-time.Minute)
 			}
 			if target := &source.snapshot.Targets["s"][0]; tt.assumed {
-				target.ColdUntil, target.ColdAssumed, source.snapshot.ColdAssumed = time.Now().Add(time.Second), true, 1
+				target.ColdUntil, target.ColdAssumed, source.snapshot.AssumedCold = time.Now().Add(time.Second), true, 1
 			}
 			var mu sync.Mutex
 			var got []fleet.ColdReport
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -67,7 +67,7 @@
 	coldID        protowire.Number = iota + 1
 	coldStartTime                  // milliseconds since the Unix epoch
 	coldLeft                       // microseconds
-	coldAssumed                    // 1 if the target has not said so itself
+	coldAssumed                    // 1 if the report is an assumption
 )
 
 const (
@@ -91,7 +91,7 @@
 	rowSequence
 	rowStartTime // milliseconds since the Unix epoch
 	rowLapsed
-	rowAssumed // 1 if the target has not stated the remaining warm-up; builds that don't know it take it for stated
+	rowAssumed // 1 if the remaining warm-up is an assumption; builds that don't know the field take it for stated
 )
 
 // Flags of a heartbeat. The remaining high bits of their byte hold its age.
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -96,8 +96,8 @@
 	at := now.Add(500 * time.Millisecond)
 	rows := g.nextDelta(at, reader, nil)
 	other.Apply(at.Add(2*time.Millisecond), fleet.RegistryUpdate{Rows: rows})
-	if s := other.Snapshot(at); !s.Targets["s"][0].ColdAssumed || s.ColdAssumed != 1 {
-		t.Errorf("after rows %+v: assumed %v, %d to ask", rows, s.Targets["s"][0].ColdAssumed, s.ColdAssumed)
+	if s := other.Snapshot(at); !s.Targets["s"][0].ColdAssumed || s.AssumedCold != 1 {
+		t.Errorf("after rows %+v: assumed %v, %d to ask", rows, s.Targets["s"][0].ColdAssumed, s.AssumedCold)
 	}
 	if !other.RecordCold(now.Add(1600*time.Millisecond), assumed) {
 		t.Error("the renewal of the assumption is refused")
@@ -162,8 +162,8 @@
 			t.Errorf("%d reports in %d messages of up to %d bytes, %d snapshots; want 100, 7 messages at most, 1200 bytes, 2 snapshots",
 				reports, len(sent.messages), bytes, len(snapshots))
 		}
-		if s.view.Snapshot(began).ColdAssumed != 100 {
-			t.Errorf("%d targets are cold by assumption, want 100", s.view.Snapshot(began).ColdAssumed)
+		if s.view.Snapshot(began).AssumedCold != 100 {
+			t.Errorf("%d targets are cold by assumption, want 100", s.view.Snapshot(began).AssumedCold)
 		}
 	})
 }
