--- a/proto/codec.go
+++ b/proto/codec.go
@@ -62,14 +62,6 @@
 	operatorWhole
 )
 
-// Field numbers of a fleet.ColdReport.
-const (
-	coldID        protowire.Number = iota + 1
-	coldStartTime                  // milliseconds since the Unix epoch
-	coldLeft                       // microseconds
-	coldAssumed                    // 1 if the report is an assumption
-)
-
 const (
 	operatorRowKey protowire.Number = iota + 1
 	operatorRowValue
@@ -108,9 +100,6 @@
 	maxAge = (1<<(8-ageShift) - 1) * ageUnit
 )
 
-// maxColdLeft bounds the remaining warm-up in a message.
-const maxColdLeft = 24 * time.Hour
-
 // errMalformed is returned for bytes that are no valid message.
 var errMalformed = errors.New("malformed message")
 
@@ -198,18 +187,6 @@
 	return appendBool(b, operatorWhole, c.Full)
 }
 
-// ColdReportBytes returns the number of bytes that a report adds to a message.
-func ColdReportBytes(c *fleet.ColdReport) int {
-	return protowire.SizeTag(fieldCold) + protowire.SizeBytes(len(appendColdReport(nil, c)))
-}
-
-func appendColdReport(b []byte, c *fleet.ColdReport) []byte {
-	b = appendString(b, coldID, string(c.ID))
-	b = appendUint(b, coldStartTime, uint64(c.StartedUnixMS))
-	b = appendUint(b, coldLeft, uint64(c.Left.Microseconds()))
-	return appendBool(b, coldAssumed, c.Assumed)
-}
-
 func appendRow(b []byte, r *fleet.Row) []byte {
 	b = appendString(b, rowID, string(r.ID))
 	b = appendBool(b, rowRemoved, r.Removed)
@@ -445,26 +422,6 @@
 	return r, err
 }
 
-func decodeColdReport(b []byte) (c fleet.ColdReport, err error) {
-	err = decodeFields(b, func(x field) error {
-		switch x.id {
-		case coldID:
-			c.ID = ident.Target(x.bytes)
-		case coldStartTime:
-			c.StartedUnixMS = int64(x.num)
-		case coldLeft:
-			if x.num > uint64(maxColdLeft.Microseconds()) {
-				return errMalformed
-			}
-			c.Left = time.Duration(x.num) * time.Microsecond
-		case coldAssumed:
-			c.Assumed = x.num != 0
-		}
-		return nil
-	})
-	return c, err
-}
-
 func decodeRow(b []byte) (r fleet.Row, err error) {
 	err = decodeFields(b, func(x field) error {
 		switch x.id {
