--- a/fleet/view.go
+++ b/fleet/view.go
@@ -30,7 +30,7 @@
 	Entry
 	// ColdUntil is the end of the warm-up, zero if the target is warm.
 	ColdUntil time.Time
-	// ColdAssumed is set if the target has not said itself that it is cold.
+	// ColdAssumed is set if the target is cold by assumption; see ColdReport.
 	ColdAssumed bool
 	// Restarts is the number of restarts of the target that this VM has seen.
 	Restarts int
@@ -46,8 +46,8 @@
 	Evacuated map[ident.Domain]bool
 	// RegistryRead is set if the registry was read at least once.
 	RegistryRead bool
-	// ColdAssumed is the number of targets that are taken for cold without having said so.
-	ColdAssumed int
+	// AssumedCold is the number of targets that are cold by assumption.
+	AssumedCold int
 }
 
 // Usable reports whether a target of an earlier snapshot may still get new requests, and is still in the place for which it was
@@ -64,8 +64,13 @@
 	// lastRead is the time at which the last accepted heartbeat was read.
 	lastRead  time.Time
 	coldUntil time.Time
-	// coldAssumed is set while the target is taken for cold without having said so.
+	// coldAssumed is set if coldUntil is an assumption, which may have run out.
 	coldAssumed bool
+	// assumedHere is set if a refused connection of this VM is the reason, or one of the reasons.
+	assumedHere bool
+	// pathFaultUntil is the time until which a refused connection of this VM says nothing about the target, and localUntil the time
+	// until which the target is cold for this VM alone.
+	pathFaultUntil, localUntil time.Time
 	// staleUntil is the time until which a heartbeat may be older than what coldUntil is known from, and so can't shorten the
 	// warm-up of the same process.
 	staleUntil time.Time
@@ -317,7 +322,10 @@
 func (v *View) applyEntry(now time.Time, e Entry) bool {
 	r := v.records[e.ID]
 	if r == nil {
-		v.records[e.ID] = &record{Entry: e, lastRead: now, coldUntil: coldUntil(now, &e), leaving: !e.Ready}
+		r = &record{leaving: !e.Ready}
+		r.applyWarmup(now, &e, true)
+		r.setEntry(now, e)
+		v.records[e.ID] = r
 		return true
 	}
 	if !r.supersededBy(now, &e) {
@@ -330,21 +338,17 @@
 	changed := restarted || !r.missingSince.IsZero() || e.Ready != r.Ready || r.differs(&e)
 	r.missingSince = time.Time{}
 	r.leaving = !e.Ready || r.leaving && !restarted
-	until := coldUntil(now, &e)
-	stale := !restarted && now.Before(r.staleUntil) && until.Before(r.coldUntil)
-	if stale {
-		until = r.coldUntil
-	}
-	if !stale && r.coldAssumed {
-		r.coldAssumed = false
-		changed = true
-	}
-	if change := until.Sub(r.coldUntil); change > coldUntilTolerance || change < -coldUntilTolerance {
-		r.coldUntil = until
-		changed = true
+	changed = r.applyWarmup(now, &e, restarted) || changed
+	r.setEntry(now, e)
+	return changed
+}
+
+// setEntry stores an entry that was read at now, without an assumption of another VM.
+func (r *record) setEntry(now time.Time, e Entry) {
+	if e.Assumed {
+		e.WarmupLeft, e.Assumed = 0, false
 	}
 	r.Entry, r.lastRead = e, now
-	return changed
 }
 
 // differs reports whether e is of another start of the target, or describes another place or size.
@@ -364,14 +368,6 @@
 	return r.missingSince.IsZero() && r.StartedUnixMS == e.StartedUnixMS && r.Sequence == e.Sequence
 }
 
-// coldUntil returns the latest possible end of the warm-up by an entry read at now, zero if the target is warm.
-func coldUntil(now time.Time, e *Entry) time.Time {
-	if e.WarmupLeft <= 0 {
-		return time.Time{}
-	}
-	return now.Add(e.WarmupLeft)
-}
-
 // markMissing records that an entry is missing and reports whether it was registered before. The target is usable until keepUntil.
 func (v *View) markMissing(now time.Time, id ident.Target, keepUntil time.Time) bool {
 	r := v.records[id]
@@ -442,6 +438,7 @@
 		}
 		e := r.Entry
 		e.WarmupLeft = max(r.coldUntil.Sub(now), 0)
+		e.Assumed = r.coldAssumed && e.WarmupLeft > 0
 		all[id] = e
 	}
 	return all
@@ -460,9 +457,10 @@
 	}
 	for _, r := range v.records {
 		if r.usable(now) && !v.evacuated[r.Place.Domain] {
-			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntil, ColdAssumed: r.coldAssumed, Restarts: r.restarts})
-			if r.coldAssumed && now.Before(r.coldUntil) {
-				s.ColdAssumed++
+			assumed := r.coldAssumed && now.Before(r.coldUntil)
+			s.Targets[r.Service] = append(s.Targets[r.Service], Target{Entry: r.Entry, ColdUntil: r.coldUntilHere(), ColdAssumed: assumed, Restarts: r.restarts})
+			if assumed {
+				s.AssumedCold++
 			}
 		}
 	}
--- a/peers/view.go
+++ b/peers/view.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"math/rand"
 	"slices"
@@ -60,6 +61,9 @@
 	// addresses in one message.
 	advertiseFor  = 2 * time.Second
 	maxAdvertised = 10
+	// maxColdBytes bounds a message with reports about the warm-up of targets, so that its datagram isn't fragmented: with the
+	// headers of IP and UDP it stays below 1,280 bytes, which each IPv6 link carries.
+	maxColdBytes = 1200
 	// behindGrace is how long a VM waits for a peer to send a change, counted from the first message with a newer
 	// version.
 	behindGrace = 400 * time.Millisecond
@@ -115,6 +119,8 @@
 	lastMembersRequest time.Time
 	// domains are the deployment's failure domains, sorted; none if they are unknown.
 	domains []ident.Domain
+	// otherRegions is set if some of the failure domains are in other regions.
+	otherRegions bool
 	// seeds are the addresses that receive requests for all members while no other VM is known.
 	seeds []string
 	// operatorVersion is the newest version of the operators' table that this VM has read, peerOperatorVersion the
@@ -132,9 +138,15 @@
 // Option changes a setting of a View.
 type Option func(*View)
 
-// WithDomains sets the failure domains of the deployment, which HasQuorum counts.
-func WithDomains(domains []ident.Domain) Option {
-	return func(v *View) { v.domains = slices.Sorted(slices.Values(domains)) }
+// WithDomains sets the failure domains of the deployment with their regions. HasQuorum counts the failure domains, and Isolated
+// expects VMs in each region.
+func WithDomains(domains map[ident.Domain]ident.Region) Option {
+	return func(v *View) {
+		v.domains = slices.Sorted(maps.Keys(domains))
+		for _, r := range domains {
+			v.otherRegions = v.otherRegions || r != v.self.Place.Region
+		}
+	}
 }
 
 // NewView returns a view that contains only its own VM.
@@ -404,13 +416,21 @@
 	return packets
 }
 
-// ColdMessages returns messages that tell every member what this VM has found out about the warm-up of targets.
+// ColdMessages returns messages that tell every member what this VM has found out about the warm-up of targets. Each message takes as
+// many reports as fit into maxColdBytes.
 func (v *View) ColdMessages(reports []fleet.ColdReport) []Packet {
-	msg := v.newMessage()
-	msg.Cold = reports
 	var packets []Packet
-	for _, m := range v.sorted {
-		packets = append(packets, Packet{To: m.PeerAddress, Message: &msg})
+	for len(reports) > 0 {
+		msg := v.newMessage()
+		n, size := 0, len(msg.Append(nil))
+		for n < len(reports) && (n == 0 || size+proto.ColdReportBytes(&reports[n]) <= maxColdBytes) {
+			size += proto.ColdReportBytes(&reports[n])
+			n++
+		}
+		msg.Cold, reports = reports[:n], reports[n:]
+		for _, m := range v.sorted {
+			packets = append(packets, Packet{To: m.PeerAddress, Message: &msg})
+		}
 	}
 	return packets
 }
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -3,11 +3,13 @@
 // under the requests that a warm one takes. Its registry entry describes the process that wrote it.
 //
 // Health requests wait for a slot like others, so each target is asked by one VM: the first of the target's region by rendezvous
-// hashing, which tells all others what it learns. Only after a failed connection the VM that had it asks, once.
+// hashing, which tells all others what it learns. Only after a connection has ended the VM that had it asks,
+// once, unless another VM has told what it knows before.
 package probe
 
 import (
 	"maps"
+	"math/rand"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +36,9 @@
 	asked map[ident.Target]time.Time
 	// pending are the requests whose answers are awaited.
 	pending map[ident.Target]*pendingAnswer
+	// delayed are the requests that wait for their delay.
+	delayed map[ident.Target]delayedRequest
+	rnd     *rand.Rand
 }
 
 // pendingAnswer is a request to a target whose answer is awaited.
@@ -43,9 +48,10 @@
 	overdue bool
 }
 
-// NewPlanner returns a planner for a VM.
-func NewPlanner(self ident.VM) *Planner {
-	return &Planner{self: self, asked: map[ident.Target]time.Time{}, pending: map[ident.Target]*pendingAnswer{}}
+// NewPlanner returns a planner for a VM. Source makes the random delays.
+func NewPlanner(self ident.VM, source rand.Source) *Planner {
+	return &Planner{self: self, asked: map[ident.Target]time.Time{}, pending: map[ident.Target]*pendingAnswer{},
+		delayed: map[ident.Target]delayedRequest{}, rnd: rand.New(source)}
 }
 
 // untilStale returns the time until the registry is old enough that targets are asked, zero or less if it is. Confirmed is when the
@@ -55,7 +61,7 @@
 // Due returns the targets to ask now, and records them as asked: those that are only assumed to be cold and, with a registry that is
 // stale, those that may have become cold without this VM's knowledge. Group are the VMs of this VM's region that are alive.
 func (p *Planner) Due(now time.Time, s *fleet.Snapshot, group []proto.VMInfo, stale bool) []fleet.Target {
-	if s.Config == nil || !s.RegistryRead || !stale && s.ColdAssumed == 0 {
+	if s.Config == nil || !s.RegistryRead || !stale && s.AssumedCold == 0 {
 		return nil
 	}
 	vms := groupHashes(group)
@@ -90,17 +96,19 @@
 	maps.DeleteFunc(p.asked, func(_ ident.Target, at time.Time) bool { return now.Sub(at) >= interval })
 }
 
-// assumption returns the report that a target, whose process has ended, is cold. It reports false where that limits nothing, or if the
-// target is taken for cold for long enough.
-func assumption(now time.Time, s *fleet.Snapshot, t *fleet.Target) (fleet.ColdReport, bool) {
-	if s.Config == nil {
+// assumption returns the report that a target, whose process has ended, is cold. It reports false where that limits nothing, if the
+// target is assumed to be cold for long enough, or if it has left or started again. Chosen is the target as it was when the request was
+// sent: what is known of its warm-up may have changed since.
+func assumption(now time.Time, s *fleet.Snapshot, chosen *fleet.Target) (fleet.ColdReport, bool) {
+	t := find(s, chosen)
+	if s.Config == nil || t == nil {
 		return fleet.ColdReport{}, false
 	}
 	svc := s.Config.Services[t.Service]
-	if svc.Warmup <= 0 || svc.WarmupRate <= 0 || t.ColdUntil.Sub(now) > svc.Warmup/2 {
+	if svc.Warmup <= 0 || svc.WarmupRate <= 0 || t.ColdAssumed && t.ColdUntil.Sub(now) > svc.Warmup/2 {
 		return fleet.ColdReport{}, false
 	}
-	return fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: svc.Warmup, Assumed: true}, true
+	return fleet.ColdReport{ID: t.ID, StartedUnixMS: t.StartedUnixMS, Left: svc.Warmup, Assumed: true, Refused: true}, true
 }
 
 // overdueAfter is the time without an answer after which a target may have become cold for longer than its rate allows, counted from
--- a/proto/codec.go
+++ b/proto/codec.go
@@ -64,14 +64,6 @@
 	operatorWhole
 )
 
-// Field numbers of a fleet.ColdReport.
-const (
-	coldID        protowire.Number = iota + 1
-	coldStartTime                  // milliseconds since the Unix epoch
-	coldLeft                       // microseconds
-	coldAssumed                    // 1 if the target has not said so itself
-)
-
 const (
 	operatorRowKey protowire.Number = iota + 1
 	operatorRowValue
@@ -93,6 +85,7 @@
 	rowSequence
 	rowStartTime // milliseconds since the Unix epoch
 	rowLapsed
+	rowAssumed // 1 if the remaining warm-up is an assumption; builds that don't know the field take it for stated
 )
 
 // Flags of a heartbeat. The remaining high bits of their byte hold its age.
@@ -109,9 +102,6 @@
 	maxAge = (1<<(8-ageShift) - 1) * ageUnit
 )
 
-// maxColdLeft bounds the remaining warm-up in a message.
-const maxColdLeft = 24 * time.Hour
-
 // errMalformed is returned for bytes that are no valid message.
 var errMalformed = errors.New("malformed message")
 
@@ -202,13 +192,6 @@
 	return appendBool(b, operatorWhole, c.Full)
 }
 
-func appendColdReport(b []byte, c *fleet.ColdReport) []byte {
-	b = appendString(b, coldID, string(c.ID))
-	b = appendUint(b, coldStartTime, uint64(c.StartedUnixMS))
-	b = appendUint(b, coldLeft, uint64(c.Left.Microseconds()))
-	return appendBool(b, coldAssumed, c.Assumed)
-}
-
 func appendRow(b []byte, r *fleet.Row) []byte {
 	b = appendString(b, rowID, string(r.ID))
 	b = appendBool(b, rowRemoved, r.Removed)
@@ -221,7 +204,8 @@
 	b = appendUint(b, rowWarmupLeft, uint64(r.WarmupLeft.Microseconds()))
 	b = appendUint(b, rowSequence, r.Sequence)
 	b = appendUint(b, rowStartTime, uint64(r.StartedUnixMS))
-	return appendBool(b, rowLapsed, r.Lapsed)
+	b = appendBool(b, rowLapsed, r.Lapsed)
+	return appendBool(b, rowAssumed, r.Assumed)
 }
 
 // appendMessage appends a length-delimited field, also if it is empty. appendString, appendBool and appendUint omit
@@ -447,26 +431,6 @@
 	return r, err
 }
 
-func decodeColdReport(b []byte) (c fleet.ColdReport, err error) {
-	err = decodeFields(b, func(x field) error {
-		switch x.id {
-		case coldID:
-			c.ID = ident.Target(x.bytes)
-		case coldStartTime:
-			c.StartedUnixMS = int64(x.num)
-		case coldLeft:
-			if x.num > uint64(maxColdLeft.Microseconds()) {
-				return errMalformed
-			}
-			c.Left = time.Duration(x.num) * time.Microsecond
-		case coldAssumed:
-			c.Assumed = x.num != 0
-		}
-		return nil
-	})
-	return c, err
-}
-
 func decodeRow(b []byte) (r fleet.Row, err error) {
 	err = decodeFields(b, func(x field) error {
 		switch x.id {
@@ -492,6 +456,8 @@
 			r.Sequence = x.num
 		case rowLapsed:
 			r.Lapsed = x.num != 0
+		case rowAssumed:
+			r.Assumed = x.num != 0
 		case rowStartTime:
 			r.StartedUnixMS = int64(x.num)
 		}
