--- a/pick/cost.go
+++ b/pick/cost.go
@@ -45,8 +45,8 @@
 	// cold.
 	unknownObjectWeight = 8.0
 	// sampleWeight multiplies the service time as the cost of a target that is not among the few random ones that a request without
-	// an object prefers; the second of these has half of it, so that equal ones are chosen equally often. In the model of 36 VMs and 120 targets with uneven pace, 0.25 and more gave more late requests under heavy
-	// load than no pace at all, and 0 ten times as many under light load.
+	// an object prefers; the second of these has half of it, so that equal ones are chosen equally often. A greater weight keeps
+	// requests at loaded targets, none lets all VMs choose the target that looks best.
 	sampleWeight = 0.1
 )
 
