state: a VM without a quorum doesn't count as isolated

Cause: without a quorum a VM sends nothing to cold targets. One that has started alone counted as isolated, and targets whose health answers took more than 150 ms got no requests from it at all (seen in the log of the soak). Before: TestIsolatedNeedsQuorum fails (isolated true for a VM that has heard of nobody).

--- a/state/cold.go
+++ b/state/cold.go
@@ -46,9 +46,10 @@
 	return group
 }
 
-// Isolated reports whether this VM hears of no VM of any other region.
+// Isolated reports whether this VM hears of no VM of any other region, but has a quorum. Without one it sends nothing to cold targets,
+// so that late answers would close busy targets altogether.
 func (s *State) Isolated(now time.Time) (isolated bool) {
-	s.cfg.Peers.With(func(v *peers.View) { isolated = v.Isolated(now) })
+	s.cfg.Peers.With(func(v *peers.View) { isolated = v.Isolated(now) && v.HasQuorum(now) })
 	return isolated
 }
 
--- a/state/cold_test.go
+++ b/state/cold_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,8 @@
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/fleet"
 	"github.com/currantpier/currantpier/ident"
+	"github.com/currantpier/currantpier/peers"
+	"github.com/currantpier/currantpier/proto"
 )
 
 // A target becomes cold while the registry can't be read. Guards against requests at the rate of a warm target: by the VM that
@@ -245,3 +248,24 @@
 		t.Errorf("sent %+v, want the entry as lapsed", rows)
 	}
 }
+
+// Guards against a VM that is alone and closes busy targets because their answers are late: without a quorum it sends nothing to cold
+// targets.
+func TestIsolatedNeedsQuorum(t *testing.T) {
+	start := time.Unix(1000, 0)
+	domains := map[ident.Domain]ident.Region{"a1": "a", "b1": "b", "c1": "c"}
+	for _, heard := range []bool{false, true} {
+		view := peers.NewView(start, proto.VMInfo{VM: "vm", Place: ident.Place{Region: "a", Domain: "a1"}}, nil, rand.NewSource(1), peers.WithDomains(domains))
+		for _, r := range []string{"b", "c"} {
+			other := proto.VMInfo{VM: ident.VM(r), PeerAddress: "127.0.0.1:2", Place: ident.Place{Region: ident.Region(r), Domain: ident.Domain(r + "1")}}
+			if heard {
+				view.Receive(start, proto.Message{From: other, Heartbeats: []proto.Heartbeat{{VM: proto.KeyOf(other.VM), Count: 1, Ready: true}}})
+			}
+		}
+		now := start.Add(10 * time.Second)
+		s := &State{cfg: Config{Peers: peers.NewService(view, &sentMessages{}, nil, func() time.Time { return now }, func(any) {})}}
+		if got := s.Isolated(now); got != heard {
+			t.Errorf("other regions heard of %v: isolated %v 10 s later", heard, got)
+		}
+	}
+}
