heat: the number of holders after a request, without recording it

Cause: a preview of a decision needs the number of holders that the request would count with; Record evicts and counts. Change: Table.HoldersAfterRecord applies the step of Record to a copy of the entry. Record uses the same step.

--- a/heat/heat.go
+++ b/heat/heat.go
@@ -66,6 +66,19 @@
 		e = t.replace(now, k.Object)
 		*e = entry{updated: now, holders: 1}
 	}
+	return e.record(now, k, share)
+}
+
+// HoldersAfterRecord returns what Record would return, and changes nothing.
+func (t *Table) HoldersAfterRecord(now time.Time, k Key, share float64) int {
+	e := entry{updated: now, holders: 1}
+	if known := t.find(k.Object); known != nil {
+		e = *known
+	}
+	return e.record(now, k, share)
+}
+
+func (e *entry) record(now time.Time, k Key, share float64) int {
 	e.key, e.share = k, share
 	e.count = e.countAt(now) + 1
 	// A clock that went back must not let the time until the next request count twice.
