pick: a preview of the decision on a request

Cause: an operator who asks why a request goes to a target has only logs of requests that were late or refused, and a dump without the costs that targets were compared by. Change: Choose and the new Preview share decide, the one pass over the targets. A preview records no demand, stores no initial service times, updates no pacer, turn among holders or limit on moves between regions. PreviewService does the same for Service. The next value of the random source is read in advance and kept (peekSource), so that a preview also names the target of the next request without an object; the sequence of the source is unchanged. Why a target is no candidate is one function, which the table uses to count exclusions. HotObjects uses the same pass: a dump no longer advances the turn among the holders of hot objects.

--- a/pick/cold_pacer.go
+++ b/pick/cold_pacer.go
@@ -28,20 +28,29 @@
 
 func (g *coldPacer) requestSent(now time.Time) { g.nextAt = now.Add(g.interval) }
 
-// maySendCold reports whether this VM may send a request to a cold target now.
-func (p *Picker) maySendCold(now time.Time, t *target) bool {
-	rate := p.services[t.Service].WarmupRate
-	if rate <= 0 || !p.quorum || now.Before(t.pacer.nextAt) {
-		return false
+// maySendCold reports whether this VM may send a request to a cold target now. It updates the pacer unless the pass is a preview.
+func (p *Picker) maySendCold(now time.Time, t *target, mode pass) bool {
+	pacer, allowed := p.updatedPacer(now, t)
+	if mode == choosing {
+		t.pacer = pacer
 	}
-	if t.pacer.vmsVersion != p.vmsVersion {
-		t.pacer.vmsVersion, t.pacer.senders = p.vmsVersion, p.senderCount(t.hash)
+	return allowed
+}
+
+// updatedPacer returns the target's pacer with its senders and interval brought up to date, and whether this VM may send now.
+func (p *Picker) updatedPacer(now time.Time, t *target) (coldPacer, bool) {
+	g, rate := t.pacer, p.services[t.Service].WarmupRate
+	if rate <= 0 || !p.quorum || now.Before(g.nextAt) {
+		return g, false
+	}
+	if g.vmsVersion != p.vmsVersion {
+		g.vmsVersion, g.senders = p.vmsVersion, p.senderCount(t.hash)
 	}
-	if t.pacer.senders == 0 {
-		return false
+	if g.senders == 0 {
+		return g, false
 	}
-	t.pacer.interval = time.Duration(float64(t.pacer.senders) / (rate * coldRateShare) * float64(time.Second))
-	return true
+	g.interval = time.Duration(float64(g.senders) / (rate * coldRateShare) * float64(time.Second))
+	return g, true
 }
 
 // assumeCold takes a target whose process has ended for cold. Until its registry entry is that of a new process, the entry doesn't
--- a/pick/cost.go
+++ b/pick/cost.go
@@ -71,12 +71,20 @@
 	spread bool
 	// nearestRTT is the round trip to the nearest other region.
 	nearestRTT time.Duration
+	// left is the time until the deadline. learned is set if requests are refused by the service times.
+	left    time.Duration
+	learned bool
 }
 
-func (p *Picker) newEstimator(now time.Time, pl *pool, a Request) estimator {
-	return estimator{p: p, now: now, request: a, spread: pl.spreads(now), times: p.serviceTimesOf(a.Route), nearestRTT: p.nearestRegionRTT()}
+func (p *Picker) newEstimator(now time.Time, pl *pool, a Request, mode pass) estimator {
+	times := p.serviceTimesIn(mode, a.Route)
+	return estimator{p: p, now: now, request: a, spread: pl.spreads(now), times: times, nearestRTT: p.nearestRegionRTT(),
+		left: a.Deadline.Sub(now), learned: times.learned()}
 }
 
+// late reports whether a candidate is not expected to respond before the deadline.
+func (e *estimator) late(c *candidate) bool { return c.expected >= e.left && e.learned }
+
 // estimate sets the candidate's expected time, its cost and whether it knows the object.
 func (e *estimator) estimate(c *candidate) {
 	c.known = e.knows(c)
@@ -85,17 +93,22 @@
 	if c.holder > 0 {
 		c.cost += e.balance(c)
 	}
-	if c.known {
-		return
+	if !c.known {
+		miss, spread := e.miss(c)
+		c.cost += miss + spread
 	}
-	miss := scale(e.times.unknown-e.times.known, unknownObjectWeight)
-	c.cost += miss
+}
+
+// miss returns the terms of the cost of a candidate that doesn't know the object: miss and spread.
+func (e *estimator) miss(c *candidate) (miss, spread time.Duration) {
+	miss = scale(e.times.unknown-e.times.known, unknownObjectWeight)
 	switch {
 	case e.request.Object == 0 && e.spread:
-		c.cost += scale(e.times.unknown, float64(c.rank)*sampleWeight/preferredTargets)
+		spread = scale(e.times.unknown, float64(c.rank)*sampleWeight/preferredTargets)
 	case e.request.Object != 0 && c.rank >= preferredTargets:
-		c.cost += miss
+		spread = miss
 	}
+	return miss, spread
 }
 
 // knows reports whether the target has probably processed the object recently. The first target of an object does, since all
@@ -198,12 +211,17 @@
 	return max(0, t.load(now)+1-float64(t.Slots))
 }
 
-func (p *Picker) serviceTimesOf(r *fleet.Route) *serviceTimes {
+func (p *Picker) serviceTimesOf(r *fleet.Route) *serviceTimes { return p.serviceTimesIn(choosing, r) }
+
+// serviceTimesIn returns the service times of a route. A preview doesn't store the initial ones of a route without requests.
+func (p *Picker) serviceTimesIn(mode pass, r *fleet.Route) *serviceTimes {
 	w := p.serviceTimes[r.Name]
 	if w == nil {
 		first := max(r.LatencyTarget, initialServiceTime)
 		w = &serviceTimes{known: first / 3, unknown: first}
-		p.serviceTimes[r.Name] = w
+		if mode == choosing {
+			p.serviceTimes[r.Name] = w
+		}
 	}
 	return w
 }
--- a/pick/holders.go
+++ b/pick/holders.go
@@ -39,21 +39,25 @@
 
 // countHolders returns the number of holders of a request's object, 0 if this is not in use. It records the first attempt of the
 // request: further attempts are no further demand.
-func (p *Picker) countHolders(now time.Time, pl *pool, a Request) int {
+func (p *Picker) countHolders(now time.Time, pl *pool, a Request, mode pass) int {
 	if p.heat == nil || a.Object == 0 {
 		return 0
 	}
 	if len(a.Excluded) > 0 {
 		return p.heat.Holders(now, uint64(a.Object))
 	}
-	perHolder := holderShare * max(pl.meanSlots, 1) / max(p.serviceTimesOf(a.Route).known, time.Millisecond).Seconds()
-	return p.heat.Record(now, heat.Key{Object: uint64(a.Object), Route: a.Route, Service: a.Service}, perHolder*p.callerShare)
+	perHolder := holderShare * max(pl.meanSlots, 1) / max(p.serviceTimesIn(mode, a.Route).known, time.Millisecond).Seconds()
+	k := heat.Key{Object: uint64(a.Object), Route: a.Route, Service: a.Service}
+	if mode == previewing {
+		return p.heat.HoldersAfterRecord(now, k, perHolder*p.callerShare)
+	}
+	return p.heat.Record(now, k, perHolder*p.callerShare)
 }
 
 // markHolders marks the first n candidates of the home region by rendezvous hashing as holders, so that VMs which know the same
 // targets select the same ones and a VM with a lower estimate selects a part of them. A cold target is slower than one that doesn't
 // know the object and is no holder.
-func (p *Picker) markHolders(now time.Time, list []candidate, n int) []*candidate {
+func (p *Picker) markHolders(now time.Time, list []candidate, n int, mode pass) []*candidate {
 	if n < 2 {
 		return nil
 	}
@@ -84,10 +88,13 @@
 		}
 	}
 	// The offset alternates which holder comes first among equals; each VM starts elsewhere.
-	p.holderOffset++
+	offset := p.holderOffset + 1
+	if mode == choosing {
+		p.holderOffset = offset
+	}
 	for k, c := range first {
 		c.overBound = c.overBound && roomy > 0
-		c.turn = float32((uint64(k)+p.selfHash+p.holderOffset)%uint64(len(first))) / float32(len(first))
+		c.turn = float32((uint64(k)+p.selfHash+offset)%uint64(len(first))) / float32(len(first))
 	}
 	return first
 }
@@ -134,8 +141,8 @@
 			Demand: h.Rate / p.callerShare, Needed: h.Holders}
 		if pl := p.pools[h.Service]; pl != nil {
 			a := Request{Route: h.Route, Service: h.Service, Object: Object(h.Object)}
-			list, _ := p.candidates(now, pl, a, p.homeRegion(pl, a))
-			for _, c := range p.markHolders(now, list, h.Holders) {
+			list, _ := p.candidates(now, pl, a, p.homeRegion(pl, a), previewing)
+			for _, c := range p.markHolders(now, list, h.Holders, previewing) {
 				x.Holders = append(x.Holders, c.t.ID)
 			}
 		}
--- a/pick/pace_test.go
+++ b/pick/pace_test.go
@@ -48,8 +48,8 @@
 		now, a := at(time.Duration(i)*20*time.Millisecond), request(start, string(rune('a'+rng.Intn(20))))
 		a.Deadline = now.Add(time.Hour)
 		pl := p.pools["s"]
-		list, _ := p.candidates(now, pl, a, p.homeRegion(pl, a))
-		e := p.newEstimator(now, pl, a)
+		list, _ := p.candidates(now, pl, a, p.homeRegion(pl, a), choosing)
+		e := p.newEstimator(now, pl, a, choosing)
 		for j := range list {
 			c := &list[j]
 			e.estimate(c)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -134,7 +134,8 @@
 	// homeBackedOff is set during one call of Choose if a target in the home region has asked for a time without requests.
 	homeBackedOff bool
 	// spread spreads the times at which VMs send to a target again; its seed is the VM's name.
-	spread *rand.Rand
+	spread       *rand.Rand
+	spreadSource *peekSource
 	// heat has the demand of objects, nil without WithHolders. holderOffset counts the requests for objects with further holders,
 	// and holderBuf is a reused buffer.
 	heat         *heat.Table
@@ -156,7 +157,8 @@
 		callerShare:  1,
 		holderBuf:    make([]*candidate, 0, heat.MaxHolders),
 	}
-	p.spread = rand.New(rand.NewSource(int64(p.selfHash)))
+	p.spreadSource = newPeekSource(int64(p.selfHash))
+	p.spread = rand.New(p.spreadSource)
 	p.SetVMs(nil, true)
 	for _, o := range options {
 		o(p)
@@ -309,27 +311,55 @@
 	if pl == nil || len(pl.targets) == 0 {
 		return Choice{}, NoTarget
 	}
-	holders := p.countHolders(now, pl, a)
-	home := p.homeRegion(pl, a)
-	list, reason := p.candidates(now, pl, a, home)
-	if len(list) == 0 {
-		return Choice{}, reason
-	}
-	p.markHolders(now, list, holders)
-	s := p.compare(now, pl, a, home, list)
-	c, reason := s.choose()
-	if reason == RegionLimit {
-		pl.homes.Record(now, home, s.cheapest.t.Place.Region, home)
+	d := p.decide(now, pl, a, choosing)
+	if d.reason == RegionLimit {
+		pl.homes.Record(now, d.home, d.cheapest.t.Place.Region, d.home)
 	}
+	c := d.chosen
 	if c == nil {
-		return Choice{}, reason
+		return Choice{}, d.reason
 	}
 	return Choice{
-		Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now), Pace: c.t.pace(now), Holder: int(c.holder), home: home,
-		cheapestRegion: s.cheapest.t.Place.Region,
+		Target: c.t.Target, Known: c.known, Expected: c.expected, Load: c.t.load(now), Pace: c.t.pace(now), Holder: int(c.holder), home: d.home,
+		cheapestRegion: d.cheapest.t.Place.Region,
 	}, Chosen
 }
 
+// pass says what a decision is made for.
+type pass uint8
+
+const (
+	// choosing is a decision on a request that is sent.
+	choosing pass = iota
+	// previewing is a decision that changes no state.
+	previewing
+)
+
+// decision is the result of one pass over the targets of a service. list and holders are valid until the next pass.
+type decision struct {
+	selection
+	home    ident.Region
+	list    []candidate
+	holders []*candidate
+	// chosen is nil if reason isn't Chosen.
+	chosen *candidate
+	reason Reason
+}
+
+// decide decides which target of a service gets a request.
+func (p *Picker) decide(now time.Time, pl *pool, a Request, mode pass) decision {
+	holders := p.countHolders(now, pl, a, mode)
+	d := decision{home: p.homeRegion(pl, a)}
+	d.list, d.reason = p.candidates(now, pl, a, d.home, mode)
+	if len(d.list) == 0 {
+		return d
+	}
+	d.holders = p.markHolders(now, d.list, holders, mode)
+	d.selection = p.compare(now, pl, a, d.home, d.list, mode)
+	d.chosen, d.reason = d.selection.choose()
+	return d
+}
+
 // selection has the best candidates of a request among those that are expected to respond in time; nil where there is none.
 type selection struct {
 	// cheapest has the least cost of all, atHome the least in the home region, and allowed the least in the regions that the
@@ -341,16 +371,15 @@
 }
 
 // compare estimates the candidates of a request and returns the best ones.
-func (p *Picker) compare(now time.Time, pl *pool, a Request, home ident.Region, list []candidate) selection {
+func (p *Picker) compare(now time.Time, pl *pool, a Request, home ident.Region, list []candidate, mode pass) selection {
 	s := selection{homeEligible: p.homeBackedOff}
-	e := p.newEstimator(now, pl, a)
-	left, learned := a.Deadline.Sub(now), e.times.learned()
+	e := p.newEstimator(now, pl, a, mode)
 	for i := range list {
 		c := &list[i]
 		e.estimate(c)
 		isHome := c.group == homeGroup
 		s.homeEligible = s.homeEligible || isHome
-		if c.expected >= left && learned {
+		if e.late(c) {
 			continue
 		}
 		if s.cheapest == nil || c.cost < s.cheapest.cost {
@@ -383,34 +412,24 @@
 }
 
 // candidates returns the eligible targets with their ranks. Suspect targets are included only if there are no others.
-func (p *Picker) candidates(now time.Time, pl *pool, a Request, home ident.Region) ([]candidate, Reason) {
+func (p *Picker) candidates(now time.Time, pl *pool, a Request, home ident.Region, mode pass) ([]candidate, Reason) {
 	list, suspects := p.candidateBuf[:0], p.suspectBuf[:0]
 	reason := NoTarget
 	p.homeBackedOff = false
 	ranked, key := a.Object != 0 || pl.spreads(now), uint64(a.Object)
 	if ranked && a.Object == 0 {
-		key = p.spread.Uint64()
+		key = p.randomKey(mode)
 	}
 	for _, t := range pl.targets {
-		if t.replaced || !a.allows(t) {
-			continue
-		}
-		if t.notice != nil {
-			if r := t.notice.excludes(now, t); r != Chosen {
-				reason = max(reason, r)
-				p.homeBackedOff = p.homeBackedOff || r == BackedOff && t.Place.Region == home
-				continue
-			}
-		}
-		if slices.Contains(a.Excluded, t.ID) {
-			continue
-		}
-		if now.Before(t.ColdUntil) && !p.maySendCold(now, t) {
-			reason = max(reason, ColdOnly)
+		x := p.exclusion(now, &a, t, mode)
+		if x != eligible && x != excludedSuspect {
+			r := x.reason()
+			reason = max(reason, r)
+			p.homeBackedOff = p.homeBackedOff || r == BackedOff && t.Place.Region == home
 			continue
 		}
 		c := candidate{t: t, rank: preferredTargets, score: hash.Mix(key ^ t.hash)}
-		if now.Before(t.suspectUntil) {
+		if x == excludedSuspect {
 			suspects = append(suspects, c)
 			continue
 		}
--- a/pick/simulation_test.go
+++ b/pick/simulation_test.go
@@ -294,7 +294,7 @@
 // firstRanked is the baseline of rendezvous hashing without a load bound: each object has one target.
 func firstRanked(p *Picker, now time.Time, a Request) (Choice, Reason) {
 	pl := p.pools[a.Service]
-	list, _ := p.candidates(now, pl, a, p.homeRegion(pl, a))
+	list, _ := p.candidates(now, pl, a, p.homeRegion(pl, a), choosing)
 	for _, c := range list {
 		if c.group == homeGroup && c.rank == 0 {
 			return Choice{Target: c.t.Target, Known: true}, Chosen
--- a/pick/split.go
+++ b/pick/split.go
@@ -29,16 +29,29 @@
 	if len(r.Services) == 1 {
 		return r.Services[0].Service
 	}
-	s := p.splits[r.Name]
-	if s == nil || !sameParts(s.parts, r.Services) {
-		s = newSplit(r.Services)
-		p.splits[r.Name] = s
-	}
+	s := p.splitOf(r)
+	p.splits[r.Name] = s
 	i := s.choose(o)
 	s.record(i)
 	return r.Services[i].Service
 }
 
+// PreviewService returns what Service would return, and counts nothing.
+func (p *Picker) PreviewService(r *fleet.Route, o Object) ident.Service {
+	if len(r.Services) == 1 {
+		return r.Services[0].Service
+	}
+	return r.Services[p.splitOf(r).choose(o)].Service
+}
+
+// splitOf returns the split of a route, a new one if none was measured for its parts.
+func (p *Picker) splitOf(r *fleet.Route) *split {
+	if s := p.splits[r.Name]; s != nil && sameParts(s.parts, r.Services) {
+		return s
+	}
+	return newSplit(r.Services)
+}
+
 func sameParts(a, b []fleet.WeightedService) bool {
 	if len(a) != len(b) {
 		return false
