carry: where a request would go, without sending it

Cause: the choice of a target depends on the route, the customer and the state of the picker under the forwarder's mutex; a dump has only the latter. It credits no retry quota, takes no customer quota, counts and logs nothing, and the answer has no key.

--- a/carry/attempt.go
+++ b/carry/attempt.go
@@ -55,7 +55,7 @@
 
 // chooseTarget chooses the target of the next attempt. If there is none, it returns the final response.
 func (k *call) chooseTarget(now time.Time) (pick.Choice, *codec.Response) {
-	if k.deadline.Sub(now) < minRemaining {
+	if k.deadlineTooShort(now) {
 		return pick.Choice{}, k.giveUp(now, kinds.DeadlineTooShort, "deadline reached")
 	}
 	choice, reason, why, sendable := k.pick(now)
@@ -75,6 +75,9 @@
 	return choice, k.giveUp(now, kinds.NoTarget, reason.String())
 }
 
+// deadlineTooShort reports whether too little time is left to send the request.
+func (k *call) deadlineTooShort(now time.Time) bool { return k.deadline.Sub(now) < minRemaining }
+
 // pick chooses a target by the newest snapshot and records that snapshot. It reports false and why if the newest configuration does
 // not allow sending the request any more.
 func (k *call) pick(now time.Time) (choice pick.Choice, reason pick.Reason, why kinds.Kind, sendable bool) {
--- a/carry/follow.go
+++ b/carry/follow.go
@@ -37,7 +37,11 @@
 	if route.Affinity {
 		k.object = pick.NewObject(route.Name, []byte(k.r.Field(k.headers.Affinity)))
 	}
-	if !route.Uses(k.service) {
+	switch {
+	case route.Uses(k.service):
+	case k.preview:
+		k.service = k.picker.PreviewService(route, k.object)
+	default:
 		k.service = k.picker.Service(k.arrived, route, k.object)
 	}
 	return kinds.Answered, true
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -270,6 +270,8 @@
 	notBefore time.Time
 	// askedForTime is set if a target has refused the request and asked for a time without requests.
 	askedForTime bool
+	// preview is set if the request is not to be sent, and must not be counted.
+	preview bool
 }
 
 // Handle implements inlet.Handler.
