edge: GET /where on the admin port

Cause: operators need the answer of a running VM. Change: AdminHandler answers GET /where with the parameters host, path, object and all; the API key is in a header field, since URIs get into logs. The verdicts of a request, also 404 and 401, are in the JSON with status 200: a status of 404 stays that of a build without the path. A query that can't be a request gets 400. At most 20 targets are listed unless all are requested.

--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/currantpier/currantpier/carry"
 	"github.com/currantpier/currantpier/codec"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/join"
@@ -17,7 +18,8 @@
 )
 
 // AdminHandler serves GET /metrics with the metrics as text, GET /dump with the state of each service as JSON, GET /state
-// with the state that another VM needs to start, and GET /departures with the targets that have left recently.
+// with the state that another VM needs to start, GET /departures with the targets that have left recently, and GET /where with
+// where a request would go.
 type AdminHandler struct {
 	// Node returns the node; nil while it is being built.
 	Node func() *Node
@@ -40,6 +42,12 @@
 	case "/dump":
 		contentType = "application/json"
 		err = n.kernel.WriteDump(&b, arrived, requestedServices(r.URI())...)
+	case carry.WherePath:
+		contentType = "application/json"
+		var ok bool
+		if ok, err = n.writeWhere(&b, arrived, r); !ok {
+			return badWhereRequest()
+		}
 	case join.StatePath, join.DeparturesPath:
 		contentType = "application/octet-stream"
 		encoded := n.state.EncodeState(ctx, r.Path() == join.DeparturesPath, requestedConfig(r.URI()))
