--- a/cmds/operate.go
+++ b/cmds/operate.go
@@ -340,10 +340,19 @@
 }
 
 // getControl returns the body of a GET request to a control port. An error of the request has kind StoreDown,
-// status 404 has kind NotFound, and other errors have no kind.
-func getControl(addr, path string) ([]byte, error) {
-	client := node.NewHTTPClient(callTimeout)
-	resp, err := client.Get("http://" + addr + path)
+// status 404 has kind NotFound, status 400 BadRequest, and other errors have no kind.
+func getControl(addr, path string) ([]byte, error) { return getControlWith(addr, path, nil) }
+
+// getControlWith is getControl with header fields.
+func getControlWith(addr, path string, fields map[string]string) ([]byte, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, kinds.Wrap(kinds.BadRequest, err, "address of the daemon")
+	}
+	for name, value := range fields {
+		req.Header.Set(name, value)
+	}
+	resp, err := node.NewHTTPClient(callTimeout).Do(req)
 	if err != nil {
 		return nil, kinds.Wrap(kinds.StoreDown, err, "call daemon")
 	}
@@ -352,6 +361,9 @@
 	if err == nil && resp.StatusCode == http.StatusNotFound {
 		return nil, kinds.Errorf(kinds.NotFound, "%s", strings.TrimSpace(string(body)))
 	}
+	if err == nil && resp.StatusCode == http.StatusBadRequest {
+		return nil, kinds.Errorf(kinds.BadRequest, "%s", strings.TrimSpace(string(body)))
+	}
 	if err == nil && resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(body)))
 	}
--- a/cmds/table.go
+++ b/cmds/table.go
@@ -27,6 +27,8 @@
 			&dumpCommand{s: s}},
 		{"explain", "tell the story of one request", "Reads the logs of many VMs, from files or standard input, and prints what " +
 			"was decided about one request, and what each VM believed then.", &explainCommand{s: s, in: os.Stdin}},
+		{"where", "show where a request would go now", "Asks one VM where a request would go and why, without sending it. The VM " +
+			"counts nothing and takes no quota.", &whereCommand{s: s}},
 		{"unknown", "list orders whose outcome is unknown", "Asks every live entry for the orders whose outcome is " +
 			"unknown.", &unknownOrdersCommand{operator: op}},
 		{"stand-in", "run a stand-in of the platform or of an upstream", "Runs a stand-in for trials and tests. It is " +
