--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -48,7 +48,7 @@
 	// pool is nil unless this VM holds the customer's pool. holder is the VM that holds it.
 	pool   *pool
 	holder *proto.VMInfo
-	// lenders are the holders in the other failure domains; nil until they are needed.
+	// lenders are the holders in the other regions; nil until they are needed.
 	lenders []*proto.VMInfo
 	// batches are the tokens of the last two grants, the older first.
 	batches [2]batch
@@ -76,10 +76,14 @@
 
 // Limiter is one VM's part: it holds pools of some customers, and tokens of all others. It is not safe for concurrent use.
 type Limiter struct {
-	self     proto.VMInfo
-	domains  int
-	bounds   Bounds
-	accounts map[ident.Customer]*account
+	self    proto.VMInfo
+	domains int
+	// parts is the number of failure domains whose parts the pools of this VM have. It rises to seenParts, the number of failure domains
+	// that have live VMs, once that has been the same since partsSince for lenderLife, and falls at once.
+	parts, seenParts int
+	partsSince       time.Time
+	bounds           Bounds
+	accounts         map[ident.Customer]*account
 	// order is accounts in the order of the limits.
 	order  []*account
 	vms    []proto.VMInfo
@@ -100,7 +104,7 @@
 func NewLimiter(self proto.VMInfo, domains int, b Bounds, now time.Time) *Limiter {
 	// The first number differs between the processes of a VM, so that an answer to an earlier one is not taken for a later one's.
 	first := hash.Mix(uint64(self.Incarnation)+1) >> 32
-	return &Limiter{self: self, domains: max(domains, 1), bounds: b, accounts: map[ident.Customer]*account{}, vms: []proto.VMInfo{self},
+	return &Limiter{self: self, domains: max(domains, 1), bounds: b, accounts: map[ident.Customer]*account{}, vms: []proto.VMInfo{self}, parts: 1, seenParts: 1,
 		number: first, last: now, swept: now}
 }
 
@@ -125,7 +129,7 @@
 		}
 		lower := limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst
 		a.limit = limit
-		a.demand.period = periodFor(limit.Rate / float64(l.domains))
+		a.demand.period = periodFor(limit.Rate * float64(l.parts) / float64(l.domains))
 		l.assign(now, a)
 		if lower {
 			a.batches = [2]batch{}
@@ -152,6 +156,7 @@
 		return
 	}
 	l.vms = list
+	l.updateParts(now)
 	for _, a := range l.order {
 		l.assign(now, a)
 	}
@@ -161,7 +166,7 @@
 func (l *Limiter) assign(now time.Time, a *account) {
 	a.lenders = nil
 	before := a.holder
-	a.holder = l.holderIn(a.hash, l.self.Place.Domain)
+	a.holder = l.holderIn(a.hash, l.self.Place.Region)
 	if before != nil && before.VM != a.holder.VM {
 		a.waiting, a.silent, a.emptyUntil = false, false, time.Time{}
 	}
@@ -172,16 +177,26 @@
 	case a.pool == nil:
 		a.pool = newPool(now)
 	}
+	a.pool.advance(now)
 	a.pool.rate, a.pool.burst = l.bounds.part(a.limit, l.domains)
+	a.pool.parts = float64(l.parts)
+	a.pool.cap(now)
 }
 
-// holderIn returns the first VM of a failure domain by rendezvous hashing.
-func (l *Limiter) holderIn(customer uint64, d ident.Domain) *proto.VMInfo {
+// holderIn returns the first VM of a region by rendezvous hashing, among those with at least half of the largest capacity: a small
+// VM's link is at times busy with responses for longer than a request for tokens may wait.
+func (l *Limiter) holderIn(customer uint64, r ident.Region) *proto.VMInfo {
+	most := int64(0)
+	for i := range l.vms {
+		if c, ok := l.vms[i].KnownCapacity(); ok && l.vms[i].Place.Region == r {
+			most = max(most, c)
+		}
+	}
 	var first *proto.VMInfo
 	var best uint64
 	for i := range l.vms {
 		vm := &l.vms[i]
-		if vm.Place.Domain != d {
+		if c, ok := vm.KnownCapacity(); vm.Place.Region != r || ok && 2*c < most {
 			continue
 		}
 		if score := hash.Mix(customer ^ uint64(proto.KeyOf(vm.VM))); first == nil || score < best {
@@ -191,17 +206,36 @@
 	return first
 }
 
-// lendersOf returns the holders of a customer's pools in the other failure domains.
+// updateParts updates the parts of the pools, and reports whether they changed. Behind a partition inside the region, each side has
+// the parts of its failure domains; when it ends, a pool of the other side may have granted or lent its parts just before.
+func (l *Limiter) updateParts(now time.Time) bool {
+	domains := map[ident.Domain]bool{}
+	for i := range l.vms {
+		if p := &l.vms[i].Place; p.Region == l.self.Place.Region {
+			domains[p.Domain] = true
+		}
+	}
+	if len(domains) != l.seenParts {
+		l.seenParts, l.partsSince = len(domains), now
+	}
+	before := l.parts
+	if l.seenParts < l.parts || now.Sub(l.partsSince) >= lenderLife {
+		l.parts = l.seenParts
+	}
+	return l.parts != before
+}
+
+// lendersOf returns the holders of a customer's pools in the other regions.
 func (l *Limiter) lendersOf(a *account) []*proto.VMInfo {
 	if a.lenders != nil {
 		return a.lenders
 	}
 	a.lenders = []*proto.VMInfo{}
-	seen := map[ident.Domain]bool{l.self.Place.Domain: true}
+	seen := map[ident.Region]bool{l.self.Place.Region: true}
 	for i := range l.vms {
-		if d := l.vms[i].Place.Domain; !seen[d] {
-			seen[d] = true
-			a.lenders = append(a.lenders, l.holderIn(a.hash, d))
+		if r := l.vms[i].Place.Region; !seen[r] {
+			seen[r] = true
+			a.lenders = append(a.lenders, l.holderIn(a.hash, r))
 		}
 	}
 	return a.lenders
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -18,7 +18,7 @@
 	// notice of expired tokens takes, one tick and two datagrams. Until then they count towards the pool's burst.
 	returnLife = 350 * time.Millisecond
 	// answerTimeout bounds the wait of a request for tokens.
-	answerTimeout = 100 * time.Millisecond
+	answerTimeout = 250 * time.Millisecond
 	// resendInterval is the time after which a request for tokens without an answer is repeated.
 	resendInterval = 20 * time.Millisecond
 	// maxPause is the time without a call after which another VM may have taken over the pools of this one.
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -32,7 +32,7 @@
 		case proto.QuotaGrant:
 			l.receiveGrant(now, a, from, it)
 		case proto.QuotaLoanRequest:
-			if a.pool != nil && l.vms[i].Place.Domain != l.self.Place.Domain {
+			if a.pool != nil && l.vms[i].Place.Region != l.self.Place.Region {
 				l.queue = append(l.queue, queued{&l.vms[i], a.pool.lend(now, from, it)})
 			}
 		case proto.QuotaLoan:
@@ -45,7 +45,7 @@
 }
 
 func (l *Limiter) receiveRequest(now time.Time, a *account, from *proto.VMInfo, inc ident.Incarnation, it *proto.QuotaItem) {
-	if from.Place.Domain != l.self.Place.Domain {
+	if from.Place.Region != l.self.Place.Region {
 		return
 	}
 	answer, ok := proto.QuotaItem{Kind: proto.QuotaGrant, Customer: it.Customer, Number: it.Number, Next: answerTimeout}, true
@@ -108,6 +108,11 @@
 // TickInterval.
 func (l *Limiter) Tick(now time.Time) []Packet {
 	l.checkPause(now)
+	if l.seenParts > l.parts && l.updateParts(now) {
+		for _, a := range l.order {
+			l.assign(now, a)
+		}
+	}
 	sweep := now.Sub(l.swept) >= maxNext
 	if sweep {
 		l.swept = now
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -64,8 +64,9 @@
 // pool is the token bucket of one customer in one failure domain. Tokens in level and those granted within returnLife together
 // never exceed the burst of the pool's share, so that the sum over all pools in a window is bounded by rate and bursts alone.
 type pool struct {
-	// rate and burst are of a whole share.
+	// rate and burst are of one failure domain's part, parts the number of parts that the pool has. Shares are in parts.
 	rate, burst   float64
+	parts         float64
 	created, last time.Time
 	level         float64
 	grants        []grant
@@ -92,7 +93,7 @@
 	if now.Sub(p.created) < lenderLife {
 		return 0
 	}
-	s := 1.0
+	s := p.parts
 	for _, l := range p.lent {
 		s -= l.at(now)
 	}
@@ -251,7 +252,7 @@
 		b.interval = min(2*b.interval, maxLoanBackoff)
 		return false
 	}
-	b.share, b.until, b.interval = float64(min(it.Share, proto.QuotaShareUnits))/proto.QuotaShareUnits, b.sentAt.Add(borrowerLife), growInterval
+	b.share, b.until, b.interval = min(float64(it.Share)/proto.QuotaShareUnits, b.want), b.sentAt.Add(borrowerLife), growInterval
 	p.level += float64(it.MilliTokens) / 1000
 	p.cap(now)
 	return true
