quota: lend a region's whole pool

Cause: a request for a loan was limited to one part, the former size of a pool. With pools of two parts a pool got 4 of 6 parts at most, and TestDemandAtOneVM saw 296 of 1,145 requests refused at 0.95 of a limit of 60.

Change: the share in messages is a fraction of the customer's whole rate, so that the bound of the field is the whole again.

Result: TestDemandAtOneVM passes at all four rates.

--- a/proto/quota.go
+++ b/proto/quota.go
@@ -46,13 +46,13 @@
 	Returned       uint32
 	// Next is the time until tokens are next expected, in whole milliseconds; zero if all requested tokens were granted.
 	Next time.Duration
-	// Share is the requested or lent part of a pool in units of 1/QuotaShareUnits.
+	// Share is the requested or lent part of a customer's rate and burst in units of 1/QuotaShareUnits.
 	Share uint32
 	// MilliTokens are the tokens that move to the borrower when a loan begins or grows, in thousandths.
 	MilliTokens uint64
 }
 
-// QuotaShareUnits is the number of units of a whole pool in QuotaItem.Share.
+// QuotaShareUnits is the number of units of a customer's whole rate in QuotaItem.Share.
 const QuotaShareUnits = 1024
 
 // Field numbers of a QuotaMessage and, below, of its items.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -179,7 +179,7 @@
 	}
 	a.pool.advance(now)
 	a.pool.rate, a.pool.burst = l.bounds.part(a.limit, l.domains)
-	a.pool.parts = float64(l.parts)
+	a.pool.parts, a.pool.domains = float64(l.parts), float64(l.domains)
 	a.pool.cap(now)
 }
 
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -67,6 +67,8 @@
 	// rate and burst are of one failure domain's part, parts the number of parts that the pool has. Shares are in parts.
 	rate, burst   float64
 	parts         float64
+	// domains is the number of parts of all pools.
+	domains       float64
 	created, last time.Time
 	level         float64
 	grants        []grant
@@ -81,7 +83,7 @@
 }
 
 func newPool(now time.Time) *pool {
-	return &pool{created: now, last: now, reviewed: now, clients: map[ident.VM]*client{}, lent: map[ident.VM]*lending{}, borrowed: map[ident.VM]*borrowing{}}
+	return &pool{domains: 1, created: now, last: now, reviewed: now, clients: map[ident.VM]*client{}, lent: map[ident.VM]*lending{}, borrowed: map[ident.VM]*borrowing{}}
 }
 
 // started reports whether all tokens of an earlier holder have expired.
@@ -214,11 +216,11 @@
 	before := l.at(now)
 	// Tokens that were granted stay within the burst of the share that is kept.
 	kept := max(lendHeadroom*p.demandAt(now)/p.rate, p.granted/p.burst)
-	a.Share = uint32(max(min(float64(it.Share)/proto.QuotaShareUnits, own+before-kept), 0) * proto.QuotaShareUnits)
+	a.Share = uint32(max(min(p.shareOf(it), own+before-kept), 0) / p.domains * proto.QuotaShareUnits)
 	if a.Share == 0 {
 		return a
 	}
-	share := float64(a.Share) / proto.QuotaShareUnits
+	share := p.shareOf(&a)
 	if share < before {
 		l.previous, l.previousUntil = before, maxTime(l.until, l.previousUntil)
 	} else if own > 0 {
@@ -232,6 +234,9 @@
 	return a
 }
 
+// shareOf returns the share in a message, in parts.
+func (p *pool) shareOf(it *proto.QuotaItem) float64 { return float64(it.Share) / proto.QuotaShareUnits * p.domains }
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -252,7 +257,7 @@
 		b.interval = min(2*b.interval, maxLoanBackoff)
 		return false
 	}
-	b.share, b.until, b.interval = min(float64(it.Share)/proto.QuotaShareUnits, b.want), b.sentAt.Add(borrowerLife), growInterval
+	b.share, b.until, b.interval = min(p.shareOf(it), b.want), b.sentAt.Add(borrowerLife), growInterval
 	p.level += float64(it.MilliTokens) / 1000
 	p.cap(now)
 	return true
@@ -293,9 +298,9 @@
 		current = b.share
 	}
 	// One that has lent what it was asked for is asked for all that is missing, since only one of them may have it.
-	want := min(borrowSpread*need/float64(lenders), 1)
+	want := borrowSpread * need / float64(lenders)
 	if current > 0 && current >= b.want {
-		want = min(current+need-total, 1)
+		want = current + need - total
 	}
 	interval := b.interval
 	if total >= need {
@@ -308,11 +313,11 @@
 	if !b.sentAt.IsZero() && !b.answered {
 		b.interval = min(2*b.interval, maxLoanBackoff)
 	}
-	it.Share = uint32(math.Ceil(want * proto.QuotaShareUnits))
+	it.Share = uint32(min(math.Ceil(want/p.domains*proto.QuotaShareUnits), proto.QuotaShareUnits))
 	if it.Share == 0 {
 		return it, false
 	}
-	b.number, b.sentAt, b.answered, b.want = number, now, false, float64(it.Share)/proto.QuotaShareUnits
+	b.number, b.sentAt, b.answered, b.want = number, now, false, p.shareOf(&it)
 	it.Kind, it.Number = proto.QuotaLoanRequest, number
 	return it, true
 }
