quota: pools of one region never use a part twice

A VM that started behind a partition used its part after 1.4 s, when the other side had not yet noticed the partition. A count of failure domains also missed that one took the place of another.

Change: each failure domain of the region counts on its own, from detectTime + lenderLife after it returns. A new pool waits as long for its own share when the VM has lost a failure domain, was paused, or has not yet seen all of the region; NewLimiter gets their number. A pool lends only what is left of its present parts, and nothing while its list of VMs is older than a gap of 100 ms.

--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -76,14 +76,11 @@
 
 // Limiter is one VM's part: it holds pools of some customers, and tokens of all others. It is not safe for concurrent use.
 type Limiter struct {
-	self    proto.VMInfo
-	domains int
-	// parts is the number of failure domains whose parts the pools of this VM have. It rises to seenParts, the number of failure domains
-	// that have live VMs, once that has been the same since partsSince for lenderLife, and falls at once.
-	parts, seenParts int
-	partsSince       time.Time
-	bounds           Bounds
-	accounts         map[ident.Customer]*account
+	self     proto.VMInfo
+	domains  int
+	parts    regionParts
+	bounds   Bounds
+	accounts map[ident.Customer]*account
 	// order is accounts in the order of the limits.
 	order  []*account
 	vms    []proto.VMInfo
@@ -91,6 +88,8 @@
 	queue  []queued
 	last   time.Time
 	swept  time.Time
+	// staleView says that nothing was called for maxGap since SetVMs was last called.
+	staleView bool
 	// Counters are exported by the metrics service.
 	Counters Counters
 }
@@ -100,12 +99,23 @@
 	Taken, Refused, Unanswered, Requests, LoanRequests, Borrowed, Resets uint64
 }
 
+// Option is an option of NewLimiter.
+type Option func(*Limiter)
+
+// WithRegionDomains sets the number of failure domains of the own region; the default is 1.
+func WithRegionDomains(n int) Option { return func(l *Limiter) { l.parts.domains = n } }
+
 // NewLimiter returns a limiter without limits for a deployment with the given number of failure domains.
-func NewLimiter(self proto.VMInfo, domains int, b Bounds, now time.Time) *Limiter {
+func NewLimiter(self proto.VMInfo, domains int, b Bounds, now time.Time, options ...Option) *Limiter {
 	// The first number differs between the processes of a VM, so that an answer to an earlier one is not taken for a later one's.
 	first := hash.Mix(uint64(self.Incarnation)+1) >> 32
-	return &Limiter{self: self, domains: max(domains, 1), bounds: b, accounts: map[ident.Customer]*account{}, vms: []proto.VMInfo{self}, parts: 1, seenParts: 1,
-		number: first, last: now, swept: now}
+	l := &Limiter{self: self, domains: max(domains, 1), parts: regionParts{domains: 1}, bounds: b, accounts: map[ident.Customer]*account{},
+		vms: []proto.VMInfo{self}, number: first, last: now, swept: now}
+	for _, o := range options {
+		o(l)
+	}
+	l.parts.start(now)
+	return l
 }
 
 // SetLimits replaces the limits. Customers that it doesn't name have none.
@@ -129,7 +139,6 @@
 		}
 		lower := limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst
 		a.limit = limit
-		a.demand.period = periodFor(limit.Rate * float64(l.parts) / float64(l.domains))
 		l.assign(now, a)
 		if lower {
 			a.batches = [2]batch{}
@@ -145,6 +154,7 @@
 // SetVMs replaces the list of VMs that are alive.
 func (l *Limiter) SetVMs(now time.Time, alive []proto.VMInfo) {
 	l.checkPause(now)
+	l.staleView = false
 	list := []proto.VMInfo{l.self}
 	for _, vm := range alive {
 		if vm.VM != l.self.VM {
@@ -156,7 +166,7 @@
 		return
 	}
 	l.vms = list
-	l.updateParts(now)
+	l.parts.see(now, l.self.Place, list)
 	for _, a := range l.order {
 		l.assign(now, a)
 	}
@@ -167,6 +177,7 @@
 	a.lenders = nil
 	before := a.holder
 	a.holder = l.holderIn(a.hash, l.self.Place.Region)
+	a.demand.period = periodFor(a.limit.Rate * float64(l.parts.counted) / float64(l.domains))
 	if before != nil && before.VM != a.holder.VM {
 		a.waiting, a.silent, a.emptyUntil = false, false, time.Time{}
 	}
@@ -176,10 +187,15 @@
 		return
 	case a.pool == nil:
 		a.pool = newPool(now)
+		a.pool.ownFrom = maxTime(a.pool.ownFrom, l.parts.ownFrom)
 	}
 	a.pool.advance(now)
 	a.pool.rate, a.pool.burst = l.bounds.part(a.limit, l.domains)
-	a.pool.parts, a.pool.domains = float64(l.parts), float64(l.domains)
+	a.pool.parts, a.pool.domains = float64(l.parts.counted), float64(l.domains)
+	// A start that is over shortens the wait; a partition doesn't take its own share from a pool that has it.
+	if from := maxTime(a.pool.created.Add(lenderLife), l.parts.ownFrom); from.Before(a.pool.ownFrom) {
+		a.pool.ownFrom = from
+	}
 	a.pool.cap(now)
 }
 
@@ -206,25 +222,6 @@
 	return first
 }
 
-// updateParts updates the parts of the pools, and reports whether they changed. Behind a partition inside the region, each side has
-// the parts of its failure domains; when it ends, a pool of the other side may have granted or lent its parts just before.
-func (l *Limiter) updateParts(now time.Time) bool {
-	domains := map[ident.Domain]bool{}
-	for i := range l.vms {
-		if p := &l.vms[i].Place; p.Region == l.self.Place.Region {
-			domains[p.Domain] = true
-		}
-	}
-	if len(domains) != l.seenParts {
-		l.seenParts, l.partsSince = len(domains), now
-	}
-	before := l.parts
-	if l.seenParts < l.parts || now.Sub(l.partsSince) >= lenderLife {
-		l.parts = l.seenParts
-	}
-	return l.parts != before
-}
-
 // lendersOf returns the holders of a customer's pools in the other regions.
 func (l *Limiter) lendersOf(a *account) []*proto.VMInfo {
 	if a.lenders != nil {
@@ -246,10 +243,12 @@
 func (l *Limiter) checkPause(now time.Time) {
 	gap := max(now.Sub(l.last), now.Round(0).Sub(l.last.Round(0)))
 	l.last = now
+	l.staleView = l.staleView || gap >= maxGap
 	if gap < maxPause {
 		return
 	}
 	l.Counters.Resets++
+	l.parts.reset(now)
 	for _, a := range l.order {
 		a.batches, a.waiting, a.unused, a.abandoned = [2]batch{}, false, batch{}, 0
 		if a.pool != nil {
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -23,6 +23,11 @@
 	resendInterval = 20 * time.Millisecond
 	// maxPause is the time without a call after which another VM may have taken over the pools of this one.
 	maxPause = 500 * time.Millisecond
+	// maxGap is the time without a call after which a pool lends nothing until the list of VMs is renewed: another VM may have become
+	// the holder meanwhile, and uses its own share from lenderLife after that.
+	maxGap = 100 * time.Millisecond
+	// detectTime is the time within which the VMs behind a partition are taken for dead, with 88 VMs.
+	detectTime = 3 * time.Second
 	// borrowerLife is how long a loan lasts at the borrower, from its request. lenderLife is how long it lasts at the lender,
 	// from its answer: longer by what the borrower's VMs may still use of tokens granted before.
 	borrowerLife = time.Second
--- a/quota/messages.go
+++ b/quota/messages.go
@@ -32,7 +32,7 @@
 		case proto.QuotaGrant:
 			l.receiveGrant(now, a, from, it)
 		case proto.QuotaLoanRequest:
-			if a.pool != nil && l.vms[i].Place.Region != l.self.Place.Region {
+			if a.pool != nil && !l.staleView && l.vms[i].Place.Region != l.self.Place.Region {
 				l.queue = append(l.queue, queued{&l.vms[i], a.pool.lend(now, from, it)})
 			}
 		case proto.QuotaLoan:
@@ -108,7 +108,7 @@
 // TickInterval.
 func (l *Limiter) Tick(now time.Time) []Packet {
 	l.checkPause(now)
-	if l.seenParts > l.parts && l.updateParts(now) {
+	if l.parts.counted <= len(l.parts.countFrom) && l.parts.count(now) {
 		for _, a := range l.order {
 			l.assign(now, a)
 		}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -61,29 +61,31 @@
 	want float64
 }
 
-// pool is the token bucket of one customer in one failure domain. Tokens in level and those granted within returnLife together
+// pool is the token bucket of one customer in one region. Tokens in level and those granted within returnLife together
 // never exceed the burst of the pool's share, so that the sum over all pools in a window is bounded by rate and bursts alone.
 type pool struct {
 	// rate and burst are of one failure domain's part, parts the number of parts that the pool has. Shares are in parts.
-	rate, burst   float64
-	parts         float64
+	rate, burst float64
+	parts       float64
 	// domains is the number of parts of all pools.
 	domains       float64
 	created, last time.Time
-	level         float64
-	grants        []grant
-	granted       float64
-	clients       map[ident.VM]*client
-	lent          map[ident.VM]*lending
-	borrowed      map[ident.VM]*borrowing
-	self          demand
+	// ownFrom is when the pool may use its own share.
+	ownFrom  time.Time
+	level    float64
+	grants   []grant
+	granted  float64
+	clients  map[ident.VM]*client
+	lent     map[ident.VM]*lending
+	borrowed map[ident.VM]*borrowing
+	self     demand
 	// reviewed is when review was last called, and waiting the number of VMs whose newest request was then not granted in full.
 	reviewed time.Time
 	waiting  float64
 }
 
 func newPool(now time.Time) *pool {
-	return &pool{domains: 1, created: now, last: now, reviewed: now, clients: map[ident.VM]*client{}, lent: map[ident.VM]*lending{}, borrowed: map[ident.VM]*borrowing{}}
+	return &pool{domains: 1, created: now, ownFrom: now.Add(lenderLife), last: now, reviewed: now, clients: map[ident.VM]*client{}, lent: map[ident.VM]*lending{}, borrowed: map[ident.VM]*borrowing{}}
 }
 
 // started reports whether all tokens of an earlier holder have expired.
@@ -91,15 +93,18 @@
 
 // ownShare returns the part of this pool's own share that isn't lent. An earlier holder may have lent all of it: its loans are
 // unknown here.
-func (p *pool) ownShare(now time.Time) float64 {
-	if now.Sub(p.created) < lenderLife {
+func (p *pool) ownShare(now time.Time) float64 { return max(p.unlent(now), 0) }
+
+// unlent is ownShare, but negative while more is lent than the pool has since its parts became fewer.
+func (p *pool) unlent(now time.Time) float64 {
+	if now.Before(p.ownFrom) {
 		return 0
 	}
 	s := p.parts
 	for _, l := range p.lent {
 		s -= l.at(now)
 	}
-	return max(s, 0)
+	return s
 }
 
 func (p *pool) borrowedShare(now time.Time) float64 {
@@ -147,7 +152,7 @@
 	return min(max(time.Duration(min(seconds, maxNext.Seconds())*float64(time.Second)), minNext), maxNext)
 }
 
-// demandAt returns the demand of all VMs of the failure domain.
+// demandAt returns the demand of all VMs of the region.
 func (p *pool) demandAt(now time.Time) float64 {
 	d := p.self.perSecond(now)
 	for _, c := range p.clients {
@@ -185,7 +190,7 @@
 	}
 	c.answer = a
 	// The demand decays from the time at which the VM is next expected to report it.
-	c.demand = demand{float64(it.Demand) / 1000, now.Add(max(a.Next, prefetchPeriod)), periodFor(p.rate)}
+	c.demand = demand{float64(it.Demand) / 1000, now.Add(max(a.Next, prefetchPeriod)), periodFor(p.rate * p.parts)}
 	return a, true
 }
 
@@ -205,7 +210,7 @@
 func (p *pool) lend(now time.Time, from ident.VM, it *proto.QuotaItem) proto.QuotaItem {
 	p.advance(now)
 	a := proto.QuotaItem{Kind: proto.QuotaLoan, Customer: it.Customer, Number: it.Number}
-	own := p.ownShare(now)
+	own := p.unlent(now)
 	if p.burst <= 0 {
 		return a
 	}
@@ -235,7 +240,9 @@
 }
 
 // shareOf returns the share in a message, in parts.
-func (p *pool) shareOf(it *proto.QuotaItem) float64 { return float64(it.Share) / proto.QuotaShareUnits * p.domains }
+func (p *pool) shareOf(it *proto.QuotaItem) float64 {
+	return float64(it.Share) / proto.QuotaShareUnits * p.domains
+}
 
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -104,7 +104,7 @@
 func (s *sim) start(n *simNode) {
 	n.up, n.waiting = true, nil
 	n.info.Incarnation = ident.Incarnation(s.now.UnixMilli())
-	n.limiter = NewLimiter(n.info, s.domains, testBounds, s.now)
+	n.limiter = NewLimiter(n.info, s.domains, testBounds, s.now, WithRegionDomains(2))
 	n.limiter.SetLimits(s.now, s.limits)
 	clear(n.heard)
 }
