quota: bound the incomplete answers of a pool

Cause: with all customers at 7.5 times their limits, the VM that holds the pools of large customers sent 17,634 bytes a second: up to 30 VMs of a region wait for a pool, and each answer carried about one token.

Change: beyond 8 waiting VMs, they ask again so that a pool answers about 70 of them a second, with more tokens each.

Result: TestTraffic passes. Comments name regions and answerTimeout.

--- a/quota/limits.go
+++ b/quota/limits.go
@@ -1,6 +1,6 @@
 // Package quota limits the requests of customers over all VMs. Each failure domain has an equal part of a customer's rate and
-// burst. One VM of the domain holds it as a token bucket, the pool; the other VMs of the domain request tokens from it, and
-// pools of the same customer lend each other parts across failure domains. Limiter performs no I/O and reads no clock; Service
+// burst. One VM of a region holds the parts of its failure domains as a token bucket, the pool; the other VMs of the region request
+// tokens from it, and pools of the same customer lend each other parts across regions. Limiter performs no I/O and reads no clock; Service
 // exchanges its messages through peers.Service.
 package quota
 
@@ -53,6 +53,10 @@
 	// minNext and maxNext bound the time until tokens are next expected. A pool's expectation doesn't include loans to come.
 	minNext = 10 * time.Millisecond
 	maxNext = time.Second
+	// unmetAnswers bounds the incomplete answers a second of a pool to the waiting VMs beyond fewWaiting: with each for one token, the
+	// holder of a customer with 360 requests a second, far over its limit, sends more than 16 KB/s.
+	unmetAnswers = 70.0
+	fewWaiting   = 8.0
 	// reserveFraction is the fraction of the burst below which a pool borrows at once. What it holds above that is expected to
 	// last for reservePeriod: random peaks of a demand below the rate must not take the parts that other pools need.
 	reserveFraction = 0.4
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -165,7 +165,7 @@
 // next returns the time until tokens are next expected for one of the VMs whose requests were not granted in full.
 func (p *pool) next(now time.Time) time.Duration {
 	rate := p.rate * (p.ownShare(now) + p.borrowedShare(now))
-	seconds := max(1+p.waiting-p.level, 0) / max(rate, epsilon)
+	seconds := max(max(1+p.waiting-p.level, 0)/max(rate, epsilon), (p.waiting-fewWaiting)/unmetAnswers)
 	most := maxNext
 	if now.Before(p.ownFrom) {
 		most = growInterval // loans are on their way
--- a/quota/service.go
+++ b/quota/service.go
@@ -125,7 +125,7 @@
 }
 
 // Allow reports whether a request of a customer may be sent, and otherwise when to try again. It waits for one answer of another
-// VM, at most 100 ms, if no token is at hand and one may be available.
+// VM, at most answerTimeout, if no token is at hand and one may be available.
 func (s *Service) Allow(ctx context.Context, now time.Time, c ident.Customer) (ok bool, retryAfter time.Duration) {
 	result, retryAfter, answered := s.take(now, c, (*Limiter).Take)
 	if result == Wait {
