--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -48,7 +48,7 @@
 	// pool is nil unless this VM holds the customer's pool. holder is the VM that holds it.
 	pool   *pool
 	holder *proto.VMInfo
-	// lenders are the holders in the other failure domains; nil until they are needed.
+	// lenders are the holders in the other regions; nil until they are needed.
 	lenders []*proto.VMInfo
 	// batches are the tokens of the last two grants, the older first.
 	batches [2]batch
@@ -78,6 +78,7 @@
 type Limiter struct {
 	self     proto.VMInfo
 	domains  int
+	parts    regionParts
 	bounds   Bounds
 	accounts map[ident.Customer]*account
 	// order is accounts in the order of the limits.
@@ -87,6 +88,8 @@
 	queue  []queued
 	last   time.Time
 	swept  time.Time
+	// staleView says that nothing was called for maxGap since SetVMs was last called.
+	staleView bool
 	// Counters are exported by the metrics service.
 	Counters Counters
 }
@@ -96,12 +99,23 @@
 	Taken, Refused, Unanswered, Requests, LoanRequests, Borrowed, Resets uint64
 }
 
+// Option is an option of NewLimiter.
+type Option func(*Limiter)
+
+// WithRegionDomains sets the number of failure domains of the own region; the default is 1.
+func WithRegionDomains(n int) Option { return func(l *Limiter) { l.parts.domains = n } }
+
 // NewLimiter returns a limiter without limits for a deployment with the given number of failure domains.
-func NewLimiter(self proto.VMInfo, domains int, b Bounds, now time.Time) *Limiter {
+func NewLimiter(self proto.VMInfo, domains int, b Bounds, now time.Time, options ...Option) *Limiter {
 	// The first number differs between the processes of a VM, so that an answer to an earlier one is not taken for a later one's.
 	first := hash.Mix(uint64(self.Incarnation)+1) >> 32
-	return &Limiter{self: self, domains: max(domains, 1), bounds: b, accounts: map[ident.Customer]*account{}, vms: []proto.VMInfo{self},
-		number: first, last: now, swept: now}
+	l := &Limiter{self: self, domains: max(domains, 1), parts: regionParts{domains: 1}, bounds: b, accounts: map[ident.Customer]*account{},
+		vms: []proto.VMInfo{self}, number: first, last: now, swept: now}
+	for _, o := range options {
+		o(l)
+	}
+	l.parts.start(now)
+	return l
 }
 
 // SetLimits replaces the limits. Customers that it doesn't name have none.
@@ -125,7 +139,6 @@
 		}
 		lower := limit.Rate < a.limit.Rate || limit.Burst < a.limit.Burst
 		a.limit = limit
-		a.demand.period = periodFor(limit.Rate / float64(l.domains))
 		l.assign(now, a)
 		if lower {
 			a.batches = [2]batch{}
@@ -141,6 +154,7 @@
 // SetVMs replaces the list of VMs that are alive.
 func (l *Limiter) SetVMs(now time.Time, alive []proto.VMInfo) {
 	l.checkPause(now)
+	l.staleView = false
 	list := []proto.VMInfo{l.self}
 	for _, vm := range alive {
 		if vm.VM != l.self.VM {
@@ -152,6 +166,7 @@
 		return
 	}
 	l.vms = list
+	l.parts.see(now, l.self.Place, list)
 	for _, a := range l.order {
 		l.assign(now, a)
 	}
@@ -161,7 +176,8 @@
 func (l *Limiter) assign(now time.Time, a *account) {
 	a.lenders = nil
 	before := a.holder
-	a.holder = l.holderIn(a.hash, l.self.Place.Domain)
+	a.holder = l.holderIn(a.hash, l.self.Place.Region)
+	a.demand.period = periodFor(a.limit.Rate * float64(l.parts.counted) / float64(l.domains))
 	if before != nil && before.VM != a.holder.VM {
 		a.waiting, a.silent, a.emptyUntil = false, false, time.Time{}
 	}
@@ -171,17 +187,32 @@
 		return
 	case a.pool == nil:
 		a.pool = newPool(now)
+		a.pool.ownFrom = maxTime(a.pool.ownFrom, l.parts.ownFrom)
 	}
+	a.pool.advance(now)
 	a.pool.rate, a.pool.burst = l.bounds.part(a.limit, l.domains)
+	a.pool.parts, a.pool.domains = float64(l.parts.counted), float64(l.domains)
+	// A start that is over shortens the wait; a partition doesn't take its own share from a pool that has it.
+	if from := maxTime(a.pool.created.Add(lenderLife), l.parts.ownFrom); from.Before(a.pool.ownFrom) {
+		a.pool.ownFrom = from
+	}
+	a.pool.cap(now)
 }
 
-// holderIn returns the first VM of a failure domain by rendezvous hashing.
-func (l *Limiter) holderIn(customer uint64, d ident.Domain) *proto.VMInfo {
+// holderIn returns the first VM of a region by rendezvous hashing, among those with at least half of the largest capacity: a small
+// VM's link is at times busy with responses for longer than a request for tokens may wait.
+func (l *Limiter) holderIn(customer uint64, r ident.Region) *proto.VMInfo {
+	most := int64(0)
+	for i := range l.vms {
+		if c, ok := l.vms[i].KnownCapacity(); ok && l.vms[i].Place.Region == r {
+			most = max(most, c)
+		}
+	}
 	var first *proto.VMInfo
 	var best uint64
 	for i := range l.vms {
 		vm := &l.vms[i]
-		if vm.Place.Domain != d {
+		if c, ok := vm.KnownCapacity(); vm.Place.Region != r || ok && 2*c < most {
 			continue
 		}
 		if score := hash.Mix(customer ^ uint64(proto.KeyOf(vm.VM))); first == nil || score < best {
@@ -191,17 +222,17 @@
 	return first
 }
 
-// lendersOf returns the holders of a customer's pools in the other failure domains.
+// lendersOf returns the holders of a customer's pools in the other regions.
 func (l *Limiter) lendersOf(a *account) []*proto.VMInfo {
 	if a.lenders != nil {
 		return a.lenders
 	}
 	a.lenders = []*proto.VMInfo{}
-	seen := map[ident.Domain]bool{l.self.Place.Domain: true}
+	seen := map[ident.Region]bool{l.self.Place.Region: true}
 	for i := range l.vms {
-		if d := l.vms[i].Place.Domain; !seen[d] {
-			seen[d] = true
-			a.lenders = append(a.lenders, l.holderIn(a.hash, d))
+		if r := l.vms[i].Place.Region; !seen[r] {
+			seen[r] = true
+			a.lenders = append(a.lenders, l.holderIn(a.hash, r))
 		}
 	}
 	return a.lenders
@@ -212,10 +243,12 @@
 func (l *Limiter) checkPause(now time.Time) {
 	gap := max(now.Sub(l.last), now.Round(0).Sub(l.last.Round(0)))
 	l.last = now
+	l.staleView = l.staleView || gap >= maxGap
 	if gap < maxPause {
 		return
 	}
 	l.Counters.Resets++
+	l.parts.reset(now)
 	for _, a := range l.order {
 		a.batches, a.waiting, a.unused, a.abandoned = [2]batch{}, false, batch{}, 0
 		if a.pool != nil {
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -1,6 +1,6 @@
 // Package quota limits the requests of customers over all VMs. Each failure domain has an equal part of a customer's rate and
-// burst. One VM of the domain holds it as a token bucket, the pool; the other VMs of the domain request tokens from it, and
-// pools of the same customer lend each other parts across failure domains. Limiter performs no I/O and reads no clock; Service
+// burst. One VM of a region holds the parts of its failure domains as a token bucket, the pool; the other VMs of the region request
+// tokens from it, and pools of the same customer lend each other parts across regions. Limiter performs no I/O and reads no clock; Service
 // exchanges its messages through peers.Service.
 package quota
 
@@ -18,11 +18,16 @@
 	// notice of expired tokens takes, one tick and two datagrams. Until then they count towards the pool's burst.
 	returnLife = 350 * time.Millisecond
 	// answerTimeout bounds the wait of a request for tokens.
-	answerTimeout = 100 * time.Millisecond
+	answerTimeout = 250 * time.Millisecond
 	// resendInterval is the time after which a request for tokens without an answer is repeated.
 	resendInterval = 20 * time.Millisecond
 	// maxPause is the time without a call after which another VM may have taken over the pools of this one.
 	maxPause = 500 * time.Millisecond
+	// maxGap is the time without a call after which a pool lends nothing until the list of VMs is renewed: another VM may have become
+	// the holder meanwhile, and uses its own share from lenderLife after that.
+	maxGap = 100 * time.Millisecond
+	// detectTime is the time within which the VMs behind a partition are taken for dead, with 88 VMs.
+	detectTime = 3 * time.Second
 	// borrowerLife is how long a loan lasts at the borrower, from its request. lenderLife is how long it lasts at the lender,
 	// from its answer: longer by what the borrower's VMs may still use of tokens granted before.
 	borrowerLife = time.Second
@@ -48,6 +53,10 @@
 	// minNext and maxNext bound the time until tokens are next expected. A pool's expectation doesn't include loans to come.
 	minNext = 10 * time.Millisecond
 	maxNext = time.Second
+	// unmetAnswers bounds the incomplete answers a second of a pool to the waiting VMs beyond fewWaiting: with each for one token, the
+	// holder of a customer with 360 requests a second, far over its limit, sends more than 16 KB/s.
+	unmetAnswers = 70.0
+	fewWaiting   = 8.0
 	// reserveFraction is the fraction of the burst below which a pool borrows at once. What it holds above that is expected to
 	// last for reservePeriod: random peaks of a demand below the rate must not take the parts that other pools need.
 	reserveFraction = 0.4
@@ -59,9 +68,16 @@
 	borrowHeadroom = 1.2
 	renewHeadroom  = 1.05
 	lendHeadroom   = 1.4
+	// A lender keeps less the fuller its bucket is, since tokens that don't fit into it are lost. From fullFraction of its burst on it
+	// keeps its demand and, for random peaks, fullPeaks divided by the square root of the burst.
+	fullFraction = 0.5
+	fullPeaks    = 0.5
 	// burstFraction is the fraction of overshoot and slack that the bursts of the pools may use. The rest is for pools with two
 	// holders and for requests that take time on their way to a target.
 	burstFraction = 0.6
+	// rateFraction is the fraction of the overshoot of the rate that the pools have as additional rate instead of burst. It makes up
+	// for what lenders keep, of a demand above the limit.
+	rateFraction = 0.5
 )
 
 // Bounds are the settings of the quotas: in any window, at most (rate*Window + burst) * (1 + Overshoot) + Slack requests of a
@@ -86,7 +102,8 @@
 // part returns the rate and burst of one of n pools.
 func (b Bounds) part(l Limit, n int) (rate, burst float64) {
 	allowance := b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst) + b.Slack
-	return l.Rate / float64(n), (l.Burst + burstFraction*allowance) / float64(n)
+	more := rateFraction * b.Overshoot * l.Rate
+	return (l.Rate + more) / float64(n), (l.Burst + burstFraction*allowance - more*b.Window.Seconds()) / float64(n)
 }
 
 // demand is a decaying rate of requests.
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -30,21 +30,38 @@
 	unmet bool
 }
 
-// lending is the part of a pool that is lent to one VM. Until previousUntil the borrower may still use the previous part.
+// lending are the answers to one VM's requests for loans that it may still use, the oldest first. Its present loan is one of them.
 type lending struct {
-	share, previous      float64
-	until, previousUntil time.Time
+	loans []loan
 }
 
+type loan struct {
+	share float64
+	until time.Time
+}
+
+// at returns the greatest share that the borrower may use.
 func (l *lending) at(now time.Time) float64 {
-	s := 0.0
-	if now.Before(l.until) {
-		s = l.share
+	for _, x := range l.loans {
+		if now.Before(x.until) {
+			return x.share
+		}
 	}
-	if now.Before(l.previousUntil) {
-		s = max(s, l.previous)
+	return 0
+}
+
+// newest returns the share of the newest answer.
+func (l *lending) newest(now time.Time) float64 {
+	if n := len(l.loans); n > 0 && now.Before(l.loans[n-1].until) {
+		return l.loans[n-1].share
 	}
-	return s
+	return 0
+}
+
+// add adds an answer. Older ones with smaller shares no longer matter, so that shares decrease.
+func (l *lending) add(now time.Time, share float64) {
+	l.loans = slices.DeleteFunc(l.loans, func(x loan) bool { return x.share <= share || !now.Before(x.until) })
+	l.loans = append(l.loans, loan{share, now.Add(lenderLife)})
 }
 
 // borrowing is the part of another VM's pool that this pool may use.
@@ -61,26 +78,31 @@
 	want float64
 }
 
-// pool is the token bucket of one customer in one failure domain. Tokens in level and those granted within returnLife together
+// pool is the token bucket of one customer in one region. Tokens in level and those granted within returnLife together
 // never exceed the burst of the pool's share, so that the sum over all pools in a window is bounded by rate and bursts alone.
 type pool struct {
-	// rate and burst are of a whole share.
-	rate, burst   float64
+	// rate and burst are of one failure domain's part, parts the number of parts that the pool has. Shares are in parts.
+	rate, burst float64
+	parts       float64
+	// domains is the number of parts of all pools.
+	domains       float64
 	created, last time.Time
-	level         float64
-	grants        []grant
-	granted       float64
-	clients       map[ident.VM]*client
-	lent          map[ident.VM]*lending
-	borrowed      map[ident.VM]*borrowing
-	self          demand
+	// ownFrom is when the pool may use its own share.
+	ownFrom  time.Time
+	level    float64
+	grants   []grant
+	granted  float64
+	clients  map[ident.VM]*client
+	lent     map[ident.VM]*lending
+	borrowed map[ident.VM]*borrowing
+	self     demand
 	// reviewed is when review was last called, and waiting the number of VMs whose newest request was then not granted in full.
 	reviewed time.Time
 	waiting  float64
 }
 
 func newPool(now time.Time) *pool {
-	return &pool{created: now, last: now, reviewed: now, clients: map[ident.VM]*client{}, lent: map[ident.VM]*lending{}, borrowed: map[ident.VM]*borrowing{}}
+	return &pool{domains: 1, created: now, ownFrom: now.Add(lenderLife), last: now, reviewed: now, clients: map[ident.VM]*client{}, lent: map[ident.VM]*lending{}, borrowed: map[ident.VM]*borrowing{}}
 }
 
 // started reports whether all tokens of an earlier holder have expired.
@@ -88,15 +110,18 @@
 
 // ownShare returns the part of this pool's own share that isn't lent. An earlier holder may have lent all of it: its loans are
 // unknown here.
-func (p *pool) ownShare(now time.Time) float64 {
-	if now.Sub(p.created) < lenderLife {
+func (p *pool) ownShare(now time.Time) float64 { return max(p.unlent(now), 0) }
+
+// unlent is ownShare, but negative while more is lent than the pool has since its parts became fewer.
+func (p *pool) unlent(now time.Time) float64 {
+	if now.Before(p.ownFrom) {
 		return 0
 	}
-	s := 1.0
+	s := p.parts
 	for _, l := range p.lent {
 		s -= l.at(now)
 	}
-	return max(s, 0)
+	return s
 }
 
 func (p *pool) borrowedShare(now time.Time) float64 {
@@ -140,11 +165,15 @@
 // next returns the time until tokens are next expected for one of the VMs whose requests were not granted in full.
 func (p *pool) next(now time.Time) time.Duration {
 	rate := p.rate * (p.ownShare(now) + p.borrowedShare(now))
-	seconds := max(1+p.waiting-p.level, 0) / max(rate, epsilon)
-	return min(max(time.Duration(min(seconds, maxNext.Seconds())*float64(time.Second)), minNext), maxNext)
+	seconds := max(max(1+p.waiting-p.level, 0)/max(rate, epsilon), (p.waiting-fewWaiting)/unmetAnswers)
+	most := maxNext
+	if now.Before(p.ownFrom) {
+		most = growInterval // loans are on their way
+	}
+	return min(max(time.Duration(min(seconds, maxNext.Seconds())*float64(time.Second)), minNext), most)
 }
 
-// demandAt returns the demand of all VMs of the failure domain.
+// demandAt returns the demand of all VMs of the region.
 func (p *pool) demandAt(now time.Time) float64 {
 	d := p.self.perSecond(now)
 	for _, c := range p.clients {
@@ -181,8 +210,13 @@
 		a.Next = p.next(now).Round(time.Millisecond)
 	}
 	c.answer = a
-	// The demand decays from the time at which the VM is next expected to report it.
-	c.demand = demand{float64(it.Demand) / 1000, now.Add(max(a.Next, prefetchPeriod)), periodFor(p.rate)}
+	// The demand decays from the time at which the VM is next expected to report it. A VM that doesn't prefetch reports each request:
+	// its demand, right after one, is above its mean and decays at once.
+	rate, wait := float64(it.Demand)/1000, a.Next
+	if rate >= minPrefetchRate {
+		wait = max(wait, prefetchPeriod)
+	}
+	c.demand = demand{rate, now.Add(wait), periodFor(p.rate * p.parts)}
 	return a, true
 }
 
@@ -202,7 +236,7 @@
 func (p *pool) lend(now time.Time, from ident.VM, it *proto.QuotaItem) proto.QuotaItem {
 	p.advance(now)
 	a := proto.QuotaItem{Kind: proto.QuotaLoan, Customer: it.Customer, Number: it.Number}
-	own := p.ownShare(now)
+	own := p.unlent(now)
 	if p.burst <= 0 {
 		return a
 	}
@@ -211,26 +245,41 @@
 		l = &lending{}
 	}
 	before := l.at(now)
-	// Tokens that were granted stay within the burst of the share that is kept.
-	kept := max(lendHeadroom*p.demandAt(now)/p.rate, p.granted/p.burst)
-	a.Share = uint32(max(min(float64(it.Share)/proto.QuotaShareUnits, own+before-kept), 0) * proto.QuotaShareUnits)
+	// Tokens that were granted stay within the burst of the share that is kept. A present loan is reduced later than a new one is
+	// refused: what it was reduced by is lost until the borrower has surely noticed.
+	shares, granted := p.demandAt(now)/p.rate, p.granted/p.burst
+	free := own + before - max(p.headroom(own)*shares, granted)
+	free = max(free, min(l.newest(now), own+before-max(shares, granted)))
+	a.Share = uint32(max(min(p.shareOf(it), free), 0) / p.domains * proto.QuotaShareUnits)
 	if a.Share == 0 {
 		return a
 	}
-	share := float64(a.Share) / proto.QuotaShareUnits
-	if share < before {
-		l.previous, l.previousUntil = before, maxTime(l.until, l.previousUntil)
-	} else if own > 0 {
+	share := p.shareOf(&a)
+	if share >= before && own > 0 {
 		grown := share - before
 		a.MilliTokens = uint64(min(p.level*min(grown/own, 1), p.burst*grown) * 1000)
 		p.level = max(p.level-float64(a.MilliTokens)/1000, 0)
 	}
-	l.share, l.until = share, now.Add(lenderLife)
+	l.add(now, share)
 	p.lent[from] = l
 	p.cap(now)
 	return a
 }
 
+// headroom returns the ratio of the part that the pool keeps, when it lends, to its demand.
+func (p *pool) headroom(own float64) float64 {
+	if own <= 0 {
+		return lendHeadroom
+	}
+	fill := min(p.level/(fullFraction*p.burst*own), 1)
+	return lendHeadroom - max(lendHeadroom-1-fullPeaks/math.Sqrt(p.burst*own), 0)*fill
+}
+
+// shareOf returns the share in a message, in parts.
+func (p *pool) shareOf(it *proto.QuotaItem) float64 {
+	return float64(it.Share) / proto.QuotaShareUnits * p.domains
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -251,7 +300,7 @@
 		b.interval = min(2*b.interval, maxLoanBackoff)
 		return false
 	}
-	b.share, b.until, b.interval = float64(min(it.Share, proto.QuotaShareUnits))/proto.QuotaShareUnits, b.sentAt.Add(borrowerLife), growInterval
+	b.share, b.until, b.interval = min(p.shareOf(it), b.want), b.sentAt.Add(borrowerLife), growInterval
 	p.level += float64(it.MilliTokens) / 1000
 	p.cap(now)
 	return true
@@ -292,9 +341,9 @@
 		current = b.share
 	}
 	// One that has lent what it was asked for is asked for all that is missing, since only one of them may have it.
-	want := min(borrowSpread*need/float64(lenders), 1)
+	want := borrowSpread * need / float64(lenders)
 	if current > 0 && current >= b.want {
-		want = min(current+need-total, 1)
+		want = current + need - total
 	}
 	interval := b.interval
 	if total >= need {
@@ -307,11 +356,11 @@
 	if !b.sentAt.IsZero() && !b.answered {
 		b.interval = min(2*b.interval, maxLoanBackoff)
 	}
-	it.Share = uint32(math.Ceil(want * proto.QuotaShareUnits))
+	it.Share = uint32(min(math.Ceil(want/p.domains*proto.QuotaShareUnits), proto.QuotaShareUnits))
 	if it.Share == 0 {
 		return it, false
 	}
-	b.number, b.sentAt, b.answered, b.want = number, now, false, float64(it.Share)/proto.QuotaShareUnits
+	b.number, b.sentAt, b.answered, b.want = number, now, false, p.shareOf(&it)
 	it.Kind, it.Number = proto.QuotaLoanRequest, number
 	return it, true
 }
