quota: pools of a deployment that starts together don't wait for former holders

Change: a VM that sees all failure domains within 1 s of its start, and no VM more than 5 s older, gives its pools their own shares 1 s after the start. TestPoolsOfVMsThatStartTogether fails without it (refused). TestNewPoolWaits and newPair state that their VMs start among older ones, as they meant before.

--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -88,6 +88,9 @@
 	queue  []queued
 	last   time.Time
 	swept  time.Time
+	// started is the start of this process. together is set while all VMs have just started.
+	started  time.Time
+	together bool
 	// staleView says that nothing was called for maxGap since SetVMs was last called.
 	staleView bool
 	// Counters are exported by the metrics service.
@@ -110,7 +113,7 @@
 	// The first number differs between the processes of a VM, so that an answer to an earlier one is not taken for a later one's.
 	first := hash.Mix(uint64(self.Incarnation)+1) >> 32
 	l := &Limiter{self: self, domains: max(domains, 1), parts: regionParts{domains: 1}, bounds: b, accounts: map[ident.Customer]*account{},
-		vms: []proto.VMInfo{self}, number: first, last: now, swept: now}
+		vms: []proto.VMInfo{self}, number: first, last: now, swept: now, started: now}
 	for _, o := range options {
 		o(l)
 	}
@@ -167,11 +170,31 @@
 	}
 	l.vms = list
 	l.parts.see(now, l.self.Place, list)
+	l.together = l.startedTogether(now)
+	if l.together {
+		l.parts.startTogether(l.started.Add(formTime))
+	}
 	for _, a := range l.order {
 		l.assign(now, a)
 	}
 }
 
+// startedTogether reports whether all VMs have just started, as after all have lost power: this VM has heard of VMs in all failure
+// domains within formTime, and none is much older. There is no former holder then that may have granted or lent anything.
+func (l *Limiter) startedTogether(now time.Time) bool {
+	if now.Sub(l.started) >= formTime {
+		return false
+	}
+	seen := map[ident.Domain]bool{}
+	for i := range l.vms {
+		if time.Duration(l.self.Incarnation-min(l.self.Incarnation, l.vms[i].Incarnation))*time.Millisecond > togetherSpread {
+			return false
+		}
+		seen[l.vms[i].Place.Domain] = true
+	}
+	return len(seen) >= l.domains
+}
+
 // assign determines the holder of a customer's pool. A VM that becomes the holder starts with an empty one.
 func (l *Limiter) assign(now time.Time, a *account) {
 	a.lenders = nil
@@ -189,6 +212,9 @@
 		a.pool = newPool(now)
 		a.pool.ownFrom = maxTime(a.pool.ownFrom, l.parts.ownFrom)
 	}
+	if l.together {
+		a.pool.ownFrom = l.started.Add(formTime)
+	}
 	a.pool.advance(now)
 	a.pool.rate, a.pool.burst = l.bounds.part(a.limit, l.domains)
 	a.pool.parts, a.pool.domains = float64(l.parts.counted), float64(l.domains)
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -203,6 +203,8 @@
 	infos := []proto.VMInfo{{VM: "a", Place: ident.Place{Domain: "d"}}, {VM: "b", Place: ident.Place{Domain: "d"}}}
 	for i := range pair {
 		pair[i] = NewLimiter(infos[i], 1, testBounds, now)
+		// The VMs have run for a while; only their pool is new.
+		pair[i].started = now.Add(-time.Minute)
 		pair[i].SetVMs(now, infos)
 		pair[i].SetLimits(now, limits)
 	}
@@ -245,7 +247,9 @@
 
 // Guards against a VM that has just become the holder of a pool and spends what the former holder may still have granted or lent.
 func TestNewPoolWaits(t *testing.T) {
-	here, far := proto.VMInfo{VM: "a", Place: ident.Place{Domain: "d"}}, proto.VMInfo{VM: "b", Place: ident.Place{Region: "s", Domain: "e"}}
+	// The VM starts among others that have run for longer.
+	incarnation := ident.Incarnation(2 * togetherSpread / time.Millisecond)
+	here, far := proto.VMInfo{VM: "a", Place: ident.Place{Domain: "d"}, Incarnation: incarnation}, proto.VMInfo{VM: "b", Place: ident.Place{Region: "s", Domain: "e"}}
 	l := NewLimiter(here, 2, testBounds, epoch)
 	l.SetVMs(epoch, []proto.VMInfo{far})
 	l.SetLimits(epoch, []Limit{{"c", 1000, 1000}})
@@ -262,6 +266,31 @@
 	}
 }
 
+// Guards against a deployment that refuses its customers' requests for seconds after all VMs have lost power, and against a VM that
+// takes its start for that of all: one VM is older, or a failure domain isn't seen.
+func TestPoolsOfVMsThatStartTogether(t *testing.T) {
+	vm := func(name ident.VM, d ident.Domain, age time.Duration) proto.VMInfo {
+		return proto.VMInfo{VM: name, Place: ident.Place{Region: ident.Region(d), Domain: d}, Incarnation: ident.Incarnation((time.Hour - age) / time.Millisecond)}
+	}
+	for _, tt := range []struct {
+		name   string
+		others []proto.VMInfo
+		want   Result
+	}{
+		{"all have started", []proto.VMInfo{vm("b", "e", 2*time.Second)}, Taken},
+		{"one is older", []proto.VMInfo{vm("b", "e", 2*togetherSpread)}, Refused},
+		{"a failure domain is missing", nil, Refused},
+	} {
+		l := NewLimiter(vm("a", "d", 0), 2, testBounds, epoch)
+		l.SetLimits(epoch, []Limit{{"c", 1000, 1000}})
+		l.SetVMs(epoch.Add(formTime/2), tt.others)
+		now := idle(epoch.Add(formTime/2), formTime/2+4*simTick, l)
+		if got, _ := l.Take(now, "c"); got != tt.want {
+			t.Errorf("%s: result %d %v after the start, want %d", tt.name, got, now.Sub(epoch), tt.want)
+		}
+	}
+}
+
 // Guards against tokens that both the lender and the borrower of a loan can use.
 func TestLoanMovesTokens(t *testing.T) {
 	here, far := proto.VMInfo{VM: "a", Place: ident.Place{Domain: "d"}}, proto.VMInfo{VM: "b", Place: ident.Place{Region: "s", Domain: "e"}}
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -26,6 +26,10 @@
 	// maxGap is the time without a call after which a pool lends nothing until the list of VMs is renewed: another VM may have become
 	// the holder meanwhile, and uses its own share from lenderLife after that.
 	maxGap = 100 * time.Millisecond
+	// togetherSpread is the greatest difference between the starts of VMs that have started together, and formTime the time in which
+	// they hear of each other.
+	togetherSpread = 5 * time.Second
+	formTime       = time.Second
 	// detectTime is the time within which the VMs behind a partition are taken for dead, with 88 VMs.
 	detectTime = 3 * time.Second
 	// borrowerLife is how long a loan lasts at the borrower, from its request. lenderLife is how long it lasts at the lender,
--- a/quota/parts.go
+++ b/quota/parts.go
@@ -70,6 +70,14 @@
 	r.count(now)
 }
 
+// startTogether counts all failure domains that are seen, from the given time on.
+func (r *regionParts) startTogether(from time.Time) {
+	r.starting, r.ownFrom = false, from
+	for d := range r.countFrom {
+		r.countFrom[d] = from
+	}
+}
+
 // count updates counted, and reports whether it changed.
 func (r *regionParts) count(now time.Time) bool {
 	before := r.counted
