--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -40,7 +40,7 @@
 	until   time.Time
 }
 
-// account is a VM's part of one customer's quota.
+// account is what a VM knows of one customer's quota: its tokens, and the pool if the VM holds it.
 type account struct {
 	limit  Limit
 	hash   uint64
@@ -74,7 +74,7 @@
 	item proto.QuotaItem
 }
 
-// Limiter is one VM's part: it holds pools of some customers, and tokens of all others. It is not safe for concurrent use.
+// Limiter limits the requests that one VM sends. It holds the pools of some customers, and tokens of all others. It is not safe for concurrent use.
 type Limiter struct {
 	self     proto.VMInfo
 	domains  int
@@ -88,11 +88,14 @@
 	queue  []queued
 	last   time.Time
 	swept  time.Time
-	// started is the start of this process. together is set while all VMs have just started.
+	// started is the start of this process. together is set if all VMs had just started when the list of VMs last changed; a pause
+	// clears it.
 	started  time.Time
 	together bool
 	// staleView says that nothing was called for maxGap since SetVMs was last called.
 	staleView bool
+	// partsReset says that parts were reset since SetVMs was last called, which must then apply even an unchanged list.
+	partsReset bool
 	// Counters are exported by the metrics service.
 	Counters Counters
 }
@@ -165,10 +168,10 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b proto.VMInfo) int { return strings.Compare(string(a.VM), string(b.VM)) })
-	if slices.Equal(list, l.vms) {
+	if slices.Equal(list, l.vms) && !l.partsReset {
 		return
 	}
-	l.vms = list
+	l.vms, l.partsReset = list, false
 	l.parts.see(now, l.self.Place, list)
 	l.together = l.startedTogether(now)
 	if l.together {
@@ -275,6 +278,7 @@
 	}
 	l.Counters.Resets++
 	l.parts.reset(now)
+	l.together, l.partsReset = false, true
 	for _, a := range l.order {
 		a.batches, a.waiting, a.unused, a.abandoned = [2]batch{}, false, batch{}, 0
 		if a.pool != nil {
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -291,6 +291,31 @@
 	}
 }
 
+// Guards against a pool that loses the other failure domains of its region for good after a pause, and against one that a pause makes
+// take its VM for one that has just started with all others.
+func TestPauseAfterCommonStart(t *testing.T) {
+	here := proto.VMInfo{VM: "a", Place: ident.Place{Region: "r", Domain: "d"}, Incarnation: 1000}
+	near := proto.VMInfo{VM: "b", Place: ident.Place{Region: "r", Domain: "e"}, Incarnation: 1000}
+	l := NewLimiter(here, 2, testBounds, epoch, WithRegionDomains(2))
+	l.SetLimits(epoch, []Limit{{"c", 1000, 1000}})
+	run := func(now time.Time, d time.Duration) time.Time {
+		for end := now.Add(d); now.Before(end); now = now.Add(simTick) {
+			l.SetVMs(now, []proto.VMInfo{near})
+			l.Tick(now)
+		}
+		return now
+	}
+	now := run(epoch.Add(formTime/2), 20*time.Second).Add(maxPause + 100*time.Millisecond)
+	l.Tick(now)
+	if wait := l.parts.ownFrom.Sub(now); l.together || wait != detectTime+lenderLife {
+		t.Errorf("after the pause: together %v, own shares in %v, want %v", l.together, wait, detectTime+lenderLife)
+	}
+	run(now, detectTime+lenderLife+time.Second)
+	if l.parts.counted != 2 {
+		t.Errorf("%d failure domains count after the pause, want 2", l.parts.counted)
+	}
+}
+
 // Guards against tokens that both the lender and the borrower of a loan can use.
 func TestLoanMovesTokens(t *testing.T) {
 	here, far := proto.VMInfo{VM: "a", Place: ident.Place{Domain: "d"}}, proto.VMInfo{VM: "b", Place: ident.Place{Region: "s", Domain: "e"}}
