carry: a quota is returned to the customer that it was taken from

Cause: a new configuration can move a request's key to another customer while it is in progress; the token went to that one. Retry-After was short by the wait for the quota, and a customer that was blocked meanwhile was logged as over its quota. Change: the call keeps the customer whose quota it took. Before, after: TestQuotaIsReturnedToItsCustomer fails without it (returned to b).

--- a/carry/customer.go
+++ b/carry/customer.go
@@ -11,7 +11,8 @@
 	"github.com/currantpier/currantpier/trace"
 )
 
-// customerOf returns the customer of the request by a configuration, nil for one that needs no key. It reports false and why if the
+// customerOf returns the customer of the request by a configuration, nil for a request that needs no key and has no valid
+// one. It reports false and why if the
 // request isn't accepted: UnknownCustomer without a valid key, RateLimited if the customer is blocked. A key field that is repeated is
 // no valid key: a target or another VM could read a different one of the two.
 func (k *call) customerOf(cfg *fleet.Config, route *fleet.Route) (c *fleet.Customer, why kinds.Kind, accepted bool) {
@@ -55,17 +56,20 @@
 		return nil
 	}
 	now := k.clock()
-	if ok, retryAfter := k.customerQuota.Allow(ctx, now, k.customer.Name); !ok {
+	name := k.customer.Name
+	if ok, retryAfter := k.customerQuota.Allow(ctx, now, name); !ok {
+		now = k.clock()
 		k.notBefore = now.Add(retryAfter)
-		return k.refuseCustomer(k.clock(), kinds.RateLimited)
+		return k.refuseCustomer(now, kinds.RateLimited)
 	}
+	k.quotaFrom = name
 	return nil
 }
 
 // returnUnusedQuota puts the request back into its customer's quota if no target may have run it.
 func (k *call) returnUnusedQuota() {
-	if k.customerQuota != nil && k.customer != nil && !k.usedQuota {
-		k.customerQuota.Return(k.clock(), k.customer.Name)
+	if k.quotaFrom != "" && !k.usedQuota {
+		k.customerQuota.Return(k.clock(), k.quotaFrom)
 	}
 }
 
@@ -90,7 +94,7 @@
 // customerCause returns why the request isn't accepted, without its key.
 func (k *call) customerCause(why kinds.Kind) string {
 	switch {
-	case why == kinds.RateLimited && k.customer != nil && k.customer.Blocked:
+	case why == kinds.RateLimited && (k.customerQuota == nil || k.quotaFrom != "" || k.customer != nil && k.customer.Blocked):
 		return "the customer's rate or burst is invalid"
 	case why == kinds.RateLimited:
 		return "over the customer's quota"
--- a/carry/forwarder.go
+++ b/carry/forwarder.go
@@ -126,7 +126,7 @@
 
 // CustomerQuota limits the requests of customers over all VMs.
 type CustomerQuota interface {
-	// Allow reports whether a request of the customer may be sent, and otherwise when to try again. It waits for 100 ms at most.
+	// Allow reports whether a request of the customer may be sent, and otherwise when to try again. It waits for 250 ms at most.
 	Allow(ctx context.Context, now time.Time, customer ident.Customer) (ok bool, retryAfter time.Duration)
 	// Return puts back what Allow took for a request that has reached no target.
 	Return(now time.Time, customer ident.Customer)
@@ -260,6 +260,9 @@
 	choiceSnapshot *fleet.Snapshot
 	// sends counts the attempts.
 	sends int
+	// quotaFrom is the customer from whose quota the request was taken; "" if from none. The customer can change by a new
+	// configuration.
+	quotaFrom ident.Customer
 	// usedQuota is set once a target may have run the request.
 	usedQuota bool
 	// serverError is a target's response with a 5xx status. It is returned if no other target responds.
--- a/carry/quota_test.go
+++ b/carry/quota_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,3 +69,32 @@
 		})
 	}
 }
+
+// namedQuota records the customers whose quota was taken and returned.
+type namedQuota struct{ taken, returned []ident.Customer }
+
+func (q *namedQuota) Allow(_ context.Context, _ time.Time, c ident.Customer) (bool, time.Duration) {
+	q.taken = append(q.taken, c)
+	return true, 0
+}
+
+func (q *namedQuota) Return(_ time.Time, c ident.Customer) { q.returned = append(q.returned, c) }
+
+// Guards against a quota that is returned to another customer than it was taken from: the key moves while the request is in progress.
+func TestQuotaIsReturnedToItsCustomer(t *testing.T) {
+	var c *Forwarder
+	target := newFakeTarget(t, func(nc net.Conn, _ int, r *http.Request) bool {
+		useCustomers(c, false, fleet.Customer{Name: "b", Keys: []string{"k"}, Rate: 1})
+		_, err := fmt.Fprintf(nc, "%sNot-Run: 1\r\nContent-Length: 0\r\n\r\n", responseHead(503, r))
+		return err == nil
+	})
+	c = newForwarderFor(t, true, time.Second, target)
+	c.headers.Key = "Api-Key"
+	q := &namedQuota{}
+	c.customerQuota = q
+	useCustomers(c, false, fleet.Customer{Name: "a", Keys: []string{"k"}, Rate: 1})
+	c.Handle(context.Background(), newRequest(t, "Id: 1\r\n", "Api-Key: k\r\n"), time.Now())
+	if want := []ident.Customer{"a"}; !slices.Equal(q.taken, want) || !slices.Equal(q.returned, want) {
+		t.Errorf("taken from %v, returned to %v; want %v", q.taken, q.returned, want)
+	}
+}
--- a/carry/where.go
+++ b/carry/where.go
@@ -108,7 +108,7 @@
 
 // requestOf returns the request that a query describes.
 func (c *Forwarder) requestOf(q Query) (*codec.Request, bool) {
-	if q.Host == "" || !strings.HasPrefix(q.Path, "/") || strings.ContainsAny(q.Path, " ") {
+	if q.Host == "" || !strings.HasPrefix(q.Path, "/") || strings.Contains(q.Path, " ") {
 		return nil, false
 	}
 	fields := []codec.Field{{Name: "Host", Value: q.Host}, {Name: c.headers.Affinity, Value: q.Object}, {Name: c.headers.Key, Value: q.Key}}
