--- a/pick/exclusion.go
+++ b/pick/exclusion.go
@@ -13,8 +13,8 @@
 	eligible exclusion = iota
 	// excludedReplaced: another target responds at its address.
 	excludedReplaced
-	// excludedByRegion: the route, the customer or an earlier attempt allows only other targets.
-	excludedByRegion
+	// excludedNotAllowed: the route, the customer or an earlier attempt allows only other targets.
+	excludedNotAllowed
 	excludedLeaving
 	excludedBackedOff
 	// excludedTried: an earlier attempt was sent there.
@@ -49,7 +49,7 @@
 	case t.replaced:
 		return excludedReplaced
 	case !a.allows(t):
-		return excludedByRegion
+		return excludedNotAllowed
 	}
 	if t.notice != nil {
 		switch t.notice.excludes(now, t) {
--- a/pick/reports.go
+++ b/pick/reports.go
@@ -14,9 +14,8 @@
 
 const (
 	// heardDecay is the time constant with which a report of another VM loses its weight, in place of reportDecay. Reports of loaded
-	// targets are renewed several times a second, while a short queue that many VMs hear of is gone before reportDecay. With reportDecay,
-	// requests left the targets that know their objects: the late share rose from 0.214 to 0.231 in the simulation of reports_test.go
-	// with 600 objects per region, and to 0.218 with this value.
+	// targets are renewed several times a second, while a short queue that many VMs hear of is gone before reportDecay. A longer time takes
+	// requests from the targets that know their objects for nothing.
 	heardDecay = 500 * time.Millisecond
 	// maxShareAge is the age up to which a report is passed on.
 	maxShareAge = 500 * time.Millisecond
--- a/probe/plan.go
+++ b/probe/plan.go
@@ -24,15 +24,15 @@
 	// staleAfter is the age of the registry from which on targets are asked. While the store answers, the registry is read, or
 	// received from another VM, about once a second.
 	staleAfter = 1500 * time.Millisecond
-	// interval is the time between two requests to a target. In that time a busy target gets fewer requests than a cold one
+	// askInterval is the time between two requests to a target. In that time a busy target gets fewer requests than a cold one
 	// endures in a second.
-	interval = 250 * time.Millisecond
+	askInterval = 250 * time.Millisecond
 )
 
 // Planner decides which targets this VM asks. It is not safe for concurrent use.
 type Planner struct {
 	self ident.VM
-	// asked has the time of the last request to each target that was asked less than interval ago.
+	// asked has the time of the last request to each target that was asked less than askInterval ago.
 	asked map[ident.Target]time.Time
 	// pending are the requests whose answers are awaited.
 	pending map[ident.Target]*pendingAnswer
@@ -84,16 +84,16 @@
 
 // Ask records that a target is asked now. It reports false if it was asked just now, or its answer is still awaited.
 func (p *Planner) Ask(now time.Time, t ident.Target) bool {
-	if at, ok := p.asked[t]; ok && now.Sub(at) < interval || p.pending[t] != nil {
+	if at, ok := p.asked[t]; ok && now.Sub(at) < askInterval || p.pending[t] != nil {
 		return false
 	}
 	p.asked[t], p.pending[t] = now, &pendingAnswer{asked: now}
 	return true
 }
 
-// Expire forgets the targets that were asked interval ago or earlier.
+// Expire forgets the targets that were asked askInterval ago or earlier.
 func (p *Planner) Expire(now time.Time) {
-	maps.DeleteFunc(p.asked, func(_ ident.Target, at time.Time) bool { return now.Sub(at) >= interval })
+	maps.DeleteFunc(p.asked, func(_ ident.Target, at time.Time) bool { return now.Sub(at) >= askInterval })
 }
 
 // assumption returns the report that a target, whose process has ended, is cold. It reports false where that limits nothing, if the
--- a/probe/plan_test.go
+++ b/probe/plan_test.go
@@ -82,21 +82,21 @@
 		first   []ident.Target
 		second  []ident.Target
 	}{
-		{name: "registry not read", service: probed, first: all, after: interval - time.Millisecond},
-		{name: "answer awaited", service: probed, first: all, after: interval},
-		{name: "one answered", service: probed, first: all, after: interval, second: all[:1],
+		{name: "registry not read", service: probed, first: all, after: askInterval - time.Millisecond},
+		{name: "answer awaited", service: probed, first: all, after: askInterval},
+		{name: "one answered", service: probed, first: all, after: askInterval, second: all[:1],
 			between: func(p *Planner, _ *fleet.Snapshot) { p.Done("t0") }},
-		{name: "answered, too early", service: probed, first: all, after: interval - time.Millisecond,
+		{name: "answered, too early", service: probed, first: all, after: askInterval - time.Millisecond,
 			between: func(p *Planner, _ *fleet.Snapshot) { p.Done("t0") }},
-		{name: "cold by now", service: probed, first: all, after: interval,
+		{name: "cold by now", service: probed, first: all, after: askInterval,
 			between: func(p *Planner, s *fleet.Snapshot) {
 				p.Done("t0")
-				s.Targets["s"][0].ColdUntil = start.Add(interval + time.Second)
+				s.Targets["s"][0].ColdUntil = start.Add(askInterval + time.Second)
 			}},
-		{name: "warm again", service: probed, first: all, after: interval, second: all[:1],
+		{name: "warm again", service: probed, first: all, after: askInterval, second: all[:1],
 			between: func(p *Planner, s *fleet.Snapshot) {
 				p.Done("t0")
-				s.Targets["s"][0].ColdUntil = start.Add(interval)
+				s.Targets["s"][0].ColdUntil = start.Add(askInterval)
 			}},
 		{name: "no health path", service: fleet.Service{WarmupRate: 11}},
 		{name: "no cold targets in the service", service: fleet.Service{HealthPath: "/health"}},
@@ -127,7 +127,7 @@
 	for _, tt := range []struct {
 		after time.Duration
 		want  []ident.Target
-	}{{0, []ident.Target{"t2"}}, {interval - time.Millisecond, nil}, {interval, []ident.Target{"t2"}}, {time.Second, nil}} {
+	}{{0, []ident.Target{"t2"}}, {askInterval - time.Millisecond, nil}, {askInterval, []ident.Target{"t2"}}, {time.Second, nil}} {
 		if got := ids(p.Due(start.Add(tt.after), s, group(1), false)); !slices.Equal(got, tt.want) {
 			t.Errorf("asked %v after %v, want %v", got, tt.after, tt.want)
 		}
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -116,7 +116,7 @@
 	if s.Source.Snapshot().AssumedCold > 0 {
 		return checkInterval
 	}
-	return min(max(untilStale(now, s.Source.RegistryConfirmed()), checkInterval), interval)
+	return min(max(untilStale(now, s.Source.RegistryConfirmed()), checkInterval), askInterval)
 }
 
 // check returns the targets to ask now, and reports of those whose answers are overdue.
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -197,7 +197,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			ended := make(chan error, 1)
 			go func() { ended <- s.Run(ctx) }()
-			time.Sleep(interval + 2*overdueAfter)
+			time.Sleep(askInterval + 2*overdueAfter)
 			cancel()
 			<-ended
 			if !slices.Equal(got, tt.want) {
--- a/proto/quota.go
+++ b/proto/quota.go
@@ -18,7 +18,7 @@
 	QuotaRequest QuotaKind = iota + 1
 	// QuotaGrant answers a QuotaRequest.
 	QuotaGrant
-	// QuotaLoanRequest requests a part of a pool in another failure domain.
+	// QuotaLoanRequest requests a part of a pool in another region.
 	QuotaLoanRequest
 	// QuotaLoan answers a QuotaLoanRequest.
 	QuotaLoan
--- a/quota/limits.go
+++ b/quota/limits.go
@@ -30,10 +30,12 @@
 	// they hear of each other.
 	togetherSpread = 5 * time.Second
 	formTime       = time.Second
-	// detectTime is the time within which the VMs behind a partition are taken for dead, with 88 VMs.
+	// detectTime is the time within which all VMs of one side of a partition take those of the other for dead, with 88 VMs. With a
+	// longer failure detection (package peers) it must be longer.
 	detectTime = 3 * time.Second
 	// borrowerLife is how long a loan lasts at the borrower, from its request. lenderLife is how long it lasts at the lender,
-	// from its answer: longer by what the borrower's VMs may still use of tokens granted before.
+	// from its answer: longer by returnLife, for which the borrower's VMs may still use tokens granted before, and by 50 ms for late
+	// ticks.
 	borrowerLife = time.Second
 	lenderLife   = borrowerLife + returnLife + 50*time.Millisecond
 	// renewInterval is the time between two requests for a loan; growInterval replaces it while the loans don't suffice.
@@ -47,7 +49,8 @@
 	// lender's demand must have decayed before it lends.
 	minDemandPeriod = 400 * time.Millisecond
 	maxDemandPeriod = 30 * time.Second
-	demandTokens    = 4
+	// demandTokens is the number of a pool's tokens whose time is the time constant of the demand, within these bounds.
+	demandTokens = 4
 	// prefetchPeriod is the demand for which tokens are requested at once, and prefetchBelow the remaining demand below which
 	// the next tokens are requested. Both are well below tokenLife, so that few tokens expire unused.
 	prefetchPeriod = 120 * time.Millisecond
@@ -57,18 +60,18 @@
 	// minNext and maxNext bound the time until tokens are next expected. A pool's expectation doesn't include loans to come.
 	minNext = 10 * time.Millisecond
 	maxNext = time.Second
-	// unmetAnswers bounds the incomplete answers a second of a pool to the waiting VMs beyond fewWaiting: with each for one token, the
-	// holder of a customer with 360 requests a second, far over its limit, sends more than 16 KB/s.
+	// unmetAnswers, per second, bounds a pool's incomplete answers once more than fewWaiting VMs wait. Otherwise the holder of the
+	// pool of a customer far over its limit would send more than the 16 KB/s that control traffic may take.
 	unmetAnswers = 70.0
 	fewWaiting   = 8.0
 	// reserveFraction is the fraction of the burst below which a pool borrows at once. What it holds above that is expected to
 	// last for reservePeriod: random peaks of a demand below the rate must not take the parts that other pools need.
 	reserveFraction = 0.4
 	reservePeriod   = 300 * time.Millisecond
-	// borrowHeadroom is the ratio of the part that a pool borrows for to its demand, lendHeadroom of the part that it keeps.
 	// borrowSpread is the ratio of what all lenders together are first asked for to what is needed.
 	borrowSpread = 1.5
-	// renewHeadroom replaces borrowHeadroom for a loan that has refilled the pool.
+	// borrowHeadroom is the ratio of the share that a pool wants to have to its demand; renewHeadroom replaces it where a loan has
+	// already refilled the pool. lendHeadroom is the ratio of the share that a lender keeps to its demand.
 	borrowHeadroom = 1.2
 	renewHeadroom  = 1.05
 	lendHeadroom   = 1.4
@@ -103,7 +106,7 @@
 	return l.Rate >= 0 && l.Burst >= 0 && !math.IsInf(l.Rate, 0) && !math.IsInf(l.Burst, 0)
 }
 
-// part returns the rate and burst of one of n pools.
+// part returns the rate and burst of the part of one of n failure domains.
 func (b Bounds) part(l Limit, n int) (rate, burst float64) {
 	allowance := b.Overshoot*(l.Rate*b.Window.Seconds()+l.Burst) + b.Slack
 	more := rateFraction * b.Overshoot * l.Rate
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -30,7 +30,8 @@
 	unmet bool
 }
 
-// lending are the answers to one VM's requests for loans that it may still use, the oldest first. Its present loan is one of them.
+// lending has the loans to one VM that it may still use, the oldest first. Which of them it uses depends on which answers have arrived,
+// so the lender counts the largest.
 type lending struct {
 	loans []loan
 }
--- a/quota/service_test.go
+++ b/quota/service_test.go
@@ -69,7 +69,7 @@
 		other.tick(now)
 	}
 	granted := false
-	for range 50 { // each waits for 100 ms at most; a busy machine may answer later
+	for range 50 { // each waits for answerTimeout at most; a busy machine may answer later
 		if granted, _ = other.Allow(ctx, clock.get(), "c"); granted {
 			break
 		}
--- a/state/share.go
+++ b/state/share.go
@@ -6,7 +6,9 @@
 )
 
 // callerShare returns the part of the region's callers that use this VM, by the VMs of the region that are alive, this one included.
-// Lookups distribute callers by capacity where the configuration has large responses, and by the number of VMs otherwise.
+// Lookups distribute callers by capacity where the configuration has large responses, and by the number of VMs otherwise. It is an
+// estimate: it takes the callers of the region's failure domains to be distributed by their capacities, and ignores that no VM gets
+// more than half of its failure domain's callers (edge.weightedLookup).
 func (s *State) callerShare(group []proto.VMInfo, cfg *fleet.Config) float64 {
 	own, ok := s.cfg.Self.KnownCapacity()
 	if !ok || cfg == nil || !cfg.HasDownloads() {
