--- a/edge/reports.go
+++ b/edge/reports.go
@@ -47,7 +47,12 @@
 	}
 }
 
+// send sends the reports of the last interval. Without routes with large responses, a deployment is served as before reports existed:
+// they cost more bytes between failure domains there than they save.
 func (r *reportService) send(now time.Time) {
+	if cfg := r.forwarder.Snapshot().Config; cfg == nil || !cfg.HasDownloads() {
+		return
+	}
 	r.buf = r.forwarder.FreshReports(now, r.buf[:0], peers.MaxReports)
 	r.forwarder.Counters.ReportsSent.Add(uint64(r.peers.SendLoadReports(r.buf)))
 }
