--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -14,8 +14,7 @@
 
 // scripts has the scripts by name. Each reports whether the rule was broken.
 var scripts = map[string]func(record string, trouble bool) (broken bool, err error){
-	"gone":      runGone,
-	"slow-read": runSlowRead,
+	"gone": runGone,
 }
 
 func main() {
