--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -8,7 +8,7 @@
 // main plays the case that its first argument names, with the record in the folder that the second one names. It exits with 1 if the
 // rule was broken, 0 if it held, and 2 if the case couldn't run.
 func main() {
-	cases := map[string]func(*record, bool) (bool, error){"quota-stop": quotaStop}
+	cases := map[string]func(*record, bool) (bool, error){"quota-stop": quotaStop, "quota-kill": quotaKill}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standin3 CASE FOLDER")
 		os.Exit(2)
