send: read responses with package codec

Cause: package send read the responses of targets with the client of fasthttp and package outlet with package codec, so that each rule on what is no response had to be written twice; those on 101 and on interim responses without end differed, trailers had none in send. Change: the calls of send go through a fasthttp.RoundTripper that reads with codec.ReadInto. Pooling, deadlines and the kinds of failure are as before: a response of HTTP/1.0 without a length counts as truncated (codec.ErrNoLength), 101 as broken, and its connection is closed where the library kept it and send closed all idle ones. Result: no change for callers; the tests of send, front, codec, carry, outlet and entry pass, those of send, front and codec also with the race detector.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -34,6 +34,8 @@
 	ErrBodyTooLarge = errors.New("body too large")
 	// ErrMalformed is returned if the bytes are not a valid HTTP message.
 	ErrMalformed = errors.New("malformed message")
+	// ErrNoLength is returned, besides ErrMalformed, if nothing tells where the body of a response ends.
+	ErrNoLength = errors.New("response without a length")
 )
 
 // ReadHeader reads the header of a request. The error is io.EOF if the connection ended before the first byte,
--- a/codec/response.go
+++ b/codec/response.go
@@ -63,57 +63,85 @@
 func ReadResponseFunc(br *bufio.Reader, method string, limit int, reserved *memory.Reservation, onHeader func(*Response)) (*Response, error) {
 	var resp fasthttp.Response
 	resp.Header.SetNoDefaultContentType(true)
-	for n := 0; ; n++ {
-		if n > maxInterimResponses {
-			return nil, errors.Wrap(ErrMalformed, "interim answers without end")
-		}
-		if _, err := br.Peek(1); err != nil {
-			return nil, err
-		}
-		if err := resp.Header.Read(br); err != nil {
-			return nil, classify(err)
-		}
-		if resp.StatusCode() >= 200 {
-			break
-		}
-		// No forwarded request asks for another protocol.
-		if resp.StatusCode() == http.StatusSwitchingProtocols {
-			return nil, errors.Wrap(ErrMalformed, "status 101")
-		}
+	if err := readFinalHeader(br, &resp.Header); err != nil {
+		return nil, err
 	}
 	a := &Response{Status: resp.StatusCode(), Close: resp.Header.ConnectionClose(), statedLength: -1}
 	a.copyFields(&resp.Header)
 	onHeader(a)
-	a.omitBody = method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+	a.omitBody = hasNoBody(method, a.Status)
 	if a.omitBody {
 		a.statedLength = max(resp.Header.ContentLength(), -1)
-	} else {
-		// A body without a length ends with the connection.
-		a.Close = a.Close || resp.Header.ContentLength() == noLength
-		d := bodyReader{br: br, limit: limit, reserved: reserved, initial: min(resp.Header.ContentLength(), maxPreallocatedBytes)}
-		body, err := d.readResponse(&resp)
-		if err != nil {
-			return nil, err
-		}
-		a.Body = body
+		return a, nil
+	}
+	// A body without a length ends with the connection.
+	a.Close = a.Close || resp.Header.ContentLength() == noLength
+	body, err := readResponseBody(br, &resp.Header, limit, reserved)
+	if err != nil {
+		return nil, err
 	}
+	a.Body = body
 	return a, nil
 }
 
-// readResponse reads the body that follows the header of resp, and its trailer.
-func (d *bodyReader) readResponse(resp *fasthttp.Response) ([]byte, error) {
-	length := resp.Header.ContentLength()
+// ReadInto is ReadResponse for clients of fasthttp: it reads into resp, with the hop-by-hop fields. The error is io.EOF if the
+// connection ended before the first byte, and includes ErrNoLength.
+func ReadInto(resp *fasthttp.Response, br *bufio.Reader, method string, limit int) error {
+	if err := readFinalHeader(br, &resp.Header); err != nil {
+		return err
+	}
+	if hasNoBody(method, resp.StatusCode()) {
+		resp.SkipBody = method == http.MethodHead
+		return nil
+	}
+	body, err := readResponseBody(br, &resp.Header, limit, nil)
+	if err != nil {
+		return err
+	}
+	resp.SetBodyRaw(body)
+	return nil
+}
+
+// hasNoBody reports whether no body follows the header of a response, whatever it states (RFC 9112 section 6.3).
+func hasNoBody(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// readFinalHeader reads the header of a response and those of the interim responses before it.
+func readFinalHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses + 1 {
+		if _, err := br.Peek(1); err != nil {
+			return err
+		}
+		if err := h.Read(br); err != nil {
+			return classify(err)
+		}
+		switch status := h.StatusCode(); {
+		case status >= 200:
+			return nil
+		case status == http.StatusSwitchingProtocols:
+			// No forwarded request asks for another protocol.
+			return errors.Wrap(ErrMalformed, "status 101")
+		}
+	}
+	return errors.Wrap(ErrMalformed, "interim answers without end")
+}
+
+// readResponseBody reads the body that follows the header of a response, and its trailer.
+func readResponseBody(br *bufio.Reader, h *fasthttp.ResponseHeader, limit int, reserved *memory.Reservation) ([]byte, error) {
+	length := h.ContentLength()
 	// HTTP/1.0 has no chunks. fasthttp ignores the Transfer-Encoding field there and takes the sizes of chunks, up to the
 	// end of the connection, for the body.
-	if length == noLength && string(resp.Header.Protocol()) != "HTTP/1.1" {
-		return nil, errors.Wrap(ErrMalformed, "HTTP/1.0 without a length")
+	if length == noLength && string(h.Protocol()) != "HTTP/1.1" {
+		return nil, errors.Mark(errors.Wrap(ErrMalformed, "HTTP/1.0 without a length"), ErrNoLength)
 	}
+	d := bodyReader{br: br, limit: limit, reserved: reserved, initial: min(length, maxPreallocatedBytes)}
 	b, err := d.read(length)
 	if err != nil {
 		return nil, errors.Wrap(err, "read body")
 	}
 	if length == chunkedLength {
-		if err := resp.Header.ReadTrailer(d.br); err != nil {
+		if err := h.ReadTrailer(br); err != nil {
 			return nil, errors.Wrap(err, "read trailer")
 		}
 	}
--- a/send/send.go
+++ b/send/send.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/currantpier/currantpier/codec"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/retry"
 )
@@ -134,7 +135,7 @@
 		Addr:                      addr,
 		Dial:                      c.dial,
 		MaxIdleConnDuration:       maxIdleTime,
-		MaxResponseBodySize:       c.maxBody,
+		Transport:                 transport{c.maxBody},
 		MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
@@ -199,12 +200,8 @@
 	res := c.classify(r, resp, err, newConn, until)
 	res.Latency = c.clock().Sub(start)
 	res.Sent, res.Received = estimatedHeaderBytes+len(r.HTTP.Body()), estimatedHeaderBytes+len(resp.Body())
-	switch {
-	case res.OK:
+	if res.OK {
 		t.recordLatency(res.Latency)
-	case err == nil && resp.StatusCode() < fasthttp.StatusOK:
-		// The connection is idle again, but the rest of the response is still to come.
-		t.pooled.CloseIdleConnections()
 	}
 	return res
 }
@@ -215,9 +212,6 @@
 	switch {
 	case err != nil && c.isAborted():
 		return Result{Failure: retry.Stopped, Written: !errors.Is(err, errDial)}
-	case err == nil && resp.StatusCode() < fasthttp.StatusOK:
-		// The library returns a response 101 as the last one although the request did not ask to switch protocols.
-		return Result{Failure: retry.Broken, Written: true}
 	case err == nil && resp.StatusCode() == fasthttp.StatusServiceUnavailable:
 		if statesNotRun(resp) {
 			return Result{Failure: retry.Rejected}
@@ -229,7 +223,7 @@
 		return Result{Failure: retry.Refused}
 	case errors.Is(err, errNotQuiet):
 		return Result{Failure: retry.Stale}
-	case errors.Is(err, errClosedInResponse):
+	case errors.Is(err, errClosedInResponse), errors.Is(err, codec.ErrNoLength):
 		return Result{Failure: retry.Truncated, Written: true}
 	case isTimeout(err) && until.Before(r.Deadline):
 		return Result{Failure: retry.Silent, Written: true, Silent: true}
