codec: refuse responses with a status outside 100 to 599

Cause: fasthttp keeps the parsed status, but its StatusCode returns 200 for zero, since a new response has no status yet; codec took all below 200 for interim responses and had no upper bound. net/http returns status 0 as it is: platform.Store and store.Client then told that a write had had no effect. Change: RFC 9110, section 15, calls values outside 100 to 599 invalid. codec looks at the raw status line before fasthttp parses it, since nothing shows 000 afterwards, for final and interim responses, so on both paths to targets and for health requests. codec.Transport checks what net/http returns to the clients of the store and of other VMs and ends the connection. It is an error like a broken connection, so an idempotent request goes to another target and an order gets 502.

--- a/codec/response.go
+++ b/codec/response.go
@@ -113,6 +113,9 @@
 		if _, err := br.Peek(1); err != nil {
 			return err
 		}
+		if err := checkStatusLine(br); err != nil {
+			return err
+		}
 		if err := h.Read(br); err != nil {
 			return classify(err)
 		}
--- a/join/fetch.go
+++ b/join/fetch.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/currantpier/currantpier/codec"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
 	"github.com/currantpier/currantpier/peers"
@@ -80,12 +81,16 @@
 // Dump implements kernel.Service.
 func (*StateFetcher) Dump(time.Time) any { return nil }
 
+func newClient() *http.Client {
+	return &http.Client{Transport: codec.Transport{RoundTripper: &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}}}
+}
+
 // Run implements kernel.Service.
 func (a *StateFetcher) Run(ctx context.Context) error {
 	rnd := rand.New(rand.NewSource(int64(proto.KeyOf(a.Self.VM))))
-	client := &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	client := newClient()
 	responded := false
 	for n, pause := 0, requestDelay; ; n, pause = n+1, requestPause {
 		select {
--- /dev/null
+++ b/send/malformed_test.go
@@ -0,0 +1,46 @@
+package send
+
+import (
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/currantpier/currantpier/retry"
+)
+
+// testMalformed sends a response to a request, an order, a forwarded order and a request for a document. None may get it as a
+// response, and the order may have run.
+func testMalformed(t *testing.T, text string) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	c := New(1<<20, time.Now)
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("http://target/")
+	for _, kind := range []retry.Request{retry.Idempotent, retry.Order} {
+		res := c.Do(Request{Address: respondOnce(t, text), Kind: kind, Deadline: deadline, HTTP: &req}, &resp)
+		if res.OK || res.Failure != retry.Broken || !res.Written {
+			t.Errorf("%q, kind %v: %+v, status %d, body %q", text, kind, res, resp.StatusCode(), resp.Body())
+		}
+	}
+	if c.Forward(respondOnce(t, text), &req, &resp, deadline) {
+		t.Errorf("%q: a forwarded request has the response %d %q", text, resp.StatusCode(), resp.Body())
+	}
+	if body, err := c.Get(respondOnce(t, text), "/load", 10*time.Second); err == nil {
+		t.Errorf("%q: the document %q was read", text, body)
+	}
+}
+
+// Guards against a response with an invalid status that reaches the caller as 200, or is skipped as an interim response.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	const rest = "\r\nContent-Length: 2\r\n\r\nok"
+	for _, text := range []string{
+		"HTTP/1.1 000 OK" + rest, "HTTP/1.1 000" + rest, "HTTP/1.1 600 x" + rest, "HTTP/1.1 999 x" + rest,
+		"HTTP/1.1 042 x\r\n\r\nHTTP/1.1 200 OK" + rest,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK" + rest,
+		"HTTP/1.1 000 x\r\nShed: not-run" + rest,
+	} {
+		testMalformed(t, text)
+	}
+}
--- a/store/client.go
+++ b/store/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/currantpier/currantpier/codec"
 	"github.com/currantpier/currantpier/ident"
 	"github.com/currantpier/currantpier/kinds"
 )
@@ -62,7 +63,7 @@
 }
 
 // WithHTTPClient sets the HTTP client. Redirects are not followed, whatever its policy, because following one would
-// send a write twice.
+// send a write twice. Its transport, http.DefaultTransport if it has none, is wrapped in a codec.Transport.
 func WithHTTPClient(h *http.Client) Option {
 	return func(c *Client) { c.http = h }
 }
@@ -86,6 +87,10 @@
 		opt(c)
 	}
 	httpClient := *c.http
+	if httpClient.Transport == nil {
+		httpClient.Transport = http.DefaultTransport
+	}
+	httpClient.Transport = codec.Transport{RoundTripper: httpClient.Transport}
 	httpClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	c.http = &httpClient
 	return c
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -28,6 +28,18 @@
 
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// respondRaw writes text to the connection and closes it.
+func respondRaw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(nc, text)
+		_ = nc.Close()
+	}
+}
+
 func respondStatus(code int, header ...string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		for i := 0; i < len(header); i += 2 {
@@ -75,6 +87,7 @@
 		{"malformed ETag", respondBody("", "ETag", "x"), kinds.StoreUnknown, singlePut},
 		{"not JSON", respondBody("{"), kinds.StoreUnknown, twoOps},
 		{"too few versions", respondBody(`{"versions":[1]}`), kinds.StoreUnknown, twoOps},
+		{"invalid status, marked not written", respondRaw("HTTP/1.1 000 x\r\nNot-Written: true\r\nContent-Length: 0\r\n\r\n"), kinds.StoreUnknown, nil},
 		{"written", respondBody(""), kinds.Answered, singlePut},
 		{"all written", respondBody(`{"versions":[1,3]}`), kinds.Answered, twoOps},
 	}
