codec: refuse responses with a blank before the colon of a field

What callers saw: a target in trouble sent a header in which the name of a field held a blank, and the caller got it as a response, with that line passed on or with a body that was not the target's (MIXED). Cause: fasthttp and net/http tolerate a space in a field name. fasthttp removes one at its end, so that "Content-Length : 1" counts. A name with a space is no name that they know, so "Transfer Encoding: chunked" left the body to the end of the connection, sizes of chunks included, and the line was copied. A line that begins with a blank, as "A: b\r\n Content-Length: 2", became a part of the signature before it. All other bytes that are no part of a name were refused before, in headers. Evidence, the tests on the code before: carry "fields [{Id 1} {Sig s} {A B c}], body ok", "{Transfer Encoding chunked}], body 2\r\nok\r\n0\r\n\r\n", "body o" for "Content-Length : 1", "{Sig s Content-Length: 2}", and 503 in place of 502 for an order whose refusal said "Not-Run : 1"; send "OK:true, status 200", and "Failure:2 Written:false" (not run) for "Shed : not-run"; AskWarmup 1.5 s from "Warm : 1500"; platform "reading as of version 7, error <nil>"; store and node "error <nil>", join a state. Interim responses and trailers were the same. Change: codec checks the raw lines of headers and trailers before fasthttp reads them, since it hides a space at the end of a name: no blank comes before the first colon of a line (RFC 9112, 5.1). fasthttp must see their end at the same byte. A continuation line is still served (5.2 lets a proxy choose), unless it could be a field itself. codec.Transport checks the names that net/http returns, of interim responses by a trace, of trailers at the end of the body. Then net/http no longer bounds the number of interim responses, so the Transport does. Result: the tests pass; names of all other allowed bytes, empty values, continuation lines and bare line feeds between fields are served as before.

--- a/carry/health_test.go
+++ b/carry/health_test.go
@@ -32,6 +32,7 @@
 		{"another target", "HTTP/1.1 200 x\r\nTarget: t1\r\nWarm: 1500\r\nContent-Length: 0\r\n\r\n", 0, false},
 		{"answer to another request", "HTTP/1.1 200 x\r\nTarget: t0\r\nId: 7\r\nWarm: 1500\r\nContent-Length: 0\r\n\r\n", 0, false},
 		{"invalid status", "HTTP/1.1 000 x\r\nTarget: t0\r\nContent-Length: 0\r\n\r\n", 0, false},
+		{"blank in a field name", "HTTP/1.1 200 x\r\nTarget: t0\r\nWarm : 1500\r\nContent-Length: 0\r\n\r\n", 0, false},
 		{"no answer", "", 0, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/carry/malformed_response_test.go
+++ b/carry/malformed_response_test.go
@@ -78,3 +78,24 @@
 		testMalformed(t, response)
 	}
 }
+
+// Guards against a header with an invalid field name that reaches the caller, in a line of the header or as the begin of the body,
+// and against a body that ends elsewhere than the target meant.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	const status, length = "HTTP/1.1 200 OK\r\nID\r\n", "Content-Length: 2\r\n\r\nok"
+	for _, response := range []string{
+		status + "A B: c\r\n" + length,
+		status + "A\x01: c\r\n" + length,
+		status + "Content-Length : 1\r\n\r\nok",
+		status + "Content Length: 2\r\n\r\nok",
+		status + " Content-Length: 2\r\n\r\nok",
+		status + "Transfer Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA B: c\r\n\r\n",
+		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA : c\r\n\r\n",
+		"HTTP/1.1 103 x\r\nA B: c\r\n\r\n" + status + length,
+		"HTTP/1.1 503 x\r\nID\r\nNot-Run : 1\r\n" + length,
+		"HTTP/1.1 503 x\r\nID\r\nNot-Run: 1\r\nA B: c\r\n" + length,
+	} {
+		testMalformed(t, response)
+	}
+}
--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 )
 
@@ -12,6 +13,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nabc", "HTTP/1.1 999 ?\r\nContent-Length: -2\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nKeep-Alive: timeout=-1\r\n\r\n", "\x00\xff\r\n\r\n",
+		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\nD : e\r\n\r\n",
 	} {
 		f.Add([]byte(s))
 	}
@@ -21,6 +23,14 @@
 		if err != nil {
 			return
 		}
+		if a.Status < 200 || a.Status > 599 {
+			t.Errorf("status %d", a.Status)
+		}
+		for _, f := range a.Fields {
+			if strings.ContainsFunc(f.Name, func(c rune) bool { return c <= ' ' || c >= 0x7f || c == ':' }) {
+				t.Errorf("field name %q", f.Name)
+			}
+		}
 		if len(a.Body) > limit {
 			t.Fatalf("body of %d bytes, limit %d", len(a.Body), limit)
 		}
--- a/codec/head.go
+++ b/codec/head.go
@@ -15,6 +15,22 @@
 	maxStatus = 599
 )
 
+// readChecked checks what br returns next and reads it with fasthttp, which must see its end at the same byte.
+func readChecked(br *bufio.Reader, check func(*bufio.Reader) (int, error), read func(*bufio.Reader) error) error {
+	n, err := check(br)
+	if err != nil {
+		return err
+	}
+	buffered := br.Buffered()
+	if err := read(br); err != nil {
+		return classify(err)
+	}
+	if buffered-br.Buffered() != n {
+		return errors.Wrap(ErrMalformed, "ambiguous end of the header")
+	}
+	return nil
+}
+
 // rawLines returns the lines that a reader returns next, without consuming them.
 type rawLines struct {
 	br *bufio.Reader
@@ -46,21 +62,34 @@
 	}
 }
 
-// checkStatusLine waits for the status line of the response that br returns next and checks what fasthttp accepts although it is no
-// status line. It consumes nothing. Like fasthttp, it skips empty lines.
-func checkStatusLine(br *bufio.Reader) error {
+// checkHeader waits for the header of the response that br returns next, and returns its length. It consumes nothing. The error is
+// ErrMalformed for what is no header although fasthttp accepts it and shows no trace of it. All else is left to fasthttp.
+func checkHeader(br *bufio.Reader) (int, error) {
 	l := rawLines{br: br}
 	for {
 		line, err := l.next()
 		if err != nil {
-			return err
+			return 0, err
 		}
-		if len(line) > 0 {
-			return checkStatus(line)
+		// fasthttp skips empty lines before the status line.
+		if len(line) == 0 {
+			continue
 		}
+		if err := checkStatus(line); err != nil {
+			return 0, err
+		}
+		err = l.checkFields()
+		return l.n, err
 	}
 }
 
+// checkTrailer is checkHeader for the trailer that follows the last chunk.
+func checkTrailer(br *bufio.Reader) (int, error) {
+	l := rawLines{br: br}
+	err := l.checkFields()
+	return l.n, err
+}
+
 // checkStatus returns an error if the status of a status line is out of range. fasthttp takes 000 for 200.
 func checkStatus(line []byte) error {
 	_, rest, _ := bytes.Cut(line, []byte(" "))
@@ -70,3 +99,30 @@
 	}
 	return nil
 }
+
+// checkFields checks the lines up to the empty one that ends a header or trailer.
+func (l *rawLines) checkFields() error {
+	for {
+		line, err := l.next()
+		if err != nil {
+			return err
+		}
+		if len(line) == 0 {
+			return nil
+		}
+		if err := checkFieldName(line); err != nil {
+			return err
+		}
+	}
+}
+
+// checkFieldName returns an error if there is a blank before the first colon of a line. fasthttp allows a space there, and removes
+// one at the end of the name. A line that begins with a blank continues the one before (RFC 9112 section 5.2); one that could also
+// be a field of its own is an error.
+func checkFieldName(line []byte) error {
+	name, _, isField := bytes.Cut(line, []byte(":"))
+	if isField && bytes.ContainsAny(name, " \t") {
+		return errors.Wrapf(ErrMalformed, "field name %.40q", name)
+	}
+	return nil
+}
--- a/codec/malformed_test.go
+++ b/codec/malformed_test.go
@@ -32,3 +32,35 @@
 		}
 	}
 }
+
+// A field name has no blanks and no control bytes, and no blank comes before its colon (RFC 9112 section 5.1). Guards against such
+// a line that is passed on, or that decides where the body begins or ends, and against rejecting unusual names and values.
+func TestFieldNames(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	for _, tt := range []struct {
+		line string
+		ok   bool
+	}{
+		{"A B: c\r\n", false}, {" A: b\r\n", false}, {"\tA: b\r\n", false}, {"A : b\r\n", false}, {"A\t: b\r\n", false}, {"A\tB: c\r\n", false},
+		{"\x00A: b\r\n", false}, {"A\x01: b\r\n", false}, {"A\x7f: b\r\n", false}, {"A\rB: c\r\n", false}, {"\rA: b\r\n", false},
+		{"A\nB: c\r\n", false}, {"\r\nA: b\r\n", true}, {"A\x80: b\r\n", false},
+		{": b\r\n", false}, {"A\r\n", false}, {"A B: c\r\n d\r\n", false}, {"A: b\r\n C: d\r\n", false}, {"A: b\r\n\tC: d\r\n", false},
+		{"", true}, {"a-b: c\r\n", true}, {"!#$%&'*+-.^_`|~09: b\r\n", true}, {"A:\r\n", true}, {"A:b\r\n", true}, {"A: \t b:c \r\n", true},
+		{"A: b\nC: d\r\n", true}, {"A: b\r\n c\r\n", true}, {"A: b\r\n\tc\r\n", true}, {"A: b\r\n \r\n", true}, {"A: \x80\xff\r\n", true},
+	} {
+		responses := map[string]string{"trailer": chunked + tt.line + "\r\n"}
+		if tt.line != "\r\nA: b\r\n" {
+			responses["header"] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + tt.line + "\r\nok"
+			responses["interim header"] = "HTTP/1.1 103 x\r\nD: e\r\n" + tt.line + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		}
+		for place, in := range responses {
+			a, err := ReadResponse(newReader(in), "GET", 100)
+			if !tt.ok && !errors.Is(err, ErrMalformed) {
+				t.Errorf("%q in a %s: response %+v, error %v; want %v", tt.line, place, a, err, ErrMalformed)
+			}
+			if tt.ok && (err != nil || string(a.Body) != "ok") {
+				t.Errorf("%q in a %s: response %+v, error %v", tt.line, place, a, err)
+			}
+		}
+	}
+}
--- a/codec/response.go
+++ b/codec/response.go
@@ -113,12 +113,9 @@
 		if _, err := br.Peek(1); err != nil {
 			return err
 		}
-		if err := checkStatusLine(br); err != nil {
+		if err := readChecked(br, checkHeader, h.Read); err != nil {
 			return err
 		}
-		if err := h.Read(br); err != nil {
-			return classify(err)
-		}
 		switch status := h.StatusCode(); {
 		case status >= 200:
 			return nil
@@ -144,7 +141,7 @@
 		return nil, errors.Wrap(err, "read body")
 	}
 	if length == chunkedLength {
-		if err := h.ReadTrailer(br); err != nil {
+		if err := readChecked(br, checkTrailer, h.ReadTrailer); err != nil {
 			return nil, errors.Wrap(err, "read trailer")
 		}
 	}
--- a/codec/transport.go
+++ b/codec/transport.go
@@ -1,34 +1,63 @@
 package codec
 
 import (
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Transport is an http.RoundTripper that refuses responses which net/http returns although they are malformed. The error is then
-// ErrMalformed: like a lost response, it doesn't tell whether the request had an effect.
+// ErrMalformed: like a lost response, it doesn't tell whether the request had an effect. net/http keeps the connection of a response
+// without a body before it returns the response, so that the idle ones are closed then.
 type Transport struct {
 	http.RoundTripper
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.RoundTripper.RoundTrip(r)
+	interim := 0
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+		// With this function, net/http leaves the bound to it.
+		if interim++; interim > maxInterimResponses {
+			return errors.Wrap(ErrMalformed, "interim answers without end")
+		}
+		return checkNames(http.Header(fields))
+	}}
+	resp, err := t.RoundTripper.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := checkResponse(resp); err != nil {
-		t.discard(resp)
+		_ = resp.Body.Close()
+		t.CloseIdleConnections()
 		return nil, err
 	}
+	resp.Body = &checkedBody{resp.Body, t, resp}
 	return resp, nil
 }
 
-// discard ends the connection of a response. net/http keeps that of one without a body before it returns the response.
-func (t Transport) discard(resp *http.Response) {
-	_ = resp.Body.Close()
-	t.CloseIdleConnections()
+// checkedBody is the body of a response whose trailer is checked at its end.
+type checkedBody struct {
+	io.ReadCloser
+	transport Transport
+	resp      *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if err := checkNames(b.resp.Trailer); err != nil {
+		b.transport.CloseIdleConnections()
+		return n, err
+	}
+	return n, io.EOF
 }
 
 // CloseIdleConnections is called by http.Client.CloseIdleConnections.
@@ -43,5 +72,15 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
 	}
+	return checkNames(resp.Header)
+}
+
+// checkNames returns an error if a field name has a space, the only byte that net/http accepts there against RFC 9112 section 5.1.
+func checkNames(fields http.Header) error {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return errors.Wrapf(ErrMalformed, "field name %.40q", name)
+		}
+	}
 	return nil
 }
--- a/codec/transport_test.go
+++ b/codec/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -69,6 +70,12 @@
 		"HTTP/1.1 042 x\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nA : c\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 103 x\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA B: c\r\n\r\n",
+		strings.Repeat("HTTP/1.1 103 x\r\n\r\n", maxInterimResponses+1) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		url, ended := serveText(t, text, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		c := newTestClient(t)
@@ -88,10 +95,12 @@
 func TestTransportReturnsUnusual(t *testing.T) {
 	var texts []string
 	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\na!#$%&'*+-.^_`|~09:\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n",
 		"HTTP/1.1 200\r\n", "HTTP/1.1 299 Whatever\r\n", "HTTP/1.1 599 x\r\n", "HTTP/1.1 103 x\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
 		texts = append(texts, head+"Content-Length: 2\r\n\r\nok")
 	}
+	texts = append(texts, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n")
 	url, ended := serveText(t, texts...)
 	c := newTestClient(t)
 	for _, text := range texts {
--- a/send/malformed_test.go
+++ b/send/malformed_test.go
@@ -44,3 +44,21 @@
 		testMalformed(t, text)
 	}
 }
+
+// Guards against a header with an invalid field name that reaches the caller, in a line of the header or as the begin of the body,
+// and against a refusal with one that promises "not run".
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	const status, length = "HTTP/1.1 200 OK\r\n", "Content-Length: 2\r\n\r\nok"
+	for _, text := range []string{
+		status + "A B: c\r\n" + length,
+		status + "A\x01: c\r\n" + length,
+		status + "Content-Length : 2\r\n\r\nok",
+		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA B: c\r\n\r\n",
+		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA : c\r\n\r\n",
+		"HTTP/1.1 103 x\r\nA B: c\r\n\r\n" + status + length,
+		"HTTP/1.1 503 x\r\nShed : not-run\r\n" + length,
+		"HTTP/1.1 503 x\r\nShed: not-run\r\nA B: c\r\n" + length,
+	} {
+		testMalformed(t, text)
+	}
+}
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -88,6 +88,8 @@
 		{"not JSON", respondBody("{"), kinds.StoreUnknown, twoOps},
 		{"too few versions", respondBody(`{"versions":[1]}`), kinds.StoreUnknown, twoOps},
 		{"invalid status, marked not written", respondRaw("HTTP/1.1 000 x\r\nNot-Written: true\r\nContent-Length: 0\r\n\r\n"), kinds.StoreUnknown, nil},
+		{"blank in a field name", respondRaw("HTTP/1.1 200 OK\r\nETag: \"7\"\r\nA B: c\r\nContent-Length: 18\r\n\r\n{\"versions\":[1,3]}"), kinds.StoreUnknown, nil},
+		{"blank in a field name, marked not written", respondRaw("HTTP/1.1 503 x\r\nNot-Written: true\r\nA B: c\r\nContent-Length: 0\r\n\r\n"), kinds.StoreUnknown, nil},
 		{"written", respondBody(""), kinds.Answered, singlePut},
 		{"all written", respondBody(`{"versions":[1,3]}`), kinds.Answered, twoOps},
 	}
