codec: end a header only with an empty line in CRLF

Cause: of the control bytes, one got through: a line feed where a name begins. fasthttp accepts a bare line feed as the empty line that ends a header, provided that CRLF CRLF stands anywhere in what has arrived. So "\nContent-Length: 2\r\n\r\nok" ended the header, and the body was "Content-Length: 2\r\n\r\nok". It was the same after a line that ends with a bare line feed, "A: b\n\r\nC: d". Whether such a response was accepted depended on its body. In a trailer, the rest of it was left on the connection. Evidence, the tests on the code before: carry "status 200, fields [{Id 1} {Sig s}], body Content-Length: 2\r\n\r\nok; want 502 of this VM", codec "response Status:200 Body:[65 58]". Package send refused it as truncated, since it has no length. RFC 9112, 2.2 lets a recipient take bare line feeds for line ends, but doesn't ask for it; they still end fields, as TestResponseCutAtEachByte has it. A header with line feeds only was never served, but waited for until the deadline; it now fails at once.

--- a/carry/malformed_response_test.go
+++ b/carry/malformed_response_test.go
@@ -88,6 +88,7 @@
 		status + "A\x01: c\r\n" + length,
 		status + "Content-Length : 1\r\n\r\nok",
 		status + "Content Length: 2\r\n\r\nok",
+		status + "\nContent-Length: 2\r\n\r\nok",
 		status + " Content-Length: 2\r\n\r\nok",
 		status + "Transfer Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA B: c\r\n\r\n",
--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -13,7 +13,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nabc", "HTTP/1.1 999 ?\r\nContent-Length: -2\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nKeep-Alive: timeout=-1\r\n\r\n", "\x00\xff\r\n\r\n",
-		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\nD : e\r\n\r\n",
+		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nA B: c\r\nD : e\r\n\r\n", "HTTP/1.1 200 OK\r\n\nContent-Length: 1\r\n\r\na",
 	} {
 		f.Add([]byte(s))
 	}
--- a/codec/head.go
+++ b/codec/head.go
@@ -36,6 +36,8 @@
 	br *bufio.Reader
 	// n is the number of bytes of the lines so far.
 	n int
+	// crlf is set if the last line ended with CRLF, not with a bare line feed.
+	crlf bool
 }
 
 // next waits for the next line and returns it without its end. The error is io.ErrUnexpectedEOF, ErrHeaderTooLarge if the line
@@ -57,6 +59,7 @@
 		}
 		if line, _, found := bytes.Cut(b[l.n:], []byte("\n")); found {
 			l.n += len(line) + 1
+			l.crlf = bytes.HasSuffix(line, []byte("\r"))
 			return bytes.TrimSuffix(line, []byte("\r")), nil
 		}
 	}
@@ -85,7 +88,7 @@
 
 // checkTrailer is checkHeader for the trailer that follows the last chunk.
 func checkTrailer(br *bufio.Reader) (int, error) {
-	l := rawLines{br: br}
+	l := rawLines{br: br, crlf: true}
 	err := l.checkFields()
 	return l.n, err
 }
@@ -100,19 +103,25 @@
 	return nil
 }
 
-// checkFields checks the lines up to the empty one that ends a header or trailer.
+// checkFields checks the lines up to the empty one that ends a header or trailer. That one must be the first CRLF after a CRLF: if
+// bare line feeds counted there, a field name that begins with one would end the header, and the rest would be the body.
 func (l *rawLines) checkFields() error {
 	for {
+		afterCRLF := l.crlf
 		line, err := l.next()
 		if err != nil {
 			return err
 		}
-		if len(line) == 0 {
-			return nil
+		if len(line) > 0 {
+			if err := checkFieldName(line); err != nil {
+				return err
+			}
+			continue
 		}
-		if err := checkFieldName(line); err != nil {
-			return err
+		if !afterCRLF || !l.crlf {
+			return errors.Wrap(ErrMalformed, "header ends with a bare line feed")
 		}
+		return nil
 	}
 }
 
--- a/codec/malformed_test.go
+++ b/codec/malformed_test.go
@@ -43,8 +43,8 @@
 	}{
 		{"A B: c\r\n", false}, {" A: b\r\n", false}, {"\tA: b\r\n", false}, {"A : b\r\n", false}, {"A\t: b\r\n", false}, {"A\tB: c\r\n", false},
 		{"\x00A: b\r\n", false}, {"A\x01: b\r\n", false}, {"A\x7f: b\r\n", false}, {"A\rB: c\r\n", false}, {"\rA: b\r\n", false},
-		{"A\nB: c\r\n", false}, {"\r\nA: b\r\n", true}, {"A\x80: b\r\n", false},
-		{": b\r\n", false}, {"A\r\n", false}, {"A B: c\r\n d\r\n", false}, {"A: b\r\n C: d\r\n", false}, {"A: b\r\n\tC: d\r\n", false},
+		{"A\nB: c\r\n", false}, {"\nA: b\r\n", false}, {"\r\nA: b\r\n", true}, {"A: b\n\r\nC: d\r\n", false}, {"A\x80: b\r\n", false},
+		{": b\r\n", false}, {"A\r\n", false}, {"A: b\n", false}, {"A B: c\r\n d\r\n", false}, {"A: b\r\n C: d\r\n", false}, {"A: b\r\n\tC: d\r\n", false},
 		{"", true}, {"a-b: c\r\n", true}, {"!#$%&'*+-.^_`|~09: b\r\n", true}, {"A:\r\n", true}, {"A:b\r\n", true}, {"A: \t b:c \r\n", true},
 		{"A: b\nC: d\r\n", true}, {"A: b\r\n c\r\n", true}, {"A: b\r\n\tc\r\n", true}, {"A: b\r\n \r\n", true}, {"A: \x80\xff\r\n", true},
 	} {
--- a/send/malformed_test.go
+++ b/send/malformed_test.go
@@ -53,6 +53,7 @@
 		status + "A B: c\r\n" + length,
 		status + "A\x01: c\r\n" + length,
 		status + "Content-Length : 2\r\n\r\nok",
+		status + "X: a\r\n\nContent-Length: 2\r\n\r\nok",
 		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA B: c\r\n\r\n",
 		status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA : c\r\n\r\n",
 		"HTTP/1.1 103 x\r\nA B: c\r\n\r\n" + status + length,
