store, node: refuse responses without a length

Cause: net/http takes a bare line feed for the empty line too and shows no trace of it. The length is then lost with the header, and the body lasts to the end of the connection, as does one that is cut. join and send refuse such bodies; store, node and platform didn't. Change: codec.Transport refuses responses without a length if RequireLength is set, as store and node do: their bodies are raw values and messages without an end of their own.

--- a/codec/transport.go
+++ b/codec/transport.go
@@ -15,6 +15,9 @@
 // without a body before it returns the response, so that the idle ones are closed then.
 type Transport struct {
 	http.RoundTripper
+	// RequireLength is set if a response without a length, whose body ends with its connection, is refused too. It is for bodies of
+	// which a part, or with a part of the header before it, could be taken for a whole one.
+	RequireLength bool
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -31,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkResponse(resp); err != nil {
+	if err := t.check(resp); err != nil {
 		_ = resp.Body.Close()
 		t.CloseIdleConnections()
 		return nil, err
@@ -67,14 +70,23 @@
 	}
 }
 
-// checkResponse returns an error if the header of a response is malformed.
-func checkResponse(resp *http.Response) error {
+// check returns an error if the header of a response is malformed.
+func (t Transport) check(resp *http.Response) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
 	}
+	if t.RequireLength && !hasLength(resp) {
+		return errors.Mark(errors.Wrap(ErrMalformed, "no length"), ErrNoLength)
+	}
 	return checkNames(resp.Header)
 }
 
+// hasLength reports whether the end of a response shows without that of its connection. net/http hides the length of a body that it
+// decompresses; the compressed form shows its end.
+func hasLength(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed || hasNoBody(resp.Request.Method, resp.StatusCode)
+}
+
 // checkNames returns an error if a field name has a space, the only byte that net/http accepts there against RFC 9112 section 5.1.
 func checkNames(fields http.Header) error {
 	for name := range fields {
--- a/codec/transport_test.go
+++ b/codec/transport_test.go
@@ -45,7 +45,7 @@
 
 // newTestClient returns a client with a Transport. Its connections end with the test.
 func newTestClient(t *testing.T) *http.Client {
-	c := &http.Client{Transport: Transport{&http.Transport{}}, Timeout: 5 * time.Second}
+	c := &http.Client{Transport: Transport{RoundTripper: &http.Transport{}}, Timeout: 5 * time.Second}
 	t.Cleanup(c.CloseIdleConnections)
 	return c
 }
--- a/node/limit.go
+++ b/node/limit.go
@@ -96,5 +96,5 @@
 	t := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: maxClientIdle, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	return &http.Client{Transport: &boundedTransport{codec.Transport{RoundTripper: t}, newBodyLimit()}, Timeout: timeout}
+	return &http.Client{Transport: &boundedTransport{codec.Transport{RoundTripper: t, RequireLength: true}, newBodyLimit()}, Timeout: timeout}
 }
--- a/node/malformed_reply_test.go
+++ b/node/malformed_reply_test.go
@@ -13,12 +13,15 @@
 
 // Guards against a malformed reply of another daemon that is taken for one.
 func TestMalformedReplyIsNoReply(t *testing.T) {
-	const rest = "Content-Type: application/protobuf\r\nContent-Length: 0\r\n\r\n"
-	for head, ok := range map[string]bool{
-		"HTTP/1.1 200 OK\r\n":                              true,
-		"HTTP/1.1 000 OK\r\n":                              false,
-		"HTTP/1.1 200 OK\r\nA B: c\r\n":                    false,
-		"HTTP/1.1 103 x\r\nA B: c\r\n\r\nHTTP/1.1 200\r\n": false,
+	const kind, length = "Content-Type: application/protobuf\r\n", "Content-Length: 0\r\n\r\n"
+	for text, ok := range map[string]bool{
+		"HTTP/1.1 200 OK\r\n" + kind + length:                                        true,
+		"HTTP/1.1 200 OK\r\n" + kind + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": true,
+		"HTTP/1.1 000 OK\r\n" + kind + length:                                        false,
+		"HTTP/1.1 200 OK\r\nA B: c\r\n" + kind + length:                              false,
+		"HTTP/1.1 103 x\r\nA B: c\r\n\r\nHTTP/1.1 200\r\n" + kind + length:           false,
+		"HTTP/1.1 200 OK\r\n" + kind + "\n" + length:                                 false,
+		"HTTP/1.1 200 OK\r\n" + kind + "\r\n":                                        false,
 	} {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -30,13 +33,13 @@
 				return
 			}
 			_, _ = nc.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(nc, head+rest)
+			_, _ = io.WriteString(nc, text)
 			_ = nc.Close()
 		}()
 		p := NewPeers()
 		_, err = p.At(ln.Addr().String()).Probe(t.Context(), &wire.ProbeRequest{})
 		if (err == nil) != ok || !ok && !errors.Is(err, codec.ErrMalformed) {
-			t.Errorf("%q: error %v", head, err)
+			t.Errorf("%q: error %v", text, err)
 		}
 		p.Close()
 		_ = ln.Close()
--- a/store/client.go
+++ b/store/client.go
@@ -90,7 +90,7 @@
 	if httpClient.Transport == nil {
 		httpClient.Transport = http.DefaultTransport
 	}
-	httpClient.Transport = codec.Transport{RoundTripper: httpClient.Transport}
+	httpClient.Transport = codec.Transport{RoundTripper: httpClient.Transport, RequireLength: true}
 	httpClient.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	c.http = &httpClient
 	return c
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -90,6 +90,8 @@
 		{"invalid status, marked not written", respondRaw("HTTP/1.1 000 x\r\nNot-Written: true\r\nContent-Length: 0\r\n\r\n"), kinds.StoreUnknown, nil},
 		{"blank in a field name", respondRaw("HTTP/1.1 200 OK\r\nETag: \"7\"\r\nA B: c\r\nContent-Length: 18\r\n\r\n{\"versions\":[1,3]}"), kinds.StoreUnknown, nil},
 		{"blank in a field name, marked not written", respondRaw("HTTP/1.1 503 x\r\nNot-Written: true\r\nA B: c\r\nContent-Length: 0\r\n\r\n"), kinds.StoreUnknown, nil},
+		{"header that ends early", respondRaw("HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\nContent-Length: 18\r\n\r\n{\"versions\":[1,3]}"), kinds.StoreUnknown, nil},
+		{"no length", respondRaw("HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\r\n{\"versions\":[1,3]}"), kinds.StoreUnknown, nil},
 		{"written", respondBody(""), kinds.Answered, singlePut},
 		{"all written", respondBody(`{"versions":[1,3]}`), kinds.Answered, twoOps},
 	}
@@ -177,6 +179,8 @@
 		{"truncated", respondBody("x", "Content-Length", "100"), kinds.StoreDown, kinds.StoreDown, kinds.StoreDown},
 		{"too large", respondBody(strings.Repeat("x", 1001)), kinds.Internal, kinds.Internal, kinds.Internal},
 		{"malformed", respondBody("{", "ETag", `"x"`), kinds.Internal, kinds.Answered, kinds.Internal},
+		{"header that ends early", respondRaw("HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\nContent-Length: 2\r\n\r\n{}"), kinds.StoreDown, kinds.StoreDown, kinds.StoreDown},
+		{"no length", respondRaw("HTTP/1.1 200 OK\r\nETag: \"7\"\r\n\r\n{}"), kinds.StoreDown, kinds.StoreDown, kinds.StoreDown},
 		{"found", respondBody("{}"), kinds.Answered, kinds.Answered, kinds.Answered},
 	}
 	for _, tt := range tests {
