codec: refuse status lines of other major versions and with control bytes

What callers saw: a target's "HTTP/2.0 200 OK" or "HTTP/0.9 200 OK", read as HTTP/1, as a response; on the product's own interface also the control bytes of a reason phrase. Cause: fasthttp and net/http accept any digit for the major version and any byte in the reason phrase, a bare CR included, which some recipients take for the end of the line. Package front passes the phrase on, carry doesn't. Change: the check of the status line covers them (RFC 9112, 2.3 and 4). Later minor versions, a missing phrase, tabs and bytes above 0x7f in it are served as before.

--- a/codec/head.go
+++ b/codec/head.go
@@ -78,7 +78,7 @@
 		if len(line) == 0 {
 			continue
 		}
-		if err := checkStatus(line); err != nil {
+		if err := checkStatusLine(line); err != nil {
 			return 0, err
 		}
 		err = l.checkFields()
@@ -93,16 +93,28 @@
 	return l.n, err
 }
 
-// checkStatus returns an error if the status of a status line is out of range. fasthttp takes 000 for 200.
-func checkStatus(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+// checkStatusLine returns an error for a status line of another major version, with a status out of range, of which fasthttp takes
+// 000 for 200, or with a control byte.
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if n, err := strconv.Atoi(string(text)); err != nil || n < minStatus || n > maxStatus {
+	n, err := strconv.Atoi(string(text))
+	switch {
+	case !bytes.HasPrefix(version, []byte("HTTP/1.")):
+		return errors.Wrapf(ErrMalformed, "version %.20q", version)
+	case err != nil || n < minStatus || n > maxStatus:
 		return errors.Wrapf(ErrMalformed, "status %.20q", text)
+	case hasControlByte(line):
+		return errors.Wrapf(ErrMalformed, "status line %.80q", line)
 	}
 	return nil
 }
 
+// hasControlByte reports whether a text has a byte that no reason phrase and no field value may have (RFC 9110 section 5.5).
+func hasControlByte(text []byte) bool {
+	return bytes.ContainsFunc(text, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
+}
+
 // checkFields checks the lines up to the empty one that ends a header or trailer. That one must be the first CRLF after a CRLF: if
 // bare line feeds counted there, a field name that begins with one would end the header, and the rest would be the body.
 func (l *rawLines) checkFields() error {
--- a/codec/malformed_test.go
+++ b/codec/malformed_test.go
@@ -64,3 +64,18 @@
 		}
 	}
 }
+
+// Guards against a status line of another protocol that is read as one of HTTP/1, and against control bytes in one, which package
+// front would pass on, as a bare CR that some recipients take for the end of the line.
+func TestStatusLine(t *testing.T) {
+	for line, ok := range map[string]bool{
+		"HTTP/2.0 200 OK": false, "HTTP/0.9 200 OK": false, "HTTP/9.1 200 OK": false, "http/1.1 200 OK": false, "HTTP/1.10 200 OK": false,
+		"HTTP/1.1 200 O\x01K": false, "HTTP/1.1 200 O\rK": false, "HTTP/1.1 200 \x00": false, "HTTP/1.1 200 OK\x7f": false, "HTTP/1.1 200 OK\r": false,
+		"HTTP/1.0 200 OK": true, "HTTP/1.2 200 OK": true, "HTTP/1.1 200": true, "HTTP/1.1 200 ": true, "HTTP/1.1 200 O\tK \xc3\xa9 :": true,
+	} {
+		a, err := ReadResponse(newReader(line+"\r\nContent-Length: 2\r\n\r\nok"), "GET", 100)
+		if !ok && !errors.Is(err, ErrMalformed) || ok && (err != nil || string(a.Body) != "ok") {
+			t.Errorf("%q: response %+v, error %v", line, a, err)
+		}
+	}
+}
--- a/codec/transport.go
+++ b/codec/transport.go
@@ -72,8 +72,13 @@
 
 // check returns an error if the header of a response is malformed.
 func (t Transport) check(resp *http.Response) error {
-	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+	switch {
+	case resp.ProtoMajor != 1:
+		return errors.Wrapf(ErrMalformed, "version %.20q", resp.Proto)
+	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
 		return errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
+	case hasControlByte([]byte(resp.Status)):
+		return errors.Wrapf(ErrMalformed, "status line %.80q", resp.Status)
 	}
 	if t.RequireLength && !hasLength(resp) {
 		return errors.Mark(errors.Wrap(ErrMalformed, "no length"), ErrNoLength)
--- a/codec/transport_test.go
+++ b/codec/transport_test.go
@@ -70,6 +70,9 @@
 		"HTTP/1.1 042 x\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 O\rK\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 200 OK\r\nA : c\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\nContent-Length: 2\r\n\r\nok",
@@ -96,7 +99,7 @@
 	var texts []string
 	for _, head := range []string{
 		"HTTP/1.1 200 OK\r\na!#$%&'*+-.^_`|~09:\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n",
-		"HTTP/1.1 200\r\n", "HTTP/1.1 299 Whatever\r\n", "HTTP/1.1 599 x\r\n", "HTTP/1.1 103 x\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 200\r\n", "HTTP/1.1 200 O\tK\r\n", "HTTP/1.2 200 OK\r\n", "HTTP/1.1 299 Whatever\r\n", "HTTP/1.1 599 x\r\n", "HTTP/1.1 103 x\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
 		texts = append(texts, head+"Content-Length: 2\r\n\r\nok")
 	}
