codec: refuse transfer codings in other versions than HTTP/1.1

What callers saw: a target's response of HTTP/1.0 with chunks and a Content-Length came with a body of chunk sizes and a part of the chunks. Cause: fasthttp ignores Transfer-Encoding unless the version is HTTP/1.1, and shows no trace of the field afterwards; the Content-Length counts then. Change: the check of the raw header refuses the field there (RFC 9112, 6.1). The earlier rule, which refused all responses of HTTP/1.0 without a length since it could not see the field, goes; such a response without a coding ends with its connection and is served, as one of HTTP/1.1 is.

--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -130,6 +130,8 @@
 		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=10\r\n\r\nabc", "GET", false, "abc", false, 10 * time.Second, true},
 		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "GET", false, "abc", false, 0, true},
 		{"ended by the connection", "HTTP/1.1 200 OK\r\n\r\nabc", "GET", false, "abc", true, 0, true},
+		{"HTTP/1.0, ended by the connection", "HTTP/1.0 200 OK\r\n\r\nabc", "GET", false, "abc", true, 0, true},
+		{"HTTP/1.0, reset before its end", "HTTP/1.0 200 OK\r\n\r\nabc", "GET", true, "", false, 0, false},
 		{"reset before its end", "HTTP/1.1 200 OK\r\n\r\nabc", "GET", true, "", false, 0, false},
 		{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", "GET", false, "", false, 0, false},
 		{"short chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "GET", false, "", false, 0, false},
--- a/codec/head.go
+++ b/codec/head.go
@@ -38,6 +38,8 @@
 	n int
 	// crlf is set if the last line ended with CRLF, not with a bare line feed.
 	crlf bool
+	// noCoding is set if the header may have no Transfer-Encoding field.
+	noCoding bool
 }
 
 // next waits for the next line and returns it without its end. The error is io.ErrUnexpectedEOF, ErrHeaderTooLarge if the line
@@ -81,6 +83,7 @@
 		if err := checkStatusLine(line); err != nil {
 			return 0, err
 		}
+		l.noCoding = !bytes.HasPrefix(line, []byte("HTTP/1.1 "))
 		err = l.checkFields()
 		return l.n, err
 	}
@@ -125,7 +128,7 @@
 			return err
 		}
 		if len(line) > 0 {
-			if err := checkFieldName(line); err != nil {
+			if err := l.checkField(line); err != nil {
 				return err
 			}
 			continue
@@ -137,13 +140,19 @@
 	}
 }
 
-// checkFieldName returns an error if there is a blank before the first colon of a line. fasthttp allows a space there, and removes
-// one at the end of the name. A line that begins with a blank continues the one before (RFC 9112 section 5.2); one that could also
-// be a field of its own is an error.
-func checkFieldName(line []byte) error {
+// checkField returns an error if there is a blank before the first colon of a line. fasthttp allows a space there, and removes one at
+// the end of the name. A line that begins with a blank continues the one before (RFC 9112 section 5.2); one that could also be a
+// field of its own is an error. So is a transfer coding in another version than HTTP/1.1, where fasthttp ignores it and passes the
+// coded body on.
+func (l *rawLines) checkField(line []byte) error {
 	name, _, isField := bytes.Cut(line, []byte(":"))
-	if isField && bytes.ContainsAny(name, " \t") {
+	switch {
+	case !isField:
+		return nil
+	case bytes.ContainsAny(name, " \t"):
 		return errors.Wrapf(ErrMalformed, "field name %.40q", name)
+	case l.noCoding && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return errors.Mark(errors.Wrap(ErrMalformed, "transfer coding in a version without"), ErrNoLength)
 	}
 	return nil
 }
--- a/codec/malformed_test.go
+++ b/codec/malformed_test.go
@@ -79,3 +79,18 @@
 		}
 	}
 }
+
+// HTTP/1.0 has no transfer codings, and a later minor version is to be read as HTTP/1.1. fasthttp ignores the field in both. Guards
+// against a part of the chunks, with their sizes, that is taken for the body.
+func TestTransferCodingOfOtherVersions(t *testing.T) {
+	for _, version := range []string{"1.0", "1.2"} {
+		for _, field := range []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "Transfer-Encoding: identity"} {
+			for _, length := range []string{"Content-Length: 12\r\n", ""} {
+				in := "HTTP/" + version + " 200 OK\r\n" + length + field + "\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+				if a, err := ReadResponse(newReader(in), "GET", 100); !errors.Is(err, ErrMalformed) {
+					t.Errorf("%q: response %+v, error %v", in, a, err)
+				}
+			}
+		}
+	}
+}
--- a/codec/response.go
+++ b/codec/response.go
@@ -130,11 +130,6 @@
 // readResponseBody reads the body that follows the header of a response, and its trailer.
 func readResponseBody(br *bufio.Reader, h *fasthttp.ResponseHeader, limit int, reserved *memory.Reservation) ([]byte, error) {
 	length := h.ContentLength()
-	// HTTP/1.0 has no chunks. fasthttp ignores the Transfer-Encoding field there and takes the sizes of chunks, up to the
-	// end of the connection, for the body.
-	if length == noLength && string(h.Protocol()) != "HTTP/1.1" {
-		return nil, errors.Mark(errors.Wrap(ErrMalformed, "HTTP/1.0 without a length"), ErrNoLength)
-	}
 	d := bodyReader{br: br, limit: limit, reserved: reserved, initial: min(length, maxPreallocatedBytes)}
 	b, err := d.read(length)
 	if err != nil {
