send: pass responses on in HTTP/1.1

What callers saw: on the product's own interface, a target's response of HTTP/1.0 came as one of HTTP/1.0, on a connection of HTTP/1.1 that stays open; by that version a caller takes it for closed. Found while the malformed responses were played to package front. Cause: fasthttp keeps the version that it has parsed and writes it again. Change: codec.ReadInto sets the own version, as RFC 9110, 2.5 asks of an intermediary; whether the target's connection stays open has been decided by then.

--- a/codec/malformed_test.go
+++ b/codec/malformed_test.go
@@ -66,7 +66,7 @@
 }
 
 // Guards against a status line of another protocol that is read as one of HTTP/1, and against control bytes in one, which package
-// front would pass on, as a bare CR that some recipients take for the end of the line.
+// front would pass on.
 func TestStatusLine(t *testing.T) {
 	for line, ok := range map[string]bool{
 		"HTTP/2.0 200 OK": false, "HTTP/0.9 200 OK": false, "HTTP/9.1 200 OK": false, "http/1.1 200 OK": false, "HTTP/1.10 200 OK": false,
--- a/codec/response.go
+++ b/codec/response.go
@@ -90,6 +90,8 @@
 	if err := readFinalHeader(br, &resp.Header); err != nil {
 		return err
 	}
+	// fasthttp would pass the sender's version on.
+	resp.Header.SetProtocol([]byte("HTTP/1.1"))
 	if hasNoBody(method, resp.StatusCode()) {
 		resp.SkipBody = method == http.MethodHead
 		return nil
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -48,21 +48,11 @@
 			_, _ = io.Copy(io.Discard, nc) // no response
 		}()
 		s, o := &slotsAt{addr: target.Addr().String()}, &lastRecord{}
-		f := New(node.Self{}, listen(t), Dependencies{Client: send.New(1<<20, time.Now), Metrics: metrics.NewRegistry(),
-			Logger: log.NewNopLogger(), Clock: time.Now})
-		f.scheduler, f.orders = s, o
-		f.SetConfig(&lists.Config{Version: 1, Customers: []lists.CustomerPlan{{Customer: "c", Plan: "p"}},
-			Uses: []lists.Use{{Plan: "p", Service: "s", Orders: true}}})
-		f.SetNotReady("")
+		f := newTestFront(t, s, o)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- f.Run(ctx) }()
-		nc, err := net.Dial("tcp", f.ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, _ = io.WriteString(nc, strings.Join([]string{"POST /v1/request/s/x HTTP/1.1", "Host: h", "Content-Length: 0",
-			HeaderCustomer + ": c", HeaderKind + ": " + kind, HeaderID + ": j.riga-1.25.20.x", HeaderDeadline + ": 20000", "", ""}, "\r\n"))
+		nc := sendRequest(t, f, kind)
 		select {
 		case <-began:
 		case <-time.After(10 * time.Second):
@@ -89,6 +79,29 @@
 	}
 }
 
+// newTestFront returns a Front with one customer and one service that has the given slots.
+func newTestFront(t *testing.T, s *slotsAt, o *lastRecord) *Front {
+	f := New(node.Self{}, listen(t), Dependencies{Client: send.New(1<<20, time.Now), Metrics: metrics.NewRegistry(),
+		Logger: log.NewNopLogger(), Clock: time.Now})
+	f.scheduler, f.orders = s, o
+	f.SetConfig(&lists.Config{Version: 1, Customers: []lists.CustomerPlan{{Customer: "c", Plan: "p"}},
+		Uses: []lists.Use{{Plan: "p", Service: "s", Orders: true}}})
+	f.SetNotReady("")
+	return f
+}
+
+// sendRequest sends a request of the customer and returns the connection.
+func sendRequest(t *testing.T, f *Front, kind string) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", f.ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(nc, strings.Join([]string{"POST /v1/request/s/x HTTP/1.1", "Host: h", "Content-Length: 0",
+		HeaderCustomer + ": c", HeaderKind + ": " + kind, HeaderID + ": j.riga-1.25.20.x", HeaderDeadline + ": 20000", "", ""}, "\r\n"))
+	return nc
+}
+
 func listen(t *testing.T) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
