send: end a connection on which bytes follow the response

What callers saw: a request failed, after 250 ms or more, because a target had sent a copy of its last response in two parts, the first together with that response. Cause: the bytes behind a response that had been read already were dropped with the read buffer, and the connection was kept; the check before a request sees only what has not been read. Evidence, the test on the code before: TestBytesAfterResponseEndConnection "OK:false Failure:3 (silent) Latency:250.534739ms" for the second request. Change: the connection ends unless the buffer is empty after the response. Result: the second request is served on a new connection.

--- a/send/quiet_test.go
+++ b/send/quiet_test.go
@@ -69,3 +69,37 @@
 		t.Errorf("on a new connection: %+v %q", res, body)
 	}
 }
+
+// A target sends a response and the begin of a copy at once, and the rest of the copy while the next request is in progress. Guards
+// against a request on that connection, whose response would begin within the copy.
+func TestBytesAfterResponseEndConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for _, extra := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", ""} {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = nc.Close() }()
+			_, _ = nc.Read(make([]byte, 4<<10))
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"+extra)
+			if n, _ := nc.Read(make([]byte, 4<<10)); n > 0 {
+				_, _ = io.WriteString(nc, "\r\nok")
+			}
+		}
+	}()
+	c := New(1<<20, time.Now)
+	for range 2 {
+		var req fasthttp.Request
+		var resp fasthttp.Response
+		req.SetRequestURI("http://target/")
+		res := c.Do(Request{Address: ln.Addr().String(), Deadline: time.Now().Add(10 * time.Second), HTTP: &req}, &resp)
+		if !res.OK || string(resp.Body()) != "ok" {
+			t.Errorf("%+v %q", res, resp.Body())
+		}
+	}
+}
--- a/send/transport.go
+++ b/send/transport.go
@@ -16,18 +16,20 @@
 	maxBody int
 }
 
-// RoundTrip implements fasthttp.RoundTripper. The connection is kept only after a complete response.
+// RoundTrip implements fasthttp.RoundTripper. The connection is kept only after a complete response without bytes
+// behind it: they belong to no request.
 func (t transport) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (retry bool, err error) {
 	deadline := time.Now().Add(req.GetTimeOut())
 	conn, err := hc.AcquireConn(req.GetTimeOut(), req.ConnectionClose())
 	if err != nil {
 		return false, err
 	}
-	if err := t.exchange(hc, conn.Conn(), deadline, req, resp); err != nil {
+	quiet, err := t.exchange(hc, conn.Conn(), deadline, req, resp)
+	if err != nil {
 		hc.CloseConn(conn)
 		return false, err
 	}
-	if req.ConnectionClose() || resp.ConnectionClose() {
+	if !quiet || req.ConnectionClose() || resp.ConnectionClose() {
 		hc.CloseConn(conn)
 	} else {
 		hc.ReleaseConn(conn)
@@ -35,20 +37,22 @@
 	return false, nil
 }
 
-// exchange writes a request to a connection and reads the response.
-func (t transport) exchange(hc *fasthttp.HostClient, conn net.Conn, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) error {
+// exchange writes a request to a connection and reads the response. It reports whether nothing has arrived behind the response.
+func (t transport) exchange(hc *fasthttp.HostClient, conn net.Conn, deadline time.Time, req *fasthttp.Request,
+	resp *fasthttp.Response) (quiet bool, err error) {
 	if err := conn.SetDeadline(deadline); err != nil {
-		return err
+		return false, err
 	}
 	bw := hc.AcquireWriter(conn)
 	defer hc.ReleaseWriter(bw)
 	if err := req.Write(bw); err != nil {
-		return err
+		return false, err
 	}
 	if err := bw.Flush(); err != nil {
-		return err
+		return false, err
 	}
 	br := hc.AcquireReader(conn)
 	defer hc.ReleaseReader(br)
-	return codec.ReadInto(resp, br, string(req.Header.Method()), t.maxBody)
+	err = codec.ReadInto(resp, br, string(req.Header.Method()), t.maxBody)
+	return br.Buffered() == 0, err
 }
