outlet: count connections that end with a malformed response

Cause: an operator saw malformed responses of a target only in lines of requests, those to health requests not at all. Result: TestMalformedResponseIsLogged checks the line of the failed order, with the quoted status, and the count.

--- a/carry/malformed_response_test.go
+++ b/carry/malformed_response_test.go
@@ -100,3 +100,27 @@
 		testMalformed(t, response)
 	}
 }
+
+// Guards against a target that sends malformed responses unnoticed by an operator.
+func TestMalformedResponseIsLogged(t *testing.T) {
+	target := newFakeTarget(t, func(nc net.Conn, _ int, r *http.Request) bool {
+		_, _ = nc.Write([]byte(strings.Replace(responseHead(200, r), "200", "000", 1) + "Content-Length: 0\r\n\r\n"))
+		return true
+	})
+	c := newForwarderFor(t, false, 5*time.Second, target)
+	c.Handle(context.Background(), newRequest(t, "Id: 7\r\n"), time.Now())
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var out strings.Builder
+	if err := c.log.Run(ctx, &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"event=failed", "id=7", "kind=outcome-unknown", `cause="broken answer: status \"000\": malformed message"`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("log %q, want %s in it", out.String(), want)
+		}
+	}
+	if s, _ := c.Connections(); s.Malformed != 1 {
+		t.Errorf("%d malformed responses were counted, want 1", s.Malformed)
+	}
+}
--- a/edge/inspect.go
+++ b/edge/inspect.go
@@ -108,7 +108,7 @@
 		{"requests_in_progress", requests}, {"caller_connections", connections},
 		{"target_connections", open}, {"target_connections_opened_total", pool.Opened},
 		{"target_connections_reused_total", pool.Reused}, {"target_connections_failed_total", pool.Failed},
-		{"target_connections_found_dead_total", pool.FoundDead},
+		{"target_connections_found_dead_total", pool.FoundDead}, {"target_connections_malformed_total", pool.Malformed},
 		{"sends_total", n.cfg.Forwarder.Counters.Sends.Load()}, {"retries_total", n.cfg.Forwarder.Counters.Retries.Load()},
 		{"further_holder_sends_total", n.cfg.Forwarder.Counters.FurtherHolderSends.Load()},
 		{"log_lines_total", lines.Sent}, {"log_lines_dropped_total", lines.Full},
--- a/outlet/outlet.go
+++ b/outlet/outlet.go
@@ -127,9 +127,10 @@
 	until time.Time
 }
 
-// Stats counts connections. Reused counts idle connections that were taken for a request.
+// Stats counts connections. Reused counts idle connections that were taken for a request, Malformed those that ended with a malformed
+// response.
 type Stats struct {
-	Opened, Reused, FoundDead, Failed uint64
+	Opened, Reused, FoundDead, Failed, Malformed uint64
 }
 
 // New returns an empty pool. MaxResponseMemory bounds the memory in bytes for the bodies of all responses that are being read,
@@ -191,6 +192,9 @@
 		} else if reused && !e.Partial && !errors.Is(e, ErrResponseTooLarge) {
 			p.recordDeadConn(t, c)
 		}
+		if errors.Is(e, codec.ErrMalformed) {
+			p.countMalformed()
+		}
 		p.discard(t, c)
 		return nil, e
 	}
@@ -330,6 +334,12 @@
 	p.stats.Opened++
 }
 
+func (p *Pool) countMalformed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Malformed++
+}
+
 // release keeps a connection after a complete response, unless it cannot be reused.
 func (p *Pool) release(t Target, c *conn, a *codec.Response) {
 	// Bytes after a complete response belong to no request.
