soak: play both reported responses to real processes

The stand-in for targets sends status 000, and a field "Transfer Encoding: chunked" before chunks; TestFaultyResponses plays both, beside its other faults, to a look-up and an order.

--- a/soak/path_test.go
+++ b/soak/path_test.go
@@ -55,7 +55,8 @@
 	}
 	// A failure that the target itself reports is passed on with its signature.
 	orderStatus := map[plat.ResponseFault]int{plat.ExtraResponse: 200, plat.ServerError: 500}
-	for _, s := range []plat.ResponseFault{plat.ResetAfterRun, plat.TruncateBody, plat.ResetWithoutLength, plat.MalformedResponse, plat.MissingSignature, plat.ExtraResponse, plat.ServerError} {
+	for _, s := range []plat.ResponseFault{plat.ResetAfterRun, plat.TruncateBody, plat.ResetWithoutLength, plat.MalformedResponse,
+		plat.InvalidStatus, plat.InvalidFieldName, plat.MissingSignature, plat.ExtraResponse, plat.ServerError} {
 		t.Run(string(s), func(t *testing.T) {
 			responseFaults.Set(s, 1)
 			id := "look-" + string(s)
--- a/stubs/plat/target.go
+++ b/stubs/plat/target.go
@@ -40,6 +40,8 @@
 	ExtraResponse      ResponseFault = "extra"      // sends a second response, which belongs to another caller's request
 	LateExtraResponse  ResponseFault = "extra-late" // sends the second response in place of that to the next request, which is not executed
 	MalformedResponse  ResponseFault = "garbage"    // sends bytes that are not an HTTP response
+	InvalidStatus      ResponseFault = "status-000" // sends a response whose status is 000
+	InvalidFieldName   ResponseFault = "blank-name" // sends a response with a blank in a field name, which hides that its body is chunked
 	MissingSignature   ResponseFault = "unsigned"   // omits the signature
 	ServerError        ResponseFault = "fail"       // responds with status 500
 )
@@ -354,6 +356,10 @@
 		reset = true
 	case MalformedResponse:
 		_, _ = bw.WriteString("\x00\x01garbage\r\n\r\n")
+	case InvalidStatus:
+		_, _ = fmt.Fprintf(bw, "%sContent-Length: %d\r\n\r\n%s", strings.Replace(head, "200", "000", 1), len(body), body)
+	case InvalidFieldName:
+		_, _ = fmt.Fprintf(bw, "%sTransfer Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
 	case ExtraResponse:
 		_, _ = fmt.Fprintf(bw, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 		_, _ = bw.WriteString(strayResponse)
