codec: refuse status 101 from the store and other VMs

What callers saw: nothing; a write to the store that got an unasked 101 counted as one without effect. The rule stood on both paths to targets and not here. Cause: net/http returns 101 as a final response, whatever the request asked for. Evidence, the tests on the code before: TestTransportRefusesMalformed "101, error <nil>", TestInvalidStatusIsNoAnswer "store-down: status 101 of a write". Change: codec.Transport refuses final responses below 200. Result: the tests pass.

--- a/codec/transport.go
+++ b/codec/transport.go
@@ -75,7 +75,8 @@
 	switch {
 	case resp.ProtoMajor != 1:
 		return errors.Wrapf(ErrMalformed, "version %.20q", resp.Proto)
-	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+	// net/http returns 101 as a final response. No request asks for another protocol.
+	case resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus:
 		return errors.Wrapf(ErrMalformed, "status %03d", resp.StatusCode)
 	case hasControlByte([]byte(resp.Status)):
 		return errors.Wrapf(ErrMalformed, "status line %.80q", resp.Status)
--- a/codec/transport_test.go
+++ b/codec/transport_test.go
@@ -67,6 +67,7 @@
 	for _, text := range []string{
 		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
 		"HTTP/1.1 042 x\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 600 x\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
