--- a/front/malformed_test.go
+++ b/front/malformed_test.go
@@ -10,24 +10,18 @@
 	"time"
 
 	"github.com/currantpier/currantpier/once"
+	"github.com/currantpier/currantpier/stubs"
 )
 
 // response returns what the caller of a request gets when each target sends text and closes the connection.
 func response(t *testing.T, kind, text string, o *lastRecord) *http.Response {
 	t.Helper()
-	target := listen(t)
-	go func() {
-		for {
-			nc, err := target.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = nc.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(nc, text)
-			_ = nc.Close()
-		}
-	}()
-	f := newTestFront(t, &slotsAt{addr: target.Addr().String()}, o)
+	target, err := stubs.NewRaw(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(target.Close)
+	f := newTestFront(t, &slotsAt{addr: target.Address()}, o)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- f.Run(ctx) }()
--- a/join/malformed_response_test.go
+++ b/join/malformed_response_test.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/currantpier/currantpier/feed"
 	"github.com/currantpier/currantpier/peers"
 	"github.com/currantpier/currantpier/proto"
+	"github.com/currantpier/currantpier/stubs"
 )
 
 // Guards against the state of another VM that is applied although the response is malformed.
@@ -28,25 +27,16 @@
 		"HTTP/1.1 200 OK\r\n\n" + length:                                          false,
 		"HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n" + length + "A: b\r\n": false,
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		raw, err := stubs.NewRaw(head + "\r\n" + body)
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = nc.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(nc, head+"\r\n"+body)
-			_ = nc.Close()
-		}()
 		view := peers.NewView(time.Now(), proto.VMInfo{VM: "a"}, nil, rand.NewSource(1))
-		f := &StateFetcher{Peers: peers.NewService(view, nil, nil, time.Now, func(any) {}), Port: ln.Addr().(*net.TCPAddr).Port}
-		m, err := f.fetch(context.Background(), newClient(), proto.VMInfo{VM: "b", PeerAddress: ln.Addr().String()}, StatePath)
+		f := &StateFetcher{Peers: peers.NewService(view, nil, nil, time.Now, func(any) {}), Port: raw.Port()}
+		m, err := f.fetch(context.Background(), newClient(), proto.VMInfo{VM: "b", PeerAddress: raw.Address()}, StatePath)
 		if (err == nil) != ok {
 			t.Errorf("%q: state %+v, error %v", head, m, err)
 		}
-		_ = ln.Close()
+		raw.Close()
 	}
 }
--- a/node/malformed_reply_test.go
+++ b/node/malformed_reply_test.go
@@ -1,13 +1,12 @@
 package node
 
 import (
-	"io"
-	"net"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/currantpier/currantpier/codec"
+	"github.com/currantpier/currantpier/stubs"
 	"github.com/currantpier/currantpier/wire"
 )
 
@@ -23,25 +22,16 @@
 		"HTTP/1.1 200 OK\r\n" + kind + "\n" + length:                                 false,
 		"HTTP/1.1 200 OK\r\n" + kind + "\r\n":                                        false,
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		raw, err := stubs.NewRaw(text)
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = nc.Read(make([]byte, 4<<10))
-			_, _ = io.WriteString(nc, text)
-			_ = nc.Close()
-		}()
 		p := NewPeers()
-		_, err = p.At(ln.Addr().String()).Probe(t.Context(), &wire.ProbeRequest{})
+		_, err = p.At(raw.Address()).Probe(t.Context(), &wire.ProbeRequest{})
 		if (err == nil) != ok || !ok && !errors.Is(err, codec.ErrMalformed) {
 			t.Errorf("%q: error %v", text, err)
 		}
 		p.Close()
-		_ = ln.Close()
+		raw.Close()
 	}
 }
--- a/send/malformed_test.go
+++ b/send/malformed_test.go
@@ -19,15 +19,15 @@
 	var resp fasthttp.Response
 	req.SetRequestURI("http://target/")
 	for _, kind := range []retry.Request{retry.Idempotent, retry.Order} {
-		res := c.Do(Request{Address: respondOnce(t, text), Kind: kind, Deadline: deadline, HTTP: &req}, &resp)
+		res := c.Do(Request{Address: respond(t, text), Kind: kind, Deadline: deadline, HTTP: &req}, &resp)
 		if res.OK || res.Failure != retry.Broken || !res.Written {
 			t.Errorf("%q, kind %v: %+v, status %d, body %q", text, kind, res, resp.StatusCode(), resp.Body())
 		}
 	}
-	if c.Forward(respondOnce(t, text), &req, &resp, deadline) {
+	if c.Forward(respond(t, text), &req, &resp, deadline) {
 		t.Errorf("%q: a forwarded request has the response %d %q", text, resp.StatusCode(), resp.Body())
 	}
-	if body, err := c.Get(respondOnce(t, text), "/load", 10*time.Second); err == nil {
+	if body, err := c.Get(respond(t, text), "/load", 10*time.Second); err == nil {
 		t.Errorf("%q: the document %q was read", text, body)
 	}
 }
--- a/send/truncated_test.go
+++ b/send/truncated_test.go
@@ -1,33 +1,24 @@
 package send
 
 import (
-	"io"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/currantpier/currantpier/retry"
+	"github.com/currantpier/currantpier/stubs"
 )
 
-// respondOnce accepts one connection, reads a request and writes text, then closes the connection.
-func respondOnce(t *testing.T, text string) (addr string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// respond returns the address of a target that answers each request with text and then closes the connection.
+func respond(t *testing.T, text string) (address string) {
+	t.Helper()
+	raw, err := stubs.NewRaw(text)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		nc, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = nc.Read(make([]byte, 4<<10))
-		_, _ = io.WriteString(nc, text)
-		_ = nc.Close()
-	}()
-	return ln.Addr().String()
+	t.Cleanup(raw.Close)
+	return raw.Address()
 }
 
 // A target closes the connection within its response. Guards against a head or body that was cut and is returned as
@@ -42,7 +33,7 @@
 	} {
 		for n := range len(text) + 1 {
 			for _, kind := range []retry.Request{retry.Idempotent, retry.Order} {
-				addr := respondOnce(t, text[:n])
+				addr := respond(t, text[:n])
 				var req fasthttp.Request
 				var resp fasthttp.Response
 				req.SetRequestURI("http://target/")
@@ -71,14 +62,14 @@
 		var req fasthttp.Request
 		var resp fasthttp.Response
 		req.SetRequestURI("http://target/")
-		res := c.Do(Request{Address: respondOnce(t, text), Deadline: time.Now().Add(10 * time.Second), HTTP: &req}, &resp)
+		res := c.Do(Request{Address: respond(t, text), Deadline: time.Now().Add(10 * time.Second), HTTP: &req}, &resp)
 		if res.OK || res.Failure != retry.Truncated {
 			t.Errorf("%q: %+v, body %q", text, res, resp.Body())
 		}
-		if addr := respondOnce(t, text); c.Forward(addr, &req, &resp, time.Now().Add(10*time.Second)) {
+		if addr := respond(t, text); c.Forward(addr, &req, &resp, time.Now().Add(10*time.Second)) {
 			t.Errorf("%q: a forwarded request has the complete response %q", text, resp.Body())
 		}
-		if body, err := c.Get(respondOnce(t, text), "/load", 10*time.Second); err == nil {
+		if body, err := c.Get(respond(t, text), "/load", 10*time.Second); err == nil {
 			t.Errorf("%q: the document %q was read", text, body)
 		}
 	}
@@ -100,7 +91,7 @@
 		var resp fasthttp.Response
 		req.SetRequestURI("http://target/")
 		res := New(1<<20, time.Now).Do(Request{
-			Address: respondOnce(t, text), Kind: retry.Order, Deadline: time.Now().Add(10 * time.Second), HTTP: &req,
+			Address: respond(t, text), Kind: retry.Order, Deadline: time.Now().Add(10 * time.Second), HTTP: &req,
 		}, &resp)
 		if res.OK || res.Failure != want {
 			t.Errorf("%q: %+v, status %d; want failure %d", text, res, resp.StatusCode(), want)
