codec: refuse a malformed header as soon as a line shows it

Cause: since the raw lines are checked first, a line that only fasthttp refused (a delimiter or a control byte in a name, no colon, a control byte in a value) was noticed at the end of the header. A target that sends such a line and then nothing held its request to the deadline; fasthttp had refused the line when it arrived. Change: the check of a line covers names (token, RFC 9110, 5.6.2), colons and control bytes by itself. What several fields say together, as two lengths, is still seen at the end.

--- a/codec/head.go
+++ b/codec/head.go
@@ -68,7 +68,8 @@
 }
 
 // checkHeader waits for the header of the response that br returns next, and returns its length. It consumes nothing. The error is
-// ErrMalformed for what is no header although fasthttp accepts it and shows no trace of it. All else is left to fasthttp.
+// ErrMalformed, as soon as a line has arrived that shows it, also for what fasthttp accepts and shows no trace of. What several fields
+// say together is left to fasthttp.
 func checkHeader(br *bufio.Reader) (int, error) {
 	l := rawLines{br: br}
 	for {
@@ -113,11 +114,6 @@
 	return nil
 }
 
-// hasControlByte reports whether a text has a byte that no reason phrase and no field value may have (RFC 9110 section 5.5).
-func hasControlByte(text []byte) bool {
-	return bytes.ContainsFunc(text, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
-}
-
 // checkFields checks the lines up to the empty one that ends a header or trailer. That one must be the first CRLF after a CRLF: if
 // bare line feeds counted there, a field name that begins with one would end the header, and the rest would be the body.
 func (l *rawLines) checkFields() error {
@@ -140,19 +136,31 @@
 	}
 }
 
-// checkField returns an error if there is a blank before the first colon of a line. fasthttp allows a space there, and removes one at
-// the end of the name. A line that begins with a blank continues the one before (RFC 9112 section 5.2); one that could also be a
-// field of its own is an error. So is a transfer coding in another version than HTTP/1.1, where fasthttp ignores it and passes the
-// coded body on.
+// checkField returns an error for a line that is neither a field (RFC 9112 section 5) nor a continuation of the one before, which
+// begins with a blank. A continuation that could also be a field is an error, and so is a transfer coding in another version than
+// HTTP/1.1, where fasthttp ignores it and passes the coded body on.
 func (l *rawLines) checkField(line []byte) error {
 	name, _, isField := bytes.Cut(line, []byte(":"))
 	switch {
-	case !isField:
-		return nil
-	case bytes.ContainsAny(name, " \t"):
+	case isField && !isToken(name):
 		return errors.Wrapf(ErrMalformed, "field name %.40q", name)
-	case l.noCoding && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+	case !isField && line[0] != ' ' && line[0] != '\t':
+		return errors.Wrapf(ErrMalformed, "no colon in %.40q", line)
+	case hasControlByte(line):
+		return errors.Wrapf(ErrMalformed, "control byte in %.80q", line)
+	case isField && l.noCoding && bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		return errors.Mark(errors.Wrap(ErrMalformed, "transfer coding in a version without"), ErrNoLength)
 	}
 	return nil
 }
+
+// isToken reports whether a text is a token (RFC 9110 section 5.6.2): visible ASCII characters without delimiters.
+func isToken(text []byte) bool {
+	const delimiters = `"(),/:;<=>?@[\]{}`
+	return len(text) > 0 && !bytes.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c >= 0x7f }) && !bytes.ContainsAny(text, delimiters)
+}
+
+// hasControlByte reports whether a text has a byte that no field value and no reason phrase may have (RFC 9110 section 5.5).
+func hasControlByte(text []byte) bool {
+	return bytes.ContainsFunc(text, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
+}
--- a/codec/malformed_test.go
+++ b/codec/malformed_test.go
@@ -1,7 +1,9 @@
 package codec
 
 import (
+	"bufio"
 	"errors"
+	"strings"
 	"testing"
 )
 
@@ -65,6 +67,21 @@
 	}
 }
 
+// Guards against waiting for the rest of a header that is malformed already, up to the deadline if its sender sends nothing more.
+func TestMalformedHeaderIsRefusedAtOnce(t *testing.T) {
+	const status = "HTTP/1.1 200 OK\r\n"
+	for _, in := range []string{
+		"HTTP/1.1 000 OK\r\n", "HTTP/2.0 200 OK\r\n", "garbage\r\n", "\x00\x01garbage\r\n", "HTTP/1.1 200 O\x01K\r\n",
+		status + "A B: c\r\n", status + "A : b\r\n", status + "A\x01: b\r\n", status + "A(: b\r\n", status + "A\x80: b\r\n", status + ": b\r\n",
+		status + "garbage\r\n", status + "A: \x01\r\n", status + "A: b\rc\r\n", status + "A: b\r\n c\x00\r\n", status + "A: b\r\n\n",
+	} {
+		a, err := ReadResponse(bufio.NewReader(resetReader{strings.NewReader(in)}), "GET", 100)
+		if !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: response %+v, error %v; want %v", in, a, err, ErrMalformed)
+		}
+	}
+}
+
 // Guards against a status line of another protocol that is read as one of HTTP/1, and against control bytes in one, which package
 // front would pass on.
 func TestStatusLine(t *testing.T) {
--- a/codec/transport.go
+++ b/codec/transport.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -93,10 +92,10 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed || hasNoBody(resp.Request.Method, resp.StatusCode)
 }
 
-// checkNames returns an error if a field name has a space, the only byte that net/http accepts there against RFC 9112 section 5.1.
+// checkNames returns an error if a field name is invalid. net/http accepts spaces in one.
 func checkNames(fields http.Header) error {
 	for name := range fields {
-		if strings.Contains(name, " ") {
+		if !isToken([]byte(name)) {
 			return errors.Wrapf(ErrMalformed, "field name %.40q", name)
 		}
 	}
