codec, join, node: errors and long lines in doc comments

From reading the change as a newcomer: ReadResponseFunc and ReadInto name their errors, newClient has a comment. No code changed; codec, join and node pass.

--- a/codec/response.go
+++ b/codec/response.go
@@ -59,7 +59,7 @@
 
 // ReadResponseFunc is ReadResponse with a reservation for the memory of the body, and a function that is called with the status
 // and the fields before the body is read, also if the body then ends early. Trailer fields are no part of them. Errors include
-// ErrBodyTooLarge and memory.ErrExhausted.
+// ErrMalformed, ErrHeaderTooLarge, ErrBodyTooLarge and memory.ErrExhausted.
 func ReadResponseFunc(br *bufio.Reader, method string, limit int, reserved *memory.Reservation, onHeader func(*Response)) (*Response, error) {
 	var resp fasthttp.Response
 	resp.Header.SetNoDefaultContentType(true)
@@ -85,7 +85,7 @@
 }
 
 // ReadInto is ReadResponse for clients of fasthttp: it reads into resp, with the hop-by-hop fields. The error is io.EOF if the
-// connection ended before the first byte, and includes ErrNoLength.
+// connection ended before the first byte. Errors include ErrMalformed, ErrNoLength, ErrHeaderTooLarge and ErrBodyTooLarge.
 func ReadInto(resp *fasthttp.Response, br *bufio.Reader, method string, limit int) error {
 	if err := readFinalHeader(br, &resp.Header); err != nil {
 		return err
--- a/join/fetch.go
+++ b/join/fetch.go
@@ -81,6 +81,7 @@
 // Dump implements kernel.Service.
 func (*StateFetcher) Dump(time.Time) any { return nil }
 
+// newClient returns the client for requests to other VMs.
 func newClient() *http.Client {
 	return &http.Client{Transport: codec.Transport{RoundTripper: &http.Transport{
 		DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
--- a/node/limit.go
+++ b/node/limit.go
@@ -91,7 +91,8 @@
 // maxHeaderBytes bounds the header of a call or reply, which consists of a few short fields.
 const maxHeaderBytes = 64 << 10
 
-// NewHTTPClient returns a client for control ports. It bounds the size of replies and refuses malformed ones. Each call ends after timeout.
+// NewHTTPClient returns a client for control ports. It bounds the size of replies and refuses malformed ones. Each call ends after
+// timeout.
 func NewHTTPClient(timeout time.Duration) *http.Client {
 	t := &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: maxClientIdle, MaxResponseHeaderBytes: maxHeaderBytes,
